--- /dev/null
+++ b/src/gentianhitch/__init__.py
@@ -0,0 +1,3 @@
+"""Proxy fleet for backend servers with gray failures."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gentianhitch/backend_servers/__init__.py
@@ -0,0 +1,3 @@
+"""Talk to backend servers: connections, sending and probing."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gentianhitch/checked.py
@@ -0,0 +1,76 @@
+"""Read JSON with comments into attrs classes and name the place of each fault."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+from typing import TypeVar
+from typing import get_args
+from typing import get_type_hints
+
+import attrs
+import msgspec
+import pyjson5
+
+from gentianhitch.addresses import Address
+from gentianhitch.errors import UsageError
+
+T = TypeVar("T")
+
+
+class CheckError(UsageError):
+    """Report text that does not fit its class; the message names the place."""
+
+
+def load(path: Path, kind: type[T]) -> T:
+    """Read the file at ``path`` into ``kind``; raise CheckError."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise CheckError(f"cannot read {str(path)!r}: {error}") from error
+    return loads(text, kind, source=str(path))
+
+
+def loads(text: str, kind: type[T], *, source: str) -> T:
+    """Read ``text`` into ``kind``; raise CheckError that names ``source``."""
+    try:
+        raw = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        raise CheckError(f"{source}: not JSON with comments: {error}") from error
+    unknown = next(_unknown_names(raw, kind, "$"), None)
+    if unknown is not None:
+        raise CheckError(f"{source}: unknown name at {unknown}")
+    try:
+        return msgspec.convert(raw, kind, dec_hook=_decode)
+    except msgspec.ValidationError as error:
+        raise CheckError(f"{source}: {error}") from error
+
+
+def _decode(kind: type, value: Any) -> Any:
+    if kind is Address:
+        return Address.parse(value)
+    raise NotImplementedError(kind)
+
+
+def _unknown_names(raw: Any, kind: Any, place: str) -> Iterator[str]:
+    if isinstance(raw, list | dict) and get_args(kind):
+        yield from _unknown_in_collection(raw, get_args(kind), place)
+    elif isinstance(raw, dict) and attrs.has(kind):
+        hints = get_type_hints(kind)
+        for name, value in raw.items():
+            if name not in hints:
+                yield f"{place}.{name}"
+            else:
+                yield from _unknown_names(value, hints[name], f"{place}.{name}")
+
+
+def _unknown_in_collection(
+    raw: list[Any] | dict[str, Any], kinds: tuple[Any, ...], place: str
+) -> Iterator[str]:
+    if isinstance(raw, dict):
+        for name, value in raw.items():
+            yield from _unknown_names(value, kinds[-1], f"{place}.{name}")
+        return
+    for index, value in enumerate(raw):
+        yield from _unknown_names(value, kinds[0], f"{place}[{index}]")
--- /dev/null
+++ b/src/gentianhitch/instances/__init__.py
@@ -0,0 +1,3 @@
+"""Exchange messages between entry instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gentianhitch/instances/codec.py
@@ -0,0 +1,56 @@
+"""Encode and decode the messages that entry instances exchange."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import attrs
+import msgspec
+
+from gentianhitch.addresses import Address
+from gentianhitch.errors import GentianhitchError
+
+T = TypeVar("T")
+
+_kinds_by_name: dict[str, type] = {}
+
+
+class MalformedMessageError(GentianhitchError):
+    """A message from another instance could not be read."""
+
+
+def message(kind: type[T]) -> type[T]:
+    """Make ``kind`` a frozen attrs class that may travel between instances."""
+    frozen = attrs.frozen(kind)
+    _kinds_by_name[frozen.__name__] = frozen
+    return frozen
+
+
+def encode(body: object) -> bytes:
+    """Encode a message as its name, a zero byte and MessagePack."""
+    payload = msgspec.msgpack.encode(body, enc_hook=_encode_hook)
+    return type(body).__name__.encode() + b"\0" + payload
+
+
+def decode(data: bytes) -> object:
+    """Decode a message; raise MalformedMessageError."""
+    name, _, payload = data.partition(b"\0")
+    kind = _kinds_by_name.get(name.decode(errors="replace"))
+    if kind is None:
+        raise MalformedMessageError(f"unknown message {name[:40]!r}")
+    try:
+        return msgspec.msgpack.decode(payload, type=kind, dec_hook=_decode_hook)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise MalformedMessageError(f"malformed {kind.__name__}: {error}") from error
+
+
+def _encode_hook(value: object) -> object:
+    if isinstance(value, Address):
+        return str(value)
+    raise NotImplementedError(type(value))
+
+
+def _decode_hook(kind: type, value: object) -> object:
+    if kind is Address:
+        return Address.parse(value)
+    raise NotImplementedError(kind)
