Give the decisions one view of the agreed states

Limits, ejection and steering all depend on what the fleet has agreed on; AgreedState and Agreement name it once, with the states not yet superseded. The command line is a table of subcommands that each part adds to.

--- /dev/null
+++ b/src/gentianhitch/cli.py
@@ -0,0 +1,29 @@
+"""The ``gentianhitch`` command line."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import defopt
+
+from gentianhitch.errors import ExitCode
+from gentianhitch.errors import GentianhitchError
+
+COMMANDS: dict[str, Callable[..., Any]] = {}
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one subcommand and return its exit code."""
+    try:
+        code = defopt.run(COMMANDS, argv=arguments)
+    except GentianhitchError as error:
+        print(f"gentianhitch: {error}", file=sys.stderr)
+        return int(error.exit_code)
+    return int(code or ExitCode.OK)
+
+
+def console() -> None:
+    """Run the command line of this process and exit."""
+    sys.exit(main())
--- a/src/gentianhitch/decisions/interfaces.py
+++ b/src/gentianhitch/decisions/interfaces.py
@@ -11,21 +11,38 @@
 
 import attrs
 
+from gentianhitch.instances.identity import Member
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Route
 
 
-class Configuration(Protocol):
-    """Show the configuration in force at this instance."""
+@attrs.frozen
+class AgreedState:
+    """What one sequence of the head agrees on.
+
+    ``members_by_name`` is the agreed list of entry instances; ``document`` is
+    None before the first promotion.
+    """
+
+    sequence: int
+    members_by_name: dict[str, Member]
+    document: Document | None
+
+
+class Agreement(Protocol):
+    """Show what the fleet has agreed on, as far as this instance knows."""
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether this instance may act on what it knows at ``now``."""
         ...
 
-    @property
-    def document(self) -> Document | None:
-        """Return the newest promoted document; None before the first."""
+    def active(self, now: float) -> tuple[AgreedState, ...]:
+        """Return the states not superseded by one in force, oldest first.
+
+        The last one is the newest known. A right (a share, a raised rate, a new
+        key) holds only if each of them gives it. Empty before the first state.
+        """
         ...
 
 
--- a/src/gentianhitch/settings.py
+++ b/src/gentianhitch/settings.py
@@ -37,7 +37,8 @@
     ``instance`` is the unique name of this instance; ``callers`` and ``peers``
     are the addresses on which it listens for HTTP and for other instances;
     ``seeds`` are peer addresses asked for the configuration when the platform
-    does not answer. Port 0 takes a free port.
+    does not answer. ``operator_key_hashes`` are lowercase hexadecimal SHA-256
+    digests of the keys that operators show. Port 0 takes a free port.
     """
 
     instance: str
@@ -47,6 +48,7 @@
     peers: Address
     platform: tuple[Address, ...]
     seeds: tuple[Address, ...] = ()
+    operator_key_hashes: tuple[str, ...] = ()
     statsd: Address | None = None
     logs: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
