--- /dev/null
+++ b/src/gentianhitch/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Named measurements, each with a bound taken from the stated target."""
+
+from __future__ import annotations
--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -8,10 +8,13 @@
 
 import defopt
 
+from gentianhitch.benchmarks.command import bench
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 
-COMMANDS: dict[str, Callable[..., Any]] = {}
+COMMANDS: dict[str, Callable[..., Any]] = {
+    "bench": bench,
+}
 
 
 def main(arguments: list[str] | None = None) -> int:
--- /dev/null
+++ b/src/gentianhitch/lifecycle.py
@@ -0,0 +1,80 @@
+"""The states of an entry instance, from starting to stopped."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from automat import TypeMachineBuilder
+
+
+class Lifecycle(Protocol):
+    """Move one instance through its states."""
+
+    def started(self) -> None:
+        """Note that every listener is open."""
+
+    def stop_requested(self) -> None:
+        """Begin the graceful shutdown; a repeat changes nothing."""
+
+    def drained(self) -> None:
+        """Note that nothing runs any more."""
+
+
+@attrs.define
+class LifecycleActions:
+    """What the machine calls when the state changes."""
+
+    on_state: Callable[[str], None]
+    leave: Callable[[], None]
+    exit: Callable[[], None]
+
+
+_builder = TypeMachineBuilder(Lifecycle, LifecycleActions)
+_starting = _builder.state("starting")
+_serving = _builder.state("serving")
+_leaving = _builder.state("leaving")
+_stopped = _builder.state("stopped")
+
+
+@_starting.upon(Lifecycle.started).to(_serving)
+def _serve(machine: Lifecycle, actions: LifecycleActions) -> None:
+    actions.on_state("serving")
+
+
+@_starting.upon(Lifecycle.stop_requested).to(_stopped)
+def _stop_early(machine: Lifecycle, actions: LifecycleActions) -> None:
+    actions.on_state("stopped")
+    actions.exit()
+
+
+@_serving.upon(Lifecycle.stop_requested).to(_leaving)
+def _leave(machine: Lifecycle, actions: LifecycleActions) -> None:
+    actions.on_state("leaving")
+    actions.leave()
+
+
+@_leaving.upon(Lifecycle.stop_requested).loop()
+def _already_leaving(machine: Lifecycle, actions: LifecycleActions) -> None:
+    actions.on_state("still leaving; the graceful shutdown is not cut short")
+
+
+@_leaving.upon(Lifecycle.drained).to(_stopped)
+def _stop(machine: Lifecycle, actions: LifecycleActions) -> None:
+    actions.on_state("stopped")
+    actions.exit()
+
+
+@_stopped.upon(Lifecycle.stop_requested).loop()
+def _already_stopped(machine: Lifecycle, actions: LifecycleActions) -> None:
+    pass
+
+
+@_stopped.upon(Lifecycle.started).loop()
+def _started_too_late(machine: Lifecycle, actions: LifecycleActions) -> None:
+    pass
+
+
+create_lifecycle = _builder.build()
+"""Create a :class:`Lifecycle` in state starting from its actions."""
