--- a/src/gentianhitch/checked.py
+++ b/src/gentianhitch/checked.py
@@ -50,6 +50,8 @@
 def _decode(kind: type, value: Any) -> Any:
     if kind is Address:
         return Address.parse(value)
+    if kind is Path:
+        return Path(value)
     raise NotImplementedError(kind)
 
 
--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -11,9 +11,13 @@
 from gentianhitch.benchmarks.command import bench
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
+from gentianhitch.load.command import load
+from gentianhitch.load.command import report
 
 COMMANDS: dict[str, Callable[..., Any]] = {
     "bench": bench,
+    "load": load,
+    "report": report,
 }
 
 
