--- /dev/null
+++ b/src/gentianhitch/operators/head.py
@@ -0,0 +1,200 @@
+"""The head of one environment: the one key that orders all agreed changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from gentianhitch.errors import ExitCode
+from gentianhitch.errors import GentianhitchError
+from gentianhitch.platform.interface import ABSENT
+from gentianhitch.platform.interface import ConflictError
+from gentianhitch.platform.interface import Entry
+from gentianhitch.platform.interface import OutcomeUnknownError
+from gentianhitch.platform.interface import Platform
+from gentianhitch.platform.interface import UnavailableError
+
+RECENT_WRITES = 64
+MAX_ATTEMPTS = 16
+
+
+class HeadError(GentianhitchError):
+    """Base class of errors about the head."""
+
+
+class MalformedHeadError(HeadError):
+    """The value of the head key could not be read."""
+
+
+class HeadUnavailableError(HeadError):
+    """The platform could not be reached; the head was not changed."""
+
+
+class HeadContendedError(HeadError):
+    """Other writers won every attempt; the head was not changed."""
+
+
+class ChangeUnknownError(HeadError):
+    """The change may have taken effect; repeating it is safe."""
+
+    exit_code = ExitCode.OUTCOME_UNKNOWN
+
+
+@attrs.frozen
+class DocumentReference:
+    """Name one revision of the document, its root piece and who made it.
+
+    ``change_id`` is the write id of the change that made this revision.
+    """
+
+    revision: int
+    digest: str
+    changed_by: str
+    change_id: str
+
+
+@attrs.frozen
+class Head:
+    """What one sequence of an environment agrees on.
+
+    ``recent_write_ids`` has the newest first; ``members_digest`` names the root
+    piece of the agreed list of entry instances.
+    """
+
+    sequence: int = 0
+    recent_write_ids: tuple[str, ...] = ()
+    document: DocumentReference | None = None
+    members_digest: str | None = None
+
+    @property
+    def write_id(self) -> str | None:
+        """Return the id of the write that made this head."""
+        return self.recent_write_ids[0] if self.recent_write_ids else None
+
+    def successor(self, edited: Head, write_id: str) -> Head:
+        """Return ``edited`` as the head that follows this one."""
+        recent = (write_id, *self.recent_write_ids)[:RECENT_WRITES]
+        return attrs.evolve(edited, sequence=self.sequence + 1, recent_write_ids=recent)
+
+
+@attrs.frozen
+class StoredHead:
+    """A head with the store revision of its key (ABSENT before the first)."""
+
+    head: Head
+    revision: int
+
+
+Edit = Callable[[Head], Head]
+
+
+def head_key(environment: str) -> str:
+    """Return the key of the head."""
+    return f"gentianhitch/{environment}/head"
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head as the value of its key."""
+    return msgspec.json.encode(head)
+
+
+def decode_head(value: bytes) -> Head:
+    """Decode the value of a head's key; raise MalformedHeadError."""
+    try:
+        return msgspec.json.decode(value, type=Head)
+    except msgspec.MsgspecError as error:
+        raise MalformedHeadError(f"malformed head: {error}") from error
+
+
+def stored_head(entry: Entry | None) -> StoredHead:
+    """Decode the head of an entry; an absent key is the empty head."""
+    if entry is None:
+        return StoredHead(Head(), ABSENT)
+    return StoredHead(decode_head(entry.value), entry.revision)
+
+
+async def read_head(platform: Platform, environment: str) -> StoredHead:
+    """Read the head from the platform; raise HeadUnavailableError."""
+    try:
+        return stored_head(await platform.get(head_key(environment)))
+    except UnavailableError as error:
+        raise HeadUnavailableError(f"cannot read the head: {error}") from error
+
+
+async def change_head(
+    platform: Platform, environment: str, write_id: str, edit: Edit
+) -> StoredHead:
+    """Apply ``edit`` to the head exactly once and return the head that holds it.
+
+    ``edit`` is called again on a newer head whenever another writer was faster;
+    it raises its own error when the newer head rules its change out. A write
+    whose reply was lost is recognised by ``write_id``, which must be the same
+    when a caller repeats the change. Raise ChangeUnknownError when the outcome
+    cannot be learned, HeadUnavailableError when nothing was changed.
+    """
+    return await _Change(platform, environment, write_id, edit).run()
+
+
+@attrs.define
+class _Change:
+    platform: Platform
+    environment: str
+    write_id: str
+    edit: Edit
+    unknown_sequence: int | None = None
+
+    async def run(self) -> StoredHead:
+        for _ in range(MAX_ATTEMPTS):
+            current = await self._read()
+            if self.write_id in current.head.recent_write_ids:
+                return current
+            self._require_known(current.head)
+            written = await self._write(current)
+            if written is not None:
+                return written
+        if self.unknown_sequence is not None:
+            raise ChangeUnknownError(f"no reply to {MAX_ATTEMPTS} writes of the head")
+        raise HeadContendedError(f"other writers won {MAX_ATTEMPTS} times in a row")
+
+    async def _read(self) -> StoredHead:
+        try:
+            return await read_head(self.platform, self.environment)
+        except HeadUnavailableError as error:
+            if self.unknown_sequence is None:
+                raise
+            raise ChangeUnknownError(f"reply to the write lost; {error}") from error
+
+    def _require_known(self, head: Head) -> None:
+        """Refuse to go on when an earlier attempt may have left the recent ids.
+
+        A write that is not among the ids cannot take effect any more once the
+        head has moved, because its expected revision is past.
+        """
+        first = self.unknown_sequence
+        if first is not None and head.sequence >= first + RECENT_WRITES:
+            raise ChangeUnknownError("too many later changes to find this one")
+
+    async def _write(self, current: StoredHead) -> StoredHead | None:
+        head = current.head.successor(self.edit(current.head), self.write_id)
+        try:
+            entry = await self.platform.put(
+                head_key(self.environment),
+                encode_head(head),
+                expected_revision=current.revision,
+            )
+        except ConflictError:
+            return None
+        except OutcomeUnknownError:
+            if self.unknown_sequence is None:
+                self.unknown_sequence = head.sequence
+            return None
+        except UnavailableError as error:
+            raise self._unavailable(error) from error
+        return StoredHead(head, entry.revision)
+
+    def _unavailable(self, error: UnavailableError) -> HeadError:
+        if self.unknown_sequence is None:
+            return HeadUnavailableError(f"cannot write the head: {error}")
+        return ChangeUnknownError(f"reply to an earlier write lost; {error}")
