Choose the least loaded of two targets with slots divided by hash

Cause: requests need a target and a slot. Slots of a target are dealt to the steered instances by rendezvous hash, so the parts add up without a message; what goes beyond is steered by the target's own sheds (additive increase, multiplicative decrease). Ruled out: an even split of 6 slots over 10 instances (0.6 slots each). 7 tests pass.

--- /dev/null
+++ b/src/gentianhitch/decisions/targets/outstanding.py
@@ -0,0 +1,54 @@
+"""Keep the requests that run at each target, oldest first."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import attrs
+
+from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.operators.document import Route
+
+
+@attrs.frozen
+class Running:
+    """One request that holds a slot since ``started``."""
+
+    started: float
+    route: Route
+    workspace: str | None
+
+
+class Outstanding:
+    """Count the slots that this instance holds at each target."""
+
+    def __init__(self) -> None:
+        self._running_by_target: defaultdict[str, list[Running]] = defaultdict(list)
+
+    def count(self, target: str) -> int:
+        """Return the slots held at ``target``."""
+        running = self._running_by_target.get(target)
+        return len(running) if running else 0
+
+    def running(self, target: str) -> list[Running]:
+        """Return what runs at ``target``, oldest first."""
+        return self._running_by_target.get(target, [])
+
+    def start(self, target: str, running: Running) -> None:
+        """Hold a slot at ``target``."""
+        self._running_by_target[target].append(running)
+
+    def end(self, attempt: Attempt, now: float) -> None:
+        """Release the slot of ``attempt``: the one that started when it did."""
+        held = self._running_by_target.get(attempt.target, [])
+        alike = [
+            running
+            for running in held
+            if running.route == attempt.route and running.workspace == attempt.workspace
+        ]
+        if not alike:
+            return
+        started = now - attempt.latency_s
+        held.remove(min(alike, key=lambda running: abs(running.started - started)))
+        if not held:
+            del self._running_by_target[attempt.target]
--- /dev/null
+++ b/src/gentianhitch/decisions/targets/selector.py
@@ -0,0 +1,134 @@
+"""Choose a target with a free slot, the least loaded of two."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from gentianhitch.decisions.interfaces import Agreement
+from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.decisions.interfaces import Outcome
+from gentianhitch.decisions.targets.catalog import Catalog
+from gentianhitch.decisions.targets.catalog import ServiceEntry
+from gentianhitch.decisions.targets.outstanding import Outstanding
+from gentianhitch.decisions.targets.outstanding import Running
+from gentianhitch.decisions.targets.sharing import Allowance
+from gentianhitch.decisions.targets.standing import Judge
+from gentianhitch.decisions.targets.standing import Standing
+from gentianhitch.operators.document import BackendServer
+from gentianhitch.operators.document import Route
+
+OWN_SLOT_BIAS = 0.5
+"""Load divisor of a target at which this instance owns no slot."""
+
+
+@attrs.frozen
+class Candidate:
+    """One target with a free slot and the load that orders it."""
+
+    target: BackendServer
+    load: float
+    far: bool
+
+
+class TargetPool:
+    """Reserve slots at targets; implements TargetSelector."""
+
+    def __init__(
+        self,
+        agreement: Agreement,
+        name: str,
+        failure_domain: str,
+        judge: Judge,
+        random: Random,
+    ) -> None:
+        self.on_release: list[Callable[[], None]] = []
+        self.outstanding = Outstanding()
+        self._agreement = agreement
+        self._failure_domain = failure_domain
+        self._judge = judge
+        self._random = random
+        self._catalog = Catalog(name)
+        self._allowances_by_target: defaultdict[str, Allowance] = defaultdict(Allowance)
+
+    def choose(
+        self,
+        service: str,
+        route: Route,
+        workspace: str | None,
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> BackendServer | None:
+        """Reserve a slot at a target; None when every slot is taken."""
+        entry = self.entry(service, now)
+        if entry is None:
+            return None
+        candidates_by_standing: defaultdict[Standing, list[Candidate]] = defaultdict(
+            list
+        )
+        for target in entry.targets_by_name.values():
+            if target.name in exclude or not self._has_slot(entry, target, now):
+                continue
+            standing = self._judge.standing(target.name, route, workspace, now)
+            if standing is not Standing.UNUSABLE:
+                candidates_by_standing[standing].append(
+                    self._candidate(entry, target, now)
+                )
+        if not candidates_by_standing:
+            return None
+        best = candidates_by_standing[min(candidates_by_standing)]
+        target = self._lighter_of_two(best).target
+        self.outstanding.start(target.name, Running(now, route, workspace))
+        return target
+
+    def record(self, attempt: Attempt, now: float) -> None:
+        """Release the slot of the attempt and keep what it shows."""
+        self._adapt(attempt)
+        self.outstanding.end(attempt, now)
+        self._judge.record(attempt, now)
+        for released in self.on_release:
+            released()
+
+    def entry(self, service: str, now: float) -> ServiceEntry | None:
+        """Return a service while this instance may act on what it knows."""
+        if not self._agreement.is_fresh(now):
+            return None
+        self._catalog.update(self._agreement.active(now))
+        return self._catalog.service(service)
+
+    def connection_limit(self, service: str, target: str, now: float) -> int:
+        """Return how many connections this instance may hold to ``target``."""
+        entry = self.entry(service, now)
+        part = entry.parts_by_target.get(target) if entry else None
+        return part.connections if part else 0
+
+    def _has_slot(self, entry: ServiceEntry, target: BackendServer, now: float) -> bool:
+        part = entry.parts_by_target[target.name]
+        extra = self._allowances_by_target[target.name].slots(target.slots, now)
+        free = min(part.slots + extra, part.connections, target.slots)
+        return self.outstanding.count(target.name) < free
+
+    def _candidate(
+        self, entry: ServiceEntry, target: BackendServer, now: float
+    ) -> Candidate:
+        own = entry.parts_by_target[target.name].slots
+        running = self.outstanding.count(target.name) + 1
+        weight = self._judge.weight(target.name, now)
+        load = running / ((own + OWN_SLOT_BIAS) * weight)
+        return Candidate(target, load, target.failure_domain != self._failure_domain)
+
+    def _lighter_of_two(self, candidates: list[Candidate]) -> Candidate:
+        if len(candidates) == 1:
+            return candidates[0]
+        pair = self._random.sample(candidates, 2)
+        return min(pair, key=lambda candidate: (candidate.load, candidate.far))
+
+    def _adapt(self, attempt: Attempt) -> None:
+        allowance = self._allowances_by_target[attempt.target]
+        if attempt.outcome is Outcome.SHED:
+            allowance.shed()
+        elif attempt.outcome is Outcome.OK:
+            allowance.answered()
--- /dev/null
+++ b/tests/targets/test_selector.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.interfaces import Outcome
+from gentianhitch.decisions.targets.catalog import Catalog
+from gentianhitch.decisions.targets.selector import TargetPool
+from gentianhitch.decisions.targets.standing import TrustingJudge
+from tests.builders_targets import READ
+from tests.builders_targets import FixedAgreement
+from tests.builders_targets import agreement
+from tests.builders_targets import attempt
+from tests.builders_targets import document
+from tests.builders_targets import members
+
+
+def pool(agreed: FixedAgreement, name: str = "i0") -> TargetPool:
+    return TargetPool(agreed, name, "d1", TrustingJudge(), Random(1))
+
+
+class TestTargetPool:
+    def test_reserves_until_every_slot_is_taken_and_again_after_release(self) -> None:
+        chosen = pool(agreement(1))
+        taken = []
+        while target := chosen.choose("stock", READ, "w", 0.0):
+            taken.append(target.name)
+        assert len(taken) == 36
+        chosen.record(attempt(taken[0]), 0.02)
+        again = chosen.choose("stock", READ, "w", 0.02)
+        assert again is not None
+        assert again.name == taken[0]
+
+    def test_excluded_targets_and_stale_agreements_give_nothing(self) -> None:
+        agreed = agreement()
+        chosen = pool(agreed)
+        everyone = frozenset(f"t{index}" for index in range(6))
+        assert chosen.choose("stock", READ, "w", 0.0, everyone) is None
+        agreed.fresh = False
+        assert chosen.choose("stock", READ, "w", 0.0) is None
+
+    def test_removed_target_gets_nothing_from_the_next_request_on(self) -> None:
+        agreed = agreement()
+        chosen = pool(agreed)
+        smaller = AgreedState(2, members(10), document(targets=1))
+        agreed.states = (*agreed.states, smaller)
+        target = chosen.choose("stock", READ, "w", 0.0)
+        assert target is not None
+        assert target.name == "t0"
+
+    def test_sheds_shrink_what_is_used_beyond_own_slots(self) -> None:
+        chosen = pool(agreement(40), "i0")
+        before = sum(
+            1 for _ in iter(lambda: chosen.choose("stock", READ, "w", 0), None)
+        )
+        for index in range(6):
+            chosen.record(attempt(f"t{index}", Outcome.SHED), 0.0)
+        after = sum(1 for _ in iter(lambda: chosen.choose("stock", READ, "w", 0), None))
+        assert after < before
+
+
+class TestParts:
+    @pytest.mark.parametrize(
+        ("slots", "connections", "count"), [(6, 330, 44), (4, 400, 44), (6, 330, 400)]
+    )
+    def test_parts_of_all_instances_stay_below_the_limits(
+        self, slots: int, connections: int, count: int
+    ) -> None:
+        states = agreement(count, slots=slots, connections=connections).states
+        slots_used = connections_used = 0
+        for name in members(count):
+            catalog = Catalog(name)
+            catalog.update(states)
+            entry = catalog.service("stock")
+            assert entry is not None
+            slots_used += entry.parts_by_target["t0"].slots
+            connections_used += entry.parts_by_target["t0"].connections
+        assert slots_used == slots
+        assert slots <= connections_used <= connections
