--- a/src/gentianhitch/decisions/interfaces.py
+++ b/src/gentianhitch/decisions/interfaces.py
@@ -10,7 +10,9 @@
 from typing import Protocol
 
 import attrs
+from twisted.internet.defer import Deferred
 
+from gentianhitch.errors import GentianhitchError
 from gentianhitch.instances.identity import Member
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
@@ -107,3 +109,34 @@
     def record(self, attempt: Attempt, now: float) -> None:
         """Release the slot of the attempt and keep what it shows."""
         ...
+
+
+class NoSlotError(GentianhitchError):
+    """No slot before the deadline; nothing was sent, so the request did not run.
+
+    ``retry_after_s`` is the expected wait for a slot in seconds.
+    """
+
+    def __init__(self, message: str, retry_after_s: float) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class SlotSource(Protocol):
+    """Wait for a slot at a target, fairly between workspaces."""
+
+    def acquire(
+        self,
+        service: str,
+        route: Route,
+        workspace: str | None,
+        deadline: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Deferred[BackendServer]:
+        """Reserve a slot; fail with NoSlotError as soon as it would come too late.
+
+        ``deadline`` is a time of the runtime's clock. The caller owns the slot and
+        gives it back with :meth:`TargetSelector.record`. Cancelling the Deferred
+        leaves the queue.
+        """
+        ...
--- a/src/gentianhitch/decisions/targets/selector.py
+++ b/src/gentianhitch/decisions/targets/selector.py
@@ -45,7 +45,7 @@
         judge: Judge,
         random: Random,
     ) -> None:
-        self.on_release: list[Callable[[], None]] = []
+        self.on_release: list[Callable[[Attempt, float], None]] = []
         self.outstanding = Outstanding()
         self._agreement = agreement
         self._failure_domain = failure_domain
@@ -90,7 +90,7 @@
         self.outstanding.end(attempt, now)
         self._judge.record(attempt, now)
         for released in self.on_release:
-            released()
+            released(attempt, now)
 
     def entry(self, service: str, now: float) -> ServiceEntry | None:
         """Return a service while this instance may act on what it knows."""
