Serve a whole request through an entry instance

Cause: nothing carried a request from a caller to a backend server. Ruled out: reading keep-alive from the answer parser after the end of the answer; it forgets the headers by then, so no connection was ever reused (found by test_answer_comes_back_and_connections_are_reused). It is read with the head. Before: no request path. After: callers over httptools, checks, pooled connections, refusals with their outcome, system paths through twisted.web on the same connection.

--- /dev/null
+++ b/src/gentianhitch/backend_servers/errors.py
@@ -0,0 +1,21 @@
+"""Errors of connections to backend servers."""
+
+from __future__ import annotations
+
+from gentianhitch.errors import GentianhitchError
+
+
+class BackendServerError(GentianhitchError):
+    """Base class of errors at the edge to backend servers."""
+
+
+class ConnectError(BackendServerError):
+    """No connection could be had; nothing was written."""
+
+
+class CutAnswerError(BackendServerError):
+    """The connection ended before the whole answer came."""
+
+
+class WrongAnswerError(BackendServerError):
+    """The answer is malformed, without an end, overlong or of another request."""
--- /dev/null
+++ b/src/gentianhitch/backend_servers/pool.py
@@ -0,0 +1,219 @@
+"""Keep a bounded set of connections to each backend server."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from typing import Any
+from typing import Protocol as TypingProtocol
+
+import attrs
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from gentianhitch.addresses import Address
+from gentianhitch.backend_servers.connection import TargetConnection
+from gentianhitch.backend_servers.errors import ConnectError
+from gentianhitch.operators.document import BackendServer
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_IDLE_S = 4.0
+PROVEN_FOR_S = 1.0
+"""A non-idempotent request uses only connections that brought bytes so lately."""
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 3_000
+"""The kernel drops a connection whose bytes stay unacknowledged so long."""
+
+
+class ConnectionWaiter(TypingProtocol):
+    """Wait for a connection."""
+
+    def connected(self, connection: TargetConnection) -> None:
+        """Take the connection."""
+        ...
+
+    def connect_failed(self, error: ConnectError) -> None:
+        """Learn that there is none; nothing was written."""
+        ...
+
+
+@attrs.define
+class Connecting:
+    """A connection being made for one waiter; ``cancel`` forgets the waiter."""
+
+    waiter: ConnectionWaiter | None
+
+    def cancel(self) -> None:
+        """Forget the waiter; the connection goes to the pool when it comes."""
+        self.waiter = None
+
+
+@attrs.define
+class _TargetPool:
+    """Connections to one address, idle ones last used last."""
+
+    idle: list[TargetConnection] = attrs.Factory(list)
+    open_connections: int = 0
+
+
+class ConnectionPool:
+    """Lend connections to targets, at most as many as a target has slots."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._pools_by_address: dict[Address, _TargetPool] = {}
+
+    def seconds(self) -> float:
+        """Return the runtime's clock."""
+        now: float = self._reactor.seconds()
+        return now
+
+    def acquire(
+        self, target: BackendServer, waiter: ConnectionWaiter, *, proven: bool
+    ) -> Connecting | None:
+        """Give the waiter an idle connection now, or a new one later.
+
+        With ``proven``, an idle one must have brought bytes a moment ago.
+        """
+        pool = self._pools_by_address.get(target.address)
+        if pool is None:
+            pool = self._pools_by_address[target.address] = _TargetPool()
+        max_age_s = PROVEN_FOR_S if proven else MAX_IDLE_S
+        connection = self._pop_idle(pool, max_age_s)
+        if connection is not None:
+            waiter.connected(connection)
+            return None
+        if not _make_room(pool, target):
+            waiter.connect_failed(ConnectError(f"{target.name}: no connection left"))
+            return None
+        return self._open(pool, target, waiter)
+
+    def close_idle(self, now: float, max_idle_s: float = MAX_IDLE_S) -> None:
+        """Close connections that were idle too long to be trusted."""
+        for pool in self._pools_by_address.values():
+            for connection in tuple(pool.idle):
+                if now - connection.last_received_s >= max_idle_s:
+                    connection.close()
+
+    def open_by_address(self) -> dict[Address, int]:
+        """Count open connections for each address."""
+        return {
+            address: pool.open_connections
+            for address, pool in self._pools_by_address.items()
+        }
+
+    def _pop_idle(self, pool: _TargetPool, max_age_s: float) -> TargetConnection | None:
+        if not pool.idle:
+            return None
+        # The last one used is the youngest: if it is too old, all are.
+        if self.seconds() - pool.idle[-1].last_received_s > max_age_s:
+            return None
+        return pool.idle.pop()
+
+    def _open(
+        self, pool: _TargetPool, target: BackendServer, waiter: ConnectionWaiter
+    ) -> Connecting:
+        pool.open_connections += 1
+        connecting = Connecting(waiter)
+        factory = _ConnectionFactory(_PoolOwner(self, pool), connecting)
+        self._reactor.connectTCP(
+            target.address.host,
+            target.address.port,
+            factory,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+        return connecting
+
+
+def _make_room(pool: _TargetPool, target: BackendServer) -> bool:
+    if pool.open_connections < min(target.slots, target.connections):
+        return True
+    if not pool.idle:
+        return False
+    pool.idle[0].close()
+    return True
+
+
+@attrs.define(eq=False)
+class _PoolOwner:
+    """Own the connections of one target's pool."""
+
+    _connections: ConnectionPool
+    _pool: _TargetPool
+
+    def connection_idle(self, connection: TargetConnection) -> None:
+        """Take back a connection that may carry another request."""
+        self._pool.idle.append(connection)
+
+    def connection_closed(self, connection: TargetConnection) -> None:
+        """Forget a connection."""
+        self._pool.open_connections -= 1
+        if connection in self._pool.idle:
+            self._pool.idle.remove(connection)
+
+    def connect_failed(self) -> None:
+        """Forget a connection that never came."""
+        self._pool.open_connections -= 1
+
+    def seconds(self) -> float:
+        """Return the runtime's clock."""
+        return self._connections.seconds()
+
+
+class _ConnectionFactory(ClientFactory):
+    """Make one connection for one waiter."""
+
+    noisy = False
+
+    def __init__(self, owner: _PoolOwner, connecting: Connecting) -> None:
+        self._owner = owner
+        self._connecting = connecting
+
+    def buildProtocol(self, addr: IAddress | None) -> TargetConnection:  # noqa: N802
+        """Make the connection's protocol."""
+        return _NewConnection(self._owner, self._connecting)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
+        """Tell the waiter."""
+        self._owner.connect_failed()
+        if self._connecting.waiter is not None:
+            self._connecting.waiter.connect_failed(
+                ConnectError(f"cannot connect: {reason.getErrorMessage()}")
+            )
+
+
+class _NewConnection(TargetConnection):
+    """A connection that gives itself to its first waiter."""
+
+    def __init__(self, owner: _PoolOwner, connecting: Connecting) -> None:
+        super().__init__(owner)
+        self._connecting = connecting
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the life of the connection and serve the waiter."""
+        super().connectionMade()
+        for option in _socket_options():
+            _set_option(self.transport, *option)
+        waiter = self._connecting.waiter
+        if waiter is None:
+            self._owner.connection_idle(self)
+        else:
+            waiter.connected(self)
+
+
+def _socket_options() -> Iterator[tuple[int, int, int]]:
+    yield socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1
+    yield socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S
+    yield socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
+    yield socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES
+    yield socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+
+
+def _set_option(transport: Any, level: int, option: int, value: int) -> None:
+    handle = getattr(transport, "socket", None)
+    if handle is not None:
+        handle.setsockopt(level, option, value)
--- /dev/null
+++ b/src/gentianhitch/callers/incoming.py
@@ -0,0 +1,182 @@
+"""Read callers' requests from bytes."""
+
+from __future__ import annotations
+
+from typing import Protocol as TypingProtocol
+
+import attrs
+import httptools
+
+from gentianhitch.callers.errors import RequestError
+from gentianhitch.callers.refusals import Cause
+from gentianhitch.callers.requests import Headers
+from gentianhitch.callers.requests import RequestHead
+from gentianhitch.callers.requests import read_head
+from gentianhitch.settings import LimitSettings
+
+HEADER_OVERHEAD_BYTES = 4
+"""The colon, the space and the line end of one header."""
+
+
+class BodyListener(TypingProtocol):
+    """Follow the body of a request."""
+
+    def body_progressed(self) -> None:
+        """Learn that body bytes came, or that the body ended or failed."""
+        ...
+
+
+@attrs.define(eq=False)
+class Incoming:
+    """One request as far as it has come; body parts wait until they are taken."""
+
+    head: RequestHead
+    max_body_bytes: int
+    received_bytes: int = 0
+    buffered_bytes: int = 0
+    complete: bool = False
+    fault: Cause | None = None
+    listener: BodyListener | None = None
+    _parts: list[bytes] = attrs.Factory(list)
+
+    def receive(self, data: bytes) -> None:
+        """Add body bytes; too many of them are a fault."""
+        self.received_bytes += len(data)
+        if self.received_bytes > self.max_body_bytes:
+            self.fail(Cause.LARGE_BODY)
+            return
+        self.buffered_bytes += len(data)
+        self._parts.append(data)
+
+    def fail(self, cause: Cause) -> None:
+        """Note that the rest of the request won't be read."""
+        if not self.complete and self.fault is None:
+            self.fault = cause
+
+    def peek(self) -> bytes:
+        """Return the body bytes that wait, and keep them."""
+        body = b"".join(self._parts)
+        self._parts = [body] if body else []
+        return body
+
+    def take(self) -> bytes:
+        """Return the body bytes that wait, and forget them."""
+        body = b"".join(self._parts)
+        self._parts = []
+        self.buffered_bytes = 0
+        return body
+
+
+class RequestReader:
+    """Read the requests of one connection in order."""
+
+    def __init__(self, limits: LimitSettings) -> None:
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: list[Incoming] = []
+        self._current: Incoming | None = None
+        self._error: RequestError | None = None
+        self._start_head()
+
+    def _start_head(self) -> None:
+        self._url = b""
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._unfinished_bytes = 0
+
+    @property
+    def is_amid_request(self) -> bool:
+        """Tell whether part of a request has come, but not all of it."""
+        return self._current is not None or self._unfinished_bytes > 0
+
+    @property
+    def unfinished(self) -> Incoming | None:
+        """Return the request whose body is not complete."""
+        return self._current
+
+    def feed(self, data: bytes) -> list[Incoming]:
+        """Return the requests that begin in ``data``; raise RequestError."""
+        self._requests = []
+        if self._current is None:
+            self._unfinished_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if not isinstance(error.__context__, RequestError):
+                raise
+            self._error = error.__context__
+        except httptools.HttpParserUpgrade as upgrade:
+            return self._decline_upgrade(data[upgrade.args[0] :])
+        except httptools.HttpParserInvalidMethodError:
+            self._error = RequestError(Cause.UNKNOWN_ROUTE, "unknown method")
+        except httptools.HttpParserError as error:
+            self._error = RequestError(Cause.MALFORMED, str(error))
+        if self._unfinished_bytes > self._limits.max_head_bytes:
+            self._error = RequestError(Cause.LARGE_HEAD)
+        return self._requests
+
+    def take_error(self) -> RequestError | None:
+        """Return what was wrong between requests; amid one it is its fault."""
+        error, self._error = self._error, None
+        if error is not None and self._current is not None:
+            self._current.fail(error.cause)
+            return None
+        return error
+
+    def _decline_upgrade(self, rest: bytes) -> list[Incoming]:
+        """Serve the request over HTTP/1.1, as the protocol allows."""
+        requests = self._requests
+        head = requests[-1].head if requests else None
+        if head is None or head.has_body or head.method == "CONNECT":
+            # The parser takes the body of such a request for the new protocol.
+            self._requests = []
+            self._error = RequestError(Cause.MALFORMED, "no protocol upgrade is known")
+            return requests[:-1]
+        self._parser = httptools.HttpRequestParser(self)
+        return requests + self.feed(rest) if rest else requests
+
+    def on_message_begin(self) -> None:
+        """Note that a request has begun."""
+        self._unfinished_bytes = max(self._unfinished_bytes, 1)
+
+    def on_url(self, url: bytes) -> None:
+        """Keep the request target."""
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep one header; trailers are dropped."""
+        self._count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+        if self._current is None:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Build the head."""
+        if self._parser.get_http_version() != "1.1":
+            raise RequestError(Cause.OLD_VERSION)
+        head = read_head(
+            self._parser.get_method().decode(),
+            self._url,
+            self._headers,
+            keep_alive=bool(self._parser.should_keep_alive()),
+        )
+        self._current = Incoming(head, self._limits.max_body_bytes)
+        self._requests.append(self._current)
+        self._start_head()
+
+    def on_body(self, data: bytes) -> None:
+        """Keep body bytes."""
+        if self._current is not None:
+            self._current.receive(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of a request."""
+        if self._current is not None:
+            self._current.complete = True
+            self._current = None
+        self._start_head()
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._limits.max_head_bytes:
+            raise RequestError(Cause.LARGE_HEAD)
--- /dev/null
+++ b/src/gentianhitch/callers/refusals.py
@@ -0,0 +1,109 @@
+"""Answers that say why a request was not served, and whether it may have run."""
+
+from __future__ import annotations
+
+from enum import Enum
+from http import HTTPStatus
+
+import attrs
+import msgspec
+
+OUTCOME_HEADER = "Gentianhitch-Outcome"
+
+
+class RefusalOutcome(Enum):
+    """What is known of a refused request."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Cause(Enum):
+    """Why a request was refused: its label, its status and what to do."""
+
+    MALFORMED = "malformed", 400, "Send well-formed HTTP/1.1."
+    SHORT_BODY = "short-body", 400, "Send as many bytes as Content-Length declares."
+    BAD_HEADER = "bad-header", 400, "Correct the header that the detail names."
+    AMBIGUOUS_PATH = "ambiguous-path", 400, "Send a path without '.', '..' or '//'."
+    UNAUTHORISED = "unauthorised", 401, "Send 'Authorization: Bearer KEY'."
+    UNKNOWN_ROUTE = "unknown-route", 404, "Use a method and path of the document."
+    BODY_TIMEOUT = "body-timeout", 408, "Send the request without long pauses."
+    KEY_REUSED = "key-reused", 409, "Ask the service whether the first request ran."
+    LARGE_BODY = "large-body", 413, "Send a smaller body."
+    MISDIRECTED = "misdirected", 421, "Repeat with the same key at the address named."
+    OVER_RATE = "over-rate", 429, "Wait as long as Retry-After says."
+    LARGE_HEAD = "large-head", 431, "Send a shorter path and smaller headers."
+    CUT_ANSWER = "cut-answer", 502, "Find out whether it ran before repeating it."
+    WRONG_ANSWER = "wrong-answer", 502, "Find out whether it ran before repeating it."
+    NO_CONNECTION = "no-connection", 503, "Repeat the request a little later."
+    SHED = "shed", 503, "Repeat the request a little later."
+    NOT_FRESH = "not-fresh", 503, "Ask the directory for another instance."
+    NO_CAPACITY = "no-capacity", 503, "Repeat the request a little later."
+    NO_MEMORY = "no-memory", 503, "Repeat the request a little later."
+    LEAVING = "leaving", 503, "Ask the directory for another instance."
+    DEADLINE = "deadline", 504, "Allow more time in Gentianhitch-Deadline-Ms."
+    SILENT = "silent", 504, "Find out whether it ran before repeating it."
+    OLD_VERSION = "old-version", 505, "Use HTTP/1.1."
+
+    def __init__(self, label: str, status: int, advice: str) -> None:
+        self.label = label
+        self.status = status
+        self.advice = advice
+
+
+@attrs.frozen
+class Refusal:
+    """One refusal; ``address`` names an instance that can say more."""
+
+    cause: Cause
+    outcome: RefusalOutcome = RefusalOutcome.NOT_RUN
+    detail: str = ""
+    retry_after_s: int | None = None
+    address: str | None = None
+
+
+@attrs.frozen
+class RefusalBody:
+    """The JSON body of a refusal."""
+
+    cause: str
+    outcome: str
+    detail: str
+    advice: str
+    request_id: str
+    address: str | None = None
+
+
+def encode_refusal(
+    refusal: Refusal, *, request_id: bytes, close: bool, to_head_request: bool
+) -> bytes:
+    """Encode a refusal as a whole HTTP answer."""
+    cause = refusal.cause
+    body = msgspec.json.encode(
+        RefusalBody(
+            cause=cause.label,
+            outcome=refusal.outcome.value,
+            detail=refusal.detail,
+            advice=cause.advice,
+            request_id=request_id.decode("latin-1"),
+            address=refusal.address,
+        )
+    )
+    lines = [
+        f"HTTP/1.1 {cause.status} {HTTPStatus(cause.status).phrase}",
+        f"{OUTCOME_HEADER}: {refusal.outcome.value}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+    ]
+    if request_id:
+        lines.append(f"X-Request-Id: {request_id.decode('latin-1')}")
+    if cause is Cause.UNAUTHORISED:
+        lines.append("WWW-Authenticate: Bearer")
+    if refusal.retry_after_s is not None:
+        lines.append(f"Retry-After: {refusal.retry_after_s}")
+    if refusal.address is not None:
+        lines.append(f"Gentianhitch-Address: {refusal.address}")
+    if close:
+        lines.append("Connection: close")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    return head if to_head_request else head + body
--- /dev/null
+++ b/src/gentianhitch/callers/request_path.py
@@ -0,0 +1,165 @@
+"""The request path of an entry instance, built from its decisions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall
+from twisted.web.pages import notFound
+from twisted.web.server import Site
+
+from gentianhitch.backend_servers.pool import ConnectionPool
+from gentianhitch.callers.admission import Admission
+from gentianhitch.callers.connection import CallerConnection
+from gentianhitch.callers.observing import Count
+from gentianhitch.callers.observing import Finished
+from gentianhitch.callers.observing import OnFinished
+from gentianhitch.callers.observing import metric_label
+from gentianhitch.callers.observing import route_label
+from gentianhitch.decisions.interfaces import Agreement
+from gentianhitch.decisions.interfaces import Limiter
+from gentianhitch.decisions.interfaces import TargetSelector
+from gentianhitch.decisions.sending import RetryBudget
+from gentianhitch.settings import LimitSettings
+
+CHECK_INTERVAL_S = 0.5
+
+
+def _ignore_count(name: str) -> None:
+    """Drop a counter."""
+
+
+def _ignore_finished(finished: Finished) -> None:
+    """Drop a report."""
+
+
+@attrs.define(eq=False)
+class PathContext:
+    """What connections and exchanges share."""
+
+    reactor: Any
+    admission: Admission
+    limiter: Limiter
+    selector: TargetSelector
+    pool: ConnectionPool
+    limits: LimitSettings
+    site: Any
+    count: Count
+    on_finished: OnFinished
+    is_leaving: bool = False
+    connections: set[CallerConnection] = attrs.Factory(set)
+    idle_waiters: list[Deferred[None]] = attrs.Factory(list)
+    _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
+
+    def seconds(self) -> float:
+        """Return the runtime's clock."""
+        now: float = self.reactor.seconds()
+        return now
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = self._budgets_by_service[service] = RetryBudget()
+        return budget
+
+    def finished(self, finished: Finished) -> None:
+        """Count a request that has ended."""
+        if finished.cause is not None:
+            self.count(f"refusals.{finished.cause}")
+        if finished.route is not None:
+            self.count(f"requests.route.{route_label(finished.route)}")
+        if finished.workspace is not None:
+            self.count(f"requests.workspace.{metric_label(finished.workspace)}")
+        self.on_finished(finished)
+
+    def note_idle(self) -> None:
+        """Tell the waiters once nothing is being served."""
+        if not self.idle_waiters or self.is_busy:
+            return
+        waiters, self.idle_waiters = self.idle_waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether any request is being read or served."""
+        return any(connection.is_busy for connection in self.connections)
+
+
+def _build_site(reactor: Any, internal: Any) -> Any:
+    resource = notFound() if internal is None else internal
+    return Site(resource, reactor=reactor)  # type: ignore[no-untyped-call]
+
+
+class RequestPath(Factory):
+    """Serve callers' requests; listen with it as a factory."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        reactor: Any,
+        agreement: Agreement,
+        limiter: Limiter,
+        selector: TargetSelector,
+        limits: LimitSettings | None = None,
+        *,
+        internal: Any = None,
+        count: Count = _ignore_count,
+        on_finished: OnFinished = _ignore_finished,
+    ) -> None:
+        limits = LimitSettings() if limits is None else limits
+        self.pool = ConnectionPool(reactor)
+        self._context = PathContext(
+            reactor=reactor,
+            admission=Admission(agreement, limits),
+            limiter=limiter,
+            selector=selector,
+            pool=self.pool,
+            limits=limits,
+            site=_build_site(reactor, internal),
+            count=count,
+            on_finished=on_finished,
+        )
+        self._checks = LoopingCall(self._check)
+        self._checks.clock = reactor
+
+    def doStart(self) -> None:  # noqa: N802
+        """Begin to look for silent connections."""
+        super().doStart()  # type: ignore[no-untyped-call]
+        if not self._checks.running:
+            self._checks.start(CHECK_INTERVAL_S, now=False)
+
+    def buildProtocol(self, addr: IAddress | None) -> CallerConnection:  # noqa: N802
+        """Serve a new connection."""
+        return CallerConnection(self._context)
+
+    def begin_leaving(self) -> None:
+        """Close each connection after its current answer, idle ones soon."""
+        self._context.is_leaving = True
+
+    def when_idle(self) -> Deferred[None]:
+        """Fire once no request is being read or served."""
+        waiter: Deferred[None] = Deferred()
+        self._context.idle_waiters.append(waiter)
+        self._context.note_idle()
+        return waiter
+
+    def close(self) -> None:
+        """Close every connection and stop looking after them."""
+        if self._checks.running:
+            self._checks.stop()
+        for connection in tuple(self._context.connections):
+            connection.transport.abortConnection()
+        self.pool.close_idle(self._context.seconds(), max_idle_s=0.0)
+
+    def _check(self) -> None:
+        now = self._context.seconds()
+        for connection in tuple(self._context.connections):
+            connection.check(now)
+        self.pool.close_idle(now)
--- /dev/null
+++ b/src/gentianhitch/callers/requests.py
@@ -0,0 +1,220 @@
+"""Heads of callers' requests, checked."""
+
+from __future__ import annotations
+
+import re
+import uuid
+from urllib.parse import unquote_to_bytes
+
+import attrs
+
+from gentianhitch.callers.errors import RequestError
+from gentianhitch.callers.refusals import Cause
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+OWN_PREFIXES = (b"gentianhitch-", b"gentianhitch_")
+"""Headers that only this system may set; servers may take ``_`` for ``-``."""
+
+NOT_FORWARDED = HOP_BY_HOP | {
+    b"authorization",
+    b"content-length",
+    b"expect",
+    b"x-request-id",
+}
+INTERNAL_PREFIX = "/.gentianhitch/"
+BEARER = b"bearer "
+
+_REQUEST_ID = re.compile(rb"[A-Za-z0-9._:=+/@-]{1,128}")
+_IDEMPOTENCY_KEY = re.compile(rb"[\x21-\x7e]{1,256}")
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.define
+class RequestHead:
+    """The head of one request; ``target`` is the path and query as sent."""
+
+    method: str
+    target: bytes
+    path: str
+    headers: Headers
+    content_length: int
+    chunked: bool
+    keep_alive: bool
+    expects_continue: bool
+    request_id: bytes
+    key: bytes | None
+    deadline_ms: int | None
+    idempotency_key: bytes | None
+
+    @property
+    def is_internal(self) -> bool:
+        """Tell whether the request is for this system itself."""
+        return self.path.startswith(INTERNAL_PREFIX)
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether body bytes follow the head."""
+        return self.chunked or self.content_length > 0
+
+
+@attrs.define
+class _Fields:
+    """Headers that this system itself reads."""
+
+    content_length: int = 0
+    chunked: bool = False
+    expects_continue: bool = False
+    request_id: bytes | None = None
+    key: bytes | None = None
+    deadline_ms: int | None = None
+    idempotency_key: bytes | None = None
+    authorization_seen: bool = False
+    connection: bytes = b""
+
+
+def read_head(
+    method: str, url: bytes, headers: Headers, *, keep_alive: bool
+) -> RequestHead:
+    """Check and build a head; raise RequestError."""
+    fields = _Fields()
+    for name, value in headers:
+        reader = _READERS.get(name.lower())
+        if reader is not None:
+            reader(fields, value)
+    target = _origin_form(url)
+    return RequestHead(
+        method=method,
+        target=target,
+        path=_decode_path(target),
+        headers=_forwarded(headers, fields.connection),
+        content_length=fields.content_length,
+        chunked=fields.chunked,
+        keep_alive=keep_alive,
+        expects_continue=fields.expects_continue,
+        request_id=fields.request_id or uuid.uuid4().hex.encode(),
+        key=fields.key,
+        deadline_ms=fields.deadline_ms,
+        idempotency_key=fields.idempotency_key,
+    )
+
+
+def _forwarded(headers: Headers, connection: bytes) -> Headers:
+    dropped = NOT_FORWARDED
+    if connection:
+        dropped = dropped | {name.strip() for name in connection.split(b",")}
+    return [
+        (name, value)
+        for name, value in headers
+        if (lowered := name.lower()) not in dropped
+        and not lowered.startswith(OWN_PREFIXES)
+    ]
+
+
+def _read_length(fields: _Fields, value: bytes) -> None:
+    fields.content_length = int(value)
+
+
+def _read_transfer_encoding(fields: _Fields, value: bytes) -> None:
+    if value.strip().lower() != b"chunked":
+        raise RequestError(Cause.MALFORMED, "only chunked transfer encoding is known")
+    fields.chunked = True
+
+
+def _read_expect(fields: _Fields, value: bytes) -> None:
+    fields.expects_continue = value.strip().lower() == b"100-continue"
+
+
+def _read_connection(fields: _Fields, value: bytes) -> None:
+    lowered = value.lower()
+    fields.connection = (
+        fields.connection + b"," + lowered if fields.connection else lowered
+    )
+
+
+def _read_request_id(fields: _Fields, value: bytes) -> None:
+    if fields.request_id is not None or not _REQUEST_ID.fullmatch(value):
+        raise RequestError(Cause.BAD_HEADER, "X-Request-Id")
+    fields.request_id = value
+
+
+def _read_idempotency_key(fields: _Fields, value: bytes) -> None:
+    if fields.idempotency_key is not None or not _IDEMPOTENCY_KEY.fullmatch(value):
+        raise RequestError(Cause.BAD_HEADER, "Idempotency-Key")
+    fields.idempotency_key = value
+
+
+def _read_deadline(fields: _Fields, value: bytes) -> None:
+    text = value.strip()
+    digits = text.removeprefix(b"-")
+    if fields.deadline_ms is not None or not digits.isdigit() or len(digits) > 12:
+        raise RequestError(Cause.BAD_HEADER, "Gentianhitch-Deadline-Ms")
+    fields.deadline_ms = int(text)
+
+
+def _read_authorization(fields: _Fields, value: bytes) -> None:
+    if fields.authorization_seen:
+        raise RequestError(Cause.UNAUTHORISED)
+    fields.authorization_seen = True
+    if value[: len(BEARER)].lower() == BEARER:
+        fields.key = value[len(BEARER) :].strip()
+
+
+_READERS = {
+    b"content-length": _read_length,
+    b"transfer-encoding": _read_transfer_encoding,
+    b"expect": _read_expect,
+    b"connection": _read_connection,
+    b"x-request-id": _read_request_id,
+    b"idempotency-key": _read_idempotency_key,
+    b"gentianhitch-deadline-ms": _read_deadline,
+    b"authorization": _read_authorization,
+}
+
+
+def _origin_form(url: bytes) -> bytes:
+    if url.startswith(b"/"):
+        return url
+    scheme, separator, rest = url.partition(b"://")
+    if not separator or scheme.lower() not in (b"http", b"https"):
+        raise RequestError(Cause.MALFORMED, "the request target is no path")
+    _, slash, path = rest.partition(b"/")
+    return slash + path or b"/"
+
+
+def _decode_path(target: bytes) -> str:
+    """Decode a path so that a backend server can't read it as another route's."""
+    raw = target.partition(b"?")[0]
+    path = raw
+    if b"%" in raw:
+        path = unquote_to_bytes(raw)
+        if path.count(b"/") != raw.count(b"/"):
+            raise RequestError(Cause.AMBIGUOUS_PATH)
+    if b"/." in path or b"//" in path or b"\\" in path or b"#" in target:
+        _check_segments(path, target)
+    try:
+        text = path.decode()
+    except UnicodeDecodeError as error:
+        raise RequestError(Cause.MALFORMED, "the path is not UTF-8") from error
+    if not text.isprintable():
+        raise RequestError(Cause.MALFORMED, "the path holds control characters")
+    return text
+
+
+def _check_segments(path: bytes, target: bytes) -> None:
+    segments = path.split(b"/")
+    ambiguous = b"\\" in path or b"#" in target or b"//" in path
+    if ambiguous or b"." in segments or b".." in segments:
+        raise RequestError(Cause.AMBIGUOUS_PATH)
--- /dev/null
+++ b/src/gentianhitch/decisions/sending.py
@@ -0,0 +1,165 @@
+"""Decide whether a request may be sent, sent again, and what is known of it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from gentianhitch.errors import GentianhitchError
+
+RETRY_SHARE = 0.1
+"""Retries per request of a service, in the long run."""
+
+MAX_RETRY_TOKENS = 20.0
+MAX_ATTEMPTS = 3
+
+
+class SendingError(GentianhitchError):
+    """A request was about to be sent although the rules forbid it."""
+
+
+class Stage(Enum):
+    """How far one request has come."""
+
+    READY = "ready"
+    CONNECTING = "connecting"
+    WRITTEN = "written"
+    ANSWERING = "answering"
+    ENDED = "ended"
+
+
+class Step(Enum):
+    """What to do with a request after an attempt failed."""
+
+    TRY_ANOTHER = "try another target"
+    REFUSE_NOT_RUN = "refuse, the request did not run"
+    REFUSE_UNKNOWN = "refuse, the request may have run"
+    BREAK = "break the caller's connection, its answer is incomplete"
+
+
+@attrs.define
+class RetryBudget:
+    """Allow retries worth a share of the requests of one service.
+
+    It starts empty, so retries never exceed ``RETRY_SHARE`` of the requests.
+    """
+
+    _tokens: float = 0.0
+
+    def deposit(self) -> None:
+        """Count one request."""
+        self._tokens = min(self._tokens + RETRY_SHARE, MAX_RETRY_TOKENS)
+
+    def has_token(self) -> bool:
+        """Tell whether a retry is allowed now."""
+        return self._tokens >= 1.0
+
+    def take(self) -> bool:
+        """Spend one retry; False when the budget is used up."""
+        if not self.has_token():
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+@attrs.define
+class Sending:
+    """Follow one request through its attempts.
+
+    ``writes`` counts the attempts of which at least one byte was written.
+    ``may_have_run`` stays True once any written attempt is not known to have
+    been refused unrun. ``replayable`` is False once part of the body is gone.
+    """
+
+    idempotent: bool
+    budget: RetryBudget
+    stage: Stage = Stage.READY
+    writes: int = 0
+    attempts: int = 0
+    may_have_run: bool = False
+    replayable: bool = True
+    tried: frozenset[str] = frozenset()
+
+    def connect(self, target: str) -> None:
+        """Begin an attempt at ``target``."""
+        self._expect(Stage.READY)
+        self.stage = Stage.CONNECTING
+        self.attempts += 1
+        self.tried |= {target}
+
+    def write(self) -> None:
+        """Note that the first byte is about to be written; raise SendingError."""
+        self._expect(Stage.CONNECTING)
+        if self.writes and not self.idempotent:
+            raise SendingError("a non-idempotent request would be written twice")
+        self.stage = Stage.WRITTEN
+        self.writes += 1
+        self.may_have_run = True
+
+    def connect_failed(self) -> Step:
+        """Decide after an attempt of which nothing was written."""
+        self._expect(Stage.CONNECTING)
+        if self.attempts < MAX_ATTEMPTS:
+            return self._try_another()
+        return self._refuse()
+
+    def shed(self) -> Step:
+        """Decide after the target said that it did not run the request."""
+        self._expect(Stage.WRITTEN)
+        if self.writes == 1:
+            self.may_have_run = False
+        return self._retry_or_refuse()
+
+    def failed(self) -> Step:
+        """Decide after an attempt ended without a whole answer."""
+        if self.stage is Stage.ANSWERING:
+            self.stage = Stage.ENDED
+            return Step.BREAK
+        self._expect(Stage.WRITTEN)
+        return self._retry_or_refuse()
+
+    def may_retry_answer(self) -> bool:
+        """Tell whether an error answer may be dropped for another attempt."""
+        return self.stage is Stage.WRITTEN and self._may_retry()
+
+    def answer(self) -> None:
+        """Note that the answer begins to go to the caller."""
+        self._expect(Stage.WRITTEN)
+        self.stage = Stage.ANSWERING
+
+    def end(self) -> None:
+        """Note that nothing more happens to the request."""
+        self.stage = Stage.ENDED
+
+    def give_up(self) -> Step:
+        """Decide at the deadline or when no target is left."""
+        if self.stage is Stage.ANSWERING:
+            self.stage = Stage.ENDED
+            return Step.BREAK
+        return self._refuse()
+
+    def _may_retry(self) -> bool:
+        return (
+            self.idempotent
+            and self.replayable
+            and self.attempts < MAX_ATTEMPTS
+            and self.budget.has_token()
+        )
+
+    def _retry_or_refuse(self) -> Step:
+        if self._may_retry() and self.budget.take():
+            return self._try_another()
+        return self._refuse()
+
+    def _try_another(self) -> Step:
+        self.stage = Stage.READY
+        return Step.TRY_ANOTHER
+
+    def _refuse(self) -> Step:
+        self.stage = Stage.ENDED
+        return Step.REFUSE_UNKNOWN if self.may_have_run else Step.REFUSE_NOT_RUN
+
+    def _expect(self, stage: Stage) -> None:
+        if self.stage is not stage:
+            raise SendingError(f"expected {stage.value}, found {self.stage.value}")
