Spend, lend and hand over shares of a workspace's limit

Cause: a workspace's rate and burst count over the whole fleet, and no instance may ask another for each request. Ruled out: records of units in the platform, a central counter. Before: no limiter. After: shares derived from the agreed list, leased loans, urgent loans while requests wait, numbered transfers.

--- /dev/null
+++ b/src/gentianhitch/decisions/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Limit the rate and burst of workspaces, counted over the whole fleet."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/gentianhitch/decisions/limits/rounds.py
@@ -0,0 +1,68 @@
+"""What the limiter does in each round."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from gentianhitch.addresses import Address
+from gentianhitch.decisions.limits.messages import LoanWanted
+from gentianhitch.decisions.limits.messages import Transfer
+from gentianhitch.instances.identity import InstanceId
+
+if TYPE_CHECKING:
+    from gentianhitch.decisions.limits.limiter import LocalLimiter
+
+
+class Rounds:
+    """Renew loans, one message for each lender, and tidy up."""
+
+    def __init__(self, limiter: LocalLimiter) -> None:
+        self._limiter = limiter
+
+    def tick(self, now: float) -> None:
+        """Do one round."""
+        limiter = self._limiter
+        limiter.borrower.expire_asks(now)
+        limiter.succession.tick(now)
+        if not limiter.holdings.is_fresh(now):
+            return
+        self._drop_ended_rights()
+        limiter.holdings.reopen(now)
+        limiter.holdings.forget_idle(now)
+        limiter.borrower.send(self._plan(now))
+
+    def receive_transfer(
+        self, sender: InstanceId, transfer: Transfer, now: float
+    ) -> None:
+        """Take a share over and tell borrowers where it is now."""
+        limiter = self._limiter
+        if not limiter.transfers.receive(sender, transfer, now):
+            return
+        if limiter.holdings.is_fresh(now):
+            newest = limiter.holdings.log.active[-1]
+            addresses = {member.peers for member in newest.members_by_name.values()}
+            limiter.transfers.announce(addresses - {limiter.borrower.own_address})
+            limiter.holdings.reopen(now)
+
+    def _plan(self, now: float) -> dict[Address, list[LoanWanted]]:
+        limiter = self._limiter
+        items_by_address: dict[Address, list[LoanWanted]] = defaultdict(list)
+        for budget in limiter.holdings.budgets():
+            budget.drop_ended(now)
+            demand = budget.demand.rate(now)
+            plan = limiter.borrower.plan(budget, demand, now)
+            for address, items in plan.items():
+                items_by_address[address].extend(items)
+        return items_by_address
+
+    def _drop_ended_rights(self) -> None:
+        holdings = self._limiter.holdings
+        states = holdings.log.active
+        self._limiter.peers.forget_origins(states)
+        listed = {
+            member.id for state in states for member in state.members_by_name.values()
+        }
+        for origin in holdings.inherited():
+            if origin not in listed:
+                holdings.give_up(origin)
--- /dev/null
+++ b/src/gentianhitch/decisions/limits/shares.py
@@ -0,0 +1,165 @@
+"""Derive the share of each instance in a workspace from the agreed list."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from collections.abc import Mapping
+from itertools import zip_longest
+
+import attrs
+
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.limits.constants import HOLDERS
+from gentianhitch.decisions.limits.hashing import hash_name
+from gentianhitch.decisions.limits.hashing import ranked
+from gentianhitch.instances.identity import InstanceId
+from gentianhitch.instances.identity import Member
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.document import Workspace
+
+MAX_CACHED_WORKSPACES = 4096
+MAX_CACHED_STATES = 8
+
+
+@attrs.frozen
+class Share:
+    """A part of a workspace's limit: requests/s and requests."""
+
+    rate: float
+    burst: float
+
+    def least(self, other: Share) -> Share:
+        """Return the smaller rate and the smaller burst of both."""
+        return Share(min(self.rate, other.rate), min(self.burst, other.burst))
+
+    def covers(self, other: Share) -> bool:
+        """Tell whether neither rate nor burst is smaller than in ``other``."""
+        return self.rate >= other.rate and self.burst >= other.burst
+
+
+NOTHING = Share(0.0, 0.0)
+
+
+class HolderTable:
+    """Rank the members of one agreed list for each workspace."""
+
+    def __init__(self, members_by_name: Mapping[str, Member]) -> None:
+        self._members_by_name = members_by_name
+        members = members_by_name.values()
+        staying = [member for member in members if not member.leaving]
+        self._names_by_domain: dict[str, list[str]] = defaultdict(list)
+        for member in staying or members:
+            self._names_by_domain[member.failure_domain].append(member.id.name)
+        self._places_by_name = {
+            name: place for place, name in enumerate(sorted(members_by_name))
+        }
+        self._ranked_by_workspace: dict[tuple[str, int], tuple[Member, ...]] = {}
+
+    def holders(self, workspace: str, count: int) -> tuple[Member, ...]:
+        """Return the first ``count`` members, spread over failure domains."""
+        key = (workspace, count)
+        holders = self._ranked_by_workspace.get(key)
+        if holders is None:
+            if len(self._ranked_by_workspace) >= MAX_CACHED_WORKSPACES:
+                self._ranked_by_workspace.clear()
+            holders = tuple(self._rank(workspace)[:count])
+            self._ranked_by_workspace[key] = holders
+        return holders
+
+    def place(self, name: str) -> int:
+        """Return the place of a name in the sorted list, or one by its hash."""
+        place = self._places_by_name.get(name)
+        return hash_name(name) if place is None else place
+
+    def _rank(self, workspace: str) -> list[Member]:
+        columns = (
+            ranked(workspace, self._names_by_domain[domain])
+            for domain in ranked(workspace, self._names_by_domain)
+        )
+        rows = zip_longest(*columns)
+        return [
+            self._members_by_name[name]
+            for row in rows
+            for name in row
+            if name is not None
+        ]
+
+
+@attrs.define
+class _StateTable:
+    state: AgreedState
+    holders: HolderTable
+    workspaces_by_name: dict[str, Workspace]
+
+
+class ShareTable:
+    """Give the share of (name, incarnation) under agreed states, cached by state."""
+
+    def __init__(self, max_holders: int = HOLDERS) -> None:
+        self.max_holders = max_holders
+        self._tables_by_sequence: dict[int, _StateTable] = {}
+
+    def workspace(self, state: AgreedState, name: str) -> Workspace | None:
+        """Return the workspace as the state's document declares it."""
+        return self._table(state).workspaces_by_name.get(name)
+
+    def holders(self, state: AgreedState, name: str) -> tuple[Member, ...]:
+        """Return the members that hold a share; empty for an unknown workspace."""
+        table = self._table(state)
+        workspace = table.workspaces_by_name.get(name)
+        if workspace is None:
+            return ()
+        # A holder whose cap is below one request could never admit one alone.
+        count = max(1, min(self.max_holders, int(workspace.burst)))
+        return table.holders.holders(name, count)
+
+    def place(self, state: AgreedState, name: str) -> int:
+        """Return a number that differs between the members of the state."""
+        return self._table(state).holders.place(name)
+
+    def share(self, state: AgreedState, name: str, origin: InstanceId) -> Share:
+        """Return the share that the state gives to this incarnation."""
+        holders = self.holders(state, name)
+        if all(holder.id != origin for holder in holders):
+            return NOTHING
+        workspace = self._table(state).workspaces_by_name[name]
+        count = len(holders)
+        return Share(workspace.rate / count, workspace.burst / count)
+
+    def least(
+        self, states: Iterable[AgreedState], name: str, origin: InstanceId
+    ) -> Share:
+        """Return the least share that the states give to this incarnation."""
+        least: Share | None = None
+        for state in states:
+            share = self.share(state, name, origin)
+            least = share if least is None else least.least(share)
+        return least or NOTHING
+
+    def _table(self, state: AgreedState) -> _StateTable:
+        table = self._tables_by_sequence.get(state.sequence)
+        if table is None or table.state is not state:
+            table = self._build(state)
+            self._tables_by_sequence[state.sequence] = table
+            while len(self._tables_by_sequence) > MAX_CACHED_STATES:
+                del self._tables_by_sequence[min(self._tables_by_sequence)]
+        return table
+
+    def _build(self, state: AgreedState) -> _StateTable:
+        holders = self._reusable_holders(state) or HolderTable(state.members_by_name)
+        return _StateTable(state, holders, self._workspaces(state.document))
+
+    def _reusable_holders(self, state: AgreedState) -> HolderTable | None:
+        for table in self._tables_by_sequence.values():
+            if table.state.members_by_name == state.members_by_name:
+                return table.holders
+        return None
+
+    def _workspaces(self, document: Document | None) -> dict[str, Workspace]:
+        if document is None:
+            return {}
+        for table in self._tables_by_sequence.values():
+            if table.state.document is document:
+                return table.workspaces_by_name
+        return {workspace.name: workspace for workspace in document.workspaces}
