--- a/src/gentianhitch/decisions/targets/outstanding.py
+++ b/src/gentianhitch/decisions/targets/outstanding.py
@@ -10,13 +10,17 @@
 from gentianhitch.operators.document import Route
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Running:
-    """One request that holds a slot since ``started``."""
+    """One request that holds a slot since ``started``.
+
+    ``noted`` counts how often it was evidence before it ended.
+    """
 
     started: float
     route: Route
     workspace: str | None
+    noted: int = 0
 
 
 class Outstanding:
@@ -38,7 +42,7 @@
         """Hold a slot at ``target``."""
         self._running_by_target[target].append(running)
 
-    def end(self, attempt: Attempt, now: float) -> None:
+    def end(self, attempt: Attempt, now: float) -> Running | None:
         """Release the slot of ``attempt``: the one that started when it did."""
         held = self._running_by_target.get(attempt.target, [])
         alike = [
@@ -47,8 +51,10 @@
             if running.route == attempt.route and running.workspace == attempt.workspace
         ]
         if not alike:
-            return
+            return None
         started = now - attempt.latency_s
-        held.remove(min(alike, key=lambda running: abs(running.started - started)))
+        ended = min(alike, key=lambda running: abs(running.started - started))
+        held.remove(ended)
         if not held:
             del self._running_by_target[attempt.target]
+        return ended
--- /dev/null
+++ b/src/gentianhitch/decisions/targets/track.py
@@ -0,0 +1,90 @@
+"""Accumulate evidence on one scope as cumulative sums (CUSUM)."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+SLOW_SHIFT = math.log(2.5)
+"""Shift of the logarithm of latency that counts as slow."""
+
+MAX_STEP = 3.0
+MAX_SCORE = 12.0
+DECAY_S = 10.0
+LEVEL_SMOOTHING = 0.05
+ERROR_SMOOTHING = 0.05
+MIN_ERROR_RATE = 0.01
+GRAY_ERROR_RATE = 0.15
+GRAY_ERROR_FACTOR = 3.0
+MAX_ERROR_RATE = 0.9
+
+
+@attrs.frozen
+class Reference:
+    """What the service's other targets show.
+
+    ``level`` is the logarithm of their latency over the route's usual one,
+    ``spread`` its standard deviation, ``error_rate`` their part of failures.
+    """
+
+    level: float
+    spread: float
+    error_rate: float
+
+
+@attrs.define
+class Track:
+    """Hold the level and the cumulative sums of one scope.
+
+    Each sum adds the log-likelihood ratio of "gray" to "like the others" and
+    never falls below 0, so old health does not hide a new fault; it decays, so
+    that old faults are forgotten.
+    """
+
+    count: int = 0
+    level: float = 0.0
+    error_rate: float = 0.0
+    slow: float = 0.0
+    bad: float = 0.0
+    updated: float = 0.0
+
+    def score(self, now: float) -> float:
+        """Return the evidence that the scope is gray."""
+        elapsed = max(now - self.updated, 0.0)
+        return (self.slow + self.bad) * math.exp(-elapsed / DECAY_S)
+
+    def see_latency(self, shift: float, reference: Reference, now: float) -> None:
+        """Add an answer's latency, as the logarithm of its ratio to the usual."""
+        self._decay(now)
+        self.count += 1
+        smoothing = max(1.0 / self.count, LEVEL_SMOOTHING)
+        self.level += smoothing * (max(min(shift, MAX_STEP), -MAX_STEP) - self.level)
+        self.see_shift(shift, reference, now)
+
+    def see_shift(self, shift: float, reference: Reference, now: float) -> None:
+        """Add evidence from latency without moving the level."""
+        self._decay(now)
+        step = SLOW_SHIFT * (shift - reference.level - SLOW_SHIFT / 2)
+        step /= reference.spread**2
+        step = max(min(step, MAX_STEP), -MAX_STEP)
+        self.slow = min(max(self.slow + step, 0.0), MAX_SCORE)
+
+    def see_end(self, failed: bool, reference: Reference, now: float) -> None:
+        """Add a success or a failure."""
+        self._decay(now)
+        self.error_rate += ERROR_SMOOTHING * (float(failed) - self.error_rate)
+        usual = min(max(reference.error_rate, MIN_ERROR_RATE), MAX_ERROR_RATE / 2)
+        gray = min(max(GRAY_ERROR_RATE, GRAY_ERROR_FACTOR * usual), MAX_ERROR_RATE)
+        ratio = gray / usual if failed else (1 - gray) / (1 - usual)
+        self.bad = min(max(self.bad + math.log(ratio), 0.0), MAX_SCORE)
+
+    def clear(self) -> None:
+        """Forget the evidence; the level stays."""
+        self.slow = self.bad = 0.0
+
+    def _decay(self, now: float) -> None:
+        factor = math.exp(-max(now - self.updated, 0.0) / DECAY_S)
+        self.slow *= factor
+        self.bad *= factor
+        self.updated = now
