Detect gray targets together: reports, stewards, one leader with a ledger

Cause: one instance sees too few answers of a target to judge it soon, and may itself be what is wrong. Instances report CUSUM scores to a service's stewards; a leader elected by leased votes ejects what most stewards confirm.

A majority of stewards with a ledger each does not hold the floor: with room for two ejections and stewards 1..5, targets A (1,2,3), B (1,4,5) and C (2,4,5) all get a majority while no ledger holds more than two. One leader's ledger does.

--- /dev/null
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -0,0 +1,205 @@
+"""Detect gray targets together with the other instances."""
+
+from __future__ import annotations
+
+from collections import Counter
+from functools import singledispatchmethod
+from random import Random
+
+import attrs
+
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.interfaces import Agreement
+from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.decisions.targets.hints import TargetHints
+from gentianhitch.decisions.targets.messages import EjectionGrants
+from gentianhitch.decisions.targets.messages import EvidenceReport
+from gentianhitch.decisions.targets.messages import Vote
+from gentianhitch.decisions.targets.messages import VoteRequest
+from gentianhitch.decisions.targets.outstanding import Outstanding
+from gentianhitch.decisions.targets.outstanding import Running
+from gentianhitch.decisions.targets.placement import steered
+from gentianhitch.decisions.targets.service_view import ServiceView
+from gentianhitch.decisions.targets.slots import Clock
+from gentianhitch.decisions.targets.standing import Standing
+from gentianhitch.decisions.targets.steward import Setting
+from gentianhitch.decisions.targets.steward import Steward
+from gentianhitch.decisions.targets.steward import setting_of
+from gentianhitch.instances.identity import InstanceId
+from gentianhitch.instances.identity import Member
+from gentianhitch.instances.transport import Transport
+from gentianhitch.operators.document import Route
+
+MESSAGES = (EvidenceReport, VoteRequest, Vote, EjectionGrants)
+TICK_S = 0.25
+REPORT_S = 0.5
+IDLE_REPORT_S = 1.0
+USED_S = 10.0
+
+
+class Detector:
+    """Judge targets; implements Judge and is driven by messages and ticks."""
+
+    def __init__(
+        self,
+        agreement: Agreement,
+        me: InstanceId,
+        transport: Transport,
+        random: Random,
+        now: float,
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.hints = TargetHints()
+        self._agreement = agreement
+        self._me = me
+        self._transport = transport
+        self._random = random
+        self._started = now
+        self._now = now
+        self._states: tuple[AgreedState, ...] = ()
+        self._settings_by_service: dict[str, Setting] = {}
+        self._steered: frozenset[str] = frozenset()
+        self._views_by_service: dict[str, ServiceView] = {}
+        self._stewards_by_service: dict[str, Steward] = {}
+        self._reported_by_service: dict[str, float] = {}
+
+    def subscribe(self, clock: Clock) -> None:
+        """Receive the other instances' messages from now on."""
+        for kind in MESSAGES:
+            self._transport.subscribe(
+                kind, lambda sender, body: self.receive(sender, body, clock.seconds())
+            )
+
+    def standing(
+        self, target: str, route: Route, workspace: str | None, now: float
+    ) -> Standing:
+        """Return the standing of ``target`` for one request."""
+        return self.view(route.service).standing(target, route, workspace, now)
+
+    def record(self, attempt: Attempt, ended: Running | None, now: float) -> None:
+        """Keep what one ended attempt shows."""
+        self.view(attempt.route.service).record(attempt, ended, now)
+
+    def view(self, service: str) -> ServiceView:
+        """Return what this instance knows of a service."""
+        view = self._views_by_service.get(service)
+        if view is None:
+            view = ServiceView(service, self.hints, self._random)
+            self._views_by_service[service] = view
+        return view
+
+    def tick(self, outstanding: Outstanding, now: float) -> None:
+        """Note overdue requests, report, and act as a steward; call every TICK_S."""
+        self._update(now)
+        self._now = now
+        for service, setting in self._settings_by_service.items():
+            view = self._views_by_service.get(service)
+            if view is not None:
+                view.evidence.keep_only(setting.slots_by_target)
+                for target in setting.slots_by_target:
+                    view.note_overdue(target, outstanding.running(target), now)
+                view.refresh(now)
+            self._report_if_due(service, setting, now)
+        for service, steward in self._stewards_by_service.items():
+            if service in self._settings_by_service:
+                steward.tick(self._settings_by_service[service], now)
+
+    def receive(self, sender: InstanceId, body: object, now: float) -> None:
+        """Handle one message from another instance."""
+        self._update(now)
+        self._now = now
+        self._handle(body, sender)
+
+    def _update(self, now: float) -> None:
+        fresh = self._agreement.is_fresh(now)
+        states = self._agreement.active(now) if fresh else ()
+        known = [state.sequence for state in self._states]
+        if known == [state.sequence for state in states]:
+            return
+        self._states = states
+        document = states[-1].document if states else None
+        if document is None:
+            self._settings_by_service = {}
+            return
+        members = tuple(states[-1].members_by_name.values())
+        self._settings_by_service = {}
+        for service in document.services:
+            near = steered(service.name, members, len(document.services))
+            self._settings_by_service[service.name] = setting_of(
+                service.name, states, near
+            )
+        self._appoint(now)
+
+    def _appoint(self, now: float) -> None:
+        for service, setting in self._settings_by_service.items():
+            if self._me in setting.everyone():
+                if service not in self._stewards_by_service:
+                    self._stewards_by_service[service] = Steward(
+                        service, self._me, self._send, self.counts, now
+                    )
+            else:
+                self._stewards_by_service.pop(service, None)
+
+    def _send(self, member: Member, body: object) -> None:
+        if member.id == self._me:
+            self._handle(body, self._me)
+        else:
+            self._transport.send(member.peers, body)
+
+    def _report_if_due(self, service: str, setting: Setting, now: float) -> None:
+        view = self._views_by_service.get(service)
+        used = view is not None and now - view.used <= USED_S
+        if not used and self._me not in setting.near:
+            return
+        view = self.view(service)
+        interval = REPORT_S if view.suspects(now) else IDLE_REPORT_S
+        if now - self._reported_by_service.get(service, -interval) < interval:
+            return
+        self._reported_by_service[service] = now
+        report = view.report(now)
+        self.counts["ejection.reports"] += 1
+        for member in setting.everyone().values():
+            self._send(member, report)
+
+    @singledispatchmethod
+    def _handle(self, body: object, sender: InstanceId) -> None:
+        raise NotImplementedError(type(body))
+
+    @_handle.register
+    def _on_report(self, body: EvidenceReport, sender: InstanceId) -> None:
+        steward, setting, member = self._steward_for(body.service, sender)
+        if steward and setting and member:
+            steward.on_report(member, body, setting, self._now)
+
+    @_handle.register
+    def _on_request(self, body: VoteRequest, sender: InstanceId) -> None:
+        steward, setting, member = self._steward_for(body.service, sender)
+        if steward and setting and member:
+            steward.on_request(member, body, setting, self._now)
+
+    @_handle.register
+    def _on_vote(self, body: Vote, sender: InstanceId) -> None:
+        steward, setting, member = self._steward_for(body.service, sender)
+        if steward and setting and member:
+            steward.on_vote(sender, body, setting, self._now)
+
+    @_handle.register
+    def _on_grants(self, body: EjectionGrants, sender: InstanceId) -> None:
+        if body.service in self._settings_by_service:
+            self.view(body.service).on_grants(sender, body, self._now)
+
+    def _steward_for(
+        self, service: str, sender: InstanceId
+    ) -> tuple[Steward | None, Setting | None, Member | None]:
+        member = next(
+            (
+                state.members_by_name[sender.name]
+                for state in reversed(self._states)
+                if sender.name in state.members_by_name
+            ),
+            None,
+        )
+        if member is not None:
+            member = attrs.evolve(member, id=sender)
+        steward = self._stewards_by_service.get(service)
+        return steward, self._settings_by_service.get(service), member
--- a/src/gentianhitch/decisions/targets/leadership.py
+++ b/src/gentianhitch/decisions/targets/leadership.py
@@ -25,6 +25,7 @@
 
     heard: float
     asking_since: float
+    leading: bool = False
     passed_over_until: float = 0.0
 
 
@@ -63,13 +64,22 @@
         better = preferred[: preferred.index(me)] if me in preferred else preferred
         return any(self._is_eligible(candidate, now) for candidate in better)
 
+    def hears_leader(self, me: InstanceId, now: float) -> bool:
+        """Tell whether a steward other than ``me`` leads."""
+        return any(
+            known.leading and now - known.heard <= HEARD_S
+            for candidate, known in self._candidates_by_id.items()
+            if candidate != me
+        )
+
     def _note(self, candidate: InstanceId, request: VoteRequest, now: float) -> None:
         known = self._candidates_by_id.get(candidate)
         if known is None or now - known.heard > HEARD_S:
             passed_over_until = known.passed_over_until if known else 0.0
-            known = Candidate(now, now, passed_over_until)
+            known = Candidate(now, now, request.leading, passed_over_until)
             self._candidates_by_id[candidate] = known
         known.heard = now
+        known.leading = request.leading
         if request.leading:
             known.asking_since = now
             known.passed_over_until = 0.0
--- /dev/null
+++ b/src/gentianhitch/decisions/targets/reports.py
@@ -0,0 +1,133 @@
+"""Pool the evidence reports of a service's instances at a steward."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from gentianhitch.decisions.targets.messages import EvidenceReport
+from gentianhitch.decisions.targets.messages import ScopeScore
+from gentianhitch.decisions.targets.scopes import Scope
+from gentianhitch.instances.identity import InstanceId
+
+REPORT_AGE_S = 3.0
+SHOWS_GRAY = 2.0
+"""Score from which one instance's evidence shows a scope as gray."""
+
+MAX_PART = 8.0
+"""The most that one instance adds to the pooled score."""
+
+POOLED_GRAY = 16.0
+POOLED_GRAY_NARROW = 20.0
+MIN_SHOWING_PART = 0.25
+"""Part of the instances heard that must show a scope as gray at least."""
+
+
+@attrs.frozen
+class Received:
+    """One report with its sender's incarnation and the time it came."""
+
+    at: float
+    incarnation: int
+    report: EvidenceReport
+
+
+class ReportPool:
+    """Keep the newest report of each instance for a few seconds."""
+
+    def __init__(self) -> None:
+        self._received_by_name: dict[str, Received] = {}
+
+    def add(self, sender: InstanceId, report: EvidenceReport, now: float) -> bool:
+        """Take a report unless a newer one of its sender came before."""
+        known = self._received_by_name.get(sender.name)
+        if known is not None:
+            order = (known.incarnation, known.report.number)
+            if (sender.incarnation, report.number) <= order:
+                return False
+        self._received_by_name[sender.name] = Received(now, sender.incarnation, report)
+        return True
+
+    def heard(self, now: float) -> list[EvidenceReport]:
+        """Return the recent reports and forget the others."""
+        self._received_by_name = {
+            name: received
+            for name, received in self._received_by_name.items()
+            if now - received.at <= REPORT_AGE_S
+        }
+        return [received.report for received in self._received_by_name.values()]
+
+    def gray(self, expected: int, now: float) -> dict[Scope, float]:
+        """Return the pooled score of each scope that most instances show as gray.
+
+        ``expected`` instances use the service; hearing fewer than half of them
+        shows nothing.
+        """
+        reports = self.heard(now)
+        if len(reports) * 2 < expected:
+            return {}
+        scores_by_scope: dict[Scope, list[float]] = {}
+        for report in reports:
+            for score in report.scores:
+                scores_by_scope.setdefault(scope_of(score), []).append(score.score)
+        gray = {
+            scope: sum(min(score, MAX_PART) for score in scores)
+            for scope, scores in scores_by_scope.items()
+            if _most_show(scope, scores, reports)
+        }
+        return _without_parts_of_whole(
+            {
+                scope: pooled
+                for scope, pooled in gray.items()
+                if _is_enough(scope, pooled)
+            }
+        )
+
+    def absent(self, now: float) -> frozenset[str]:
+        """Return the targets that any instance found leaving or cold."""
+        return frozenset(
+            target
+            for report in self.heard(now)
+            for target in (*report.leaving, *report.cold)
+        )
+
+    def leaving(self, now: float) -> tuple[str, ...]:
+        """Return the targets that more than one instance found leaving."""
+        reports = self.heard(now)
+        needed = min(2, len(reports))
+        found = [target for report in reports for target in report.leaving]
+        return tuple(sorted({t for t in found if found.count(t) >= needed}))
+
+
+def scope_of(score: ScopeScore) -> Scope:
+    """Return the scope that a message names."""
+    return Scope(score.target, score.route, score.workspace)
+
+
+def score_of(scope: Scope, score: float) -> ScopeScore:
+    """Return the message for the score of a scope."""
+    return ScopeScore(scope.target, scope.route, scope.workspace, round(score, 2))
+
+
+def _most_show(
+    scope: Scope, scores: list[float], reports: list[EvidenceReport]
+) -> bool:
+    showing = sum(score >= SHOWS_GRAY for score in scores)
+    seeing = sum(scope.target in report.seen for report in reports)
+    least = max(min(2, len(reports)), MIN_SHOWING_PART * len(reports))
+    return showing * 2 > seeing and showing >= least
+
+
+def _is_enough(scope: Scope, pooled: float) -> bool:
+    return pooled >= (POOLED_GRAY if scope.whole else POOLED_GRAY_NARROW)
+
+
+def _without_parts_of_whole(gray: dict[Scope, float]) -> dict[Scope, float]:
+    whole: Iterable[Scope] = [scope for scope in gray if scope.whole]
+    targets = {scope.target for scope in whole}
+    return {
+        scope: pooled
+        for scope, pooled in gray.items()
+        if scope.whole or scope.target not in targets
+    }
--- a/src/gentianhitch/decisions/targets/selector.py
+++ b/src/gentianhitch/decisions/targets/selector.py
@@ -74,9 +74,7 @@
                 continue
             standing = self._judge.standing(target.name, route, workspace, now)
             if standing is not Standing.UNUSABLE:
-                candidates_by_standing[standing].append(
-                    self._candidate(entry, target, now)
-                )
+                candidates_by_standing[standing].append(self._candidate(entry, target))
         if not candidates_by_standing:
             return None
         best = candidates_by_standing[min(candidates_by_standing)]
@@ -87,8 +85,8 @@
     def record(self, attempt: Attempt, now: float) -> None:
         """Release the slot of the attempt and keep what it shows."""
         self._adapt(attempt)
-        self.outstanding.end(attempt, now)
-        self._judge.record(attempt, now)
+        ended = self.outstanding.end(attempt, now)
+        self._judge.record(attempt, ended, now)
         for released in self.on_release:
             released(attempt, now)
 
@@ -111,13 +109,10 @@
         free = min(part.slots + extra, part.connections, target.slots)
         return self.outstanding.count(target.name) < free
 
-    def _candidate(
-        self, entry: ServiceEntry, target: BackendServer, now: float
-    ) -> Candidate:
+    def _candidate(self, entry: ServiceEntry, target: BackendServer) -> Candidate:
         own = entry.parts_by_target[target.name].slots
         running = self.outstanding.count(target.name) + 1
-        weight = self._judge.weight(target.name, now)
-        load = running / ((own + OWN_SLOT_BIAS) * weight)
+        load = running / (own + OWN_SLOT_BIAS)
         return Candidate(target, load, target.failure_domain != self._failure_domain)
 
     def _lighter_of_two(self, candidates: list[Candidate]) -> Candidate:
--- a/src/gentianhitch/decisions/targets/slots.py
+++ b/src/gentianhitch/decisions/targets/slots.py
@@ -32,9 +32,9 @@
         ...
 
     def callLater(  # noqa: N802
-        self, delay: float, callable: Callable[..., object], *args: object
+        self, delay: float, function: Callable[..., object], /, *args: object
     ) -> Any:
-        """Call ``callable`` after ``delay`` seconds."""
+        """Call ``function`` after ``delay`` seconds."""
         ...
 
 
--- a/src/gentianhitch/decisions/targets/standing.py
+++ b/src/gentianhitch/decisions/targets/standing.py
@@ -1,4 +1,4 @@
-"""How the selector sees a target: its standing and its weight."""
+"""How the selector sees a target: its standing."""
 
 from __future__ import annotations
 
@@ -6,10 +6,9 @@
 from typing import Protocol
 
 from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.decisions.targets.outstanding import Running
 from gentianhitch.operators.document import Route
 
-FULL_WEIGHT = 1.0
-
 
 class Standing(IntEnum):
     """Order of preference of a target for one request."""
@@ -28,12 +27,8 @@
         """Return the standing of ``target`` for one request."""
         ...
 
-    def weight(self, target: str, now: float) -> float:
-        """Return the part of its load that ``target`` should get, up to 1."""
-        ...
-
-    def record(self, attempt: Attempt, now: float) -> None:
-        """Keep what one ended attempt shows."""
+    def record(self, attempt: Attempt, ended: Running | None, now: float) -> None:
+        """Keep what one ended attempt shows; ``ended`` held its slot."""
         ...
 
 
@@ -46,9 +41,5 @@
         """Return GOOD."""
         return Standing.GOOD
 
-    def weight(self, target: str, now: float) -> float:
-        """Return the full weight."""
-        return FULL_WEIGHT
-
-    def record(self, attempt: Attempt, now: float) -> None:
+    def record(self, attempt: Attempt, ended: Running | None, now: float) -> None:
         """Keep nothing."""
