Send truthfully: retries in a budget, idempotency keys, fair waiting

Cause: an order could not yet be protected against repeats and the path had no queue for slots. Ruled out: pinning keys by rendezvous hash alone; a member that dies or joins moves keys to one that knows nothing of them. The new pin asks the earlier ones, or one that followed the list for the whole window, or says unknown. Ruled out: registering the caller's transport as producer of the upload; losing the target would close the caller before its refusal is written. Before: keys forwarded only.

--- a/src/gentianhitch/backend_servers/answers.py
+++ b/src/gentianhitch/backend_servers/answers.py
@@ -151,7 +151,7 @@
             if lowered == b"content-length":
                 length = int(value)
             elif lowered == b"transfer-encoding":
-                chunked = True
+                chunked = _is_chunked(value)
             elif lowered == b"x-request-id":
                 request_id = value
             elif lowered == b"shed":
@@ -162,3 +162,9 @@
         return AnswerHead(
             status, self._reason, self._headers, length, has_body, request_id, shed
         )
+
+
+def _is_chunked(transfer_encoding: bytes) -> bool:
+    if transfer_encoding.strip().lower() != b"chunked":
+        raise WrongAnswerError("the answer has an unknown transfer encoding")
+    return True
--- a/src/gentianhitch/backend_servers/connection.py
+++ b/src/gentianhitch/backend_servers/connection.py
@@ -140,7 +140,9 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Stop reading until the caller has taken what it was sent."""
-        self.transport.pauseProducing()
+        # After the end of an answer nobody would resume an idle connection.
+        if self._receiver is not None and not self._closed:
+            self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Read on."""
--- a/src/gentianhitch/backend_servers/pool.py
+++ b/src/gentianhitch/backend_servers/pool.py
@@ -63,13 +63,14 @@
 class ConnectionPool:
     """Lend connections to targets, at most as many as a target has slots."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, clock: Any) -> None:
         self._reactor = reactor
+        self._clock = clock
         self._pools_by_address: dict[Address, _TargetPool] = {}
 
     def seconds(self) -> float:
         """Return the runtime's clock."""
-        now: float = self._reactor.seconds()
+        now: float = self._clock.seconds()
         return now
 
     def acquire(
--- /dev/null
+++ b/src/gentianhitch/callers/attempts.py
@@ -0,0 +1,339 @@
+"""Send one request to targets until one answers or none may be tried."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+from gentianhitch.addresses import Address
+from gentianhitch.backend_servers.answers import AnswerHead
+from gentianhitch.backend_servers.answers import AnswerPiece
+from gentianhitch.backend_servers.connection import TargetConnection
+from gentianhitch.backend_servers.errors import BackendServerError
+from gentianhitch.backend_servers.errors import ConnectError
+from gentianhitch.backend_servers.errors import CutAnswerError
+from gentianhitch.backend_servers.errors import WrongAnswerError
+from gentianhitch.backend_servers.pool import Connecting
+from gentianhitch.callers.admission import Admitted
+from gentianhitch.callers.encoding import LAST_CHUNK
+from gentianhitch.callers.encoding import encode_chunk
+from gentianhitch.callers.encoding import encode_relay
+from gentianhitch.callers.encoding import encode_request
+from gentianhitch.callers.incoming import Incoming
+from gentianhitch.callers.refusals import Cause
+from gentianhitch.callers.relays import OneInstance
+from gentianhitch.callers.requests import RelayMode
+from gentianhitch.callers.requests import RequestHead
+from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.decisions.interfaces import Outcome
+from gentianhitch.decisions.interfaces import TargetSelector
+from gentianhitch.decisions.sending import Sending
+from gentianhitch.decisions.sending import Step
+from gentianhitch.decisions.waiting import Waiter
+from gentianhitch.operators.document import BackendServer
+
+if TYPE_CHECKING:
+    from gentianhitch.callers.connection import CallerConnection
+    from gentianhitch.callers.request_path import PathContext
+
+SHED_NOT_RUN = b"not-run"
+
+
+class AttemptsOwner(Protocol):
+    """Take what comes of the attempts."""
+
+    def answer_progressed(self, head: AnswerHead | None, piece: AnswerPiece) -> None:
+        """Take the next piece of the answer; ``head`` comes with the first."""
+        ...
+
+    def attempts_failed(self, step: Step, cause: Cause, detail: str) -> None:
+        """Learn that no target will answer, or not to the end."""
+        ...
+
+
+@implementer(IPushProducer)
+class BodyProducer:
+    """Let a target's connection pace the caller's body."""
+
+    def __init__(self, caller: CallerConnection) -> None:
+        self._caller = caller
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Read no more from the caller."""
+        self._caller.pause_body()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on."""
+        self._caller.resume_body()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Leave the caller's connection open: it still gets an answer."""
+        self._caller.resume_body()
+
+
+class Attempts:
+    """Drive the attempts of one request; ``mode`` is set on a relay."""
+
+    def __init__(
+        self,
+        context: PathContext,
+        caller: CallerConnection,
+        incoming: Incoming,
+        admitted: Admitted,
+        owner: AttemptsOwner,
+        *,
+        relay_to: Address | None = None,
+        mode: RelayMode = RelayMode.RUN,
+    ) -> None:
+        self._context = context
+        self._caller = caller
+        self._incoming = incoming
+        self._admitted = admitted
+        self._owner = owner
+        self._mode = mode
+        self._relays = relay_to is not None
+        self._selector: TargetSelector = (
+            context.selector if relay_to is None else OneInstance(relay_to)
+        )
+        service = admitted.matched.service.name
+        self._budget = context.budget(service)
+        self.sending = Sending(admitted.matched.idempotent, self._budget)
+        self._target: BackendServer | None = None
+        self._connecting: Connecting | None = None
+        self._connection: TargetConnection | None = None
+        self._waiter: Waiter | None = None
+        self._started_s = 0.0
+        self._head_received_s: float | None = None
+        self._status = 0
+        self._streams = False
+        self._uploaded = False
+
+    @property
+    def connection(self) -> TargetConnection | None:
+        """Return the connection on which the request runs."""
+        return self._connection
+
+    def begin(self) -> None:
+        """Try the next target; wait in the queue if every slot is taken."""
+        if self._try_next():
+            return
+        if self.sending.attempts:
+            self._owner.attempts_failed(self.sending.give_up(), Cause.NO_CAPACITY, "")
+            return
+        queue = self._context.queue(self._admitted.matched.service.name)
+        self._waiter = queue.add(self._admitted.workspace, self._try_next)
+        if self._waiter is None:
+            self._owner.attempts_failed(
+                self.sending.give_up(), Cause.NO_CAPACITY, "the queue is full"
+            )
+
+    def body_progressed(self) -> None:
+        """Send on what came of the body."""
+        if self._connection is not None and self._streams and not self._uploaded:
+            self._upload()
+
+    def time_out_attempt(self) -> bool:
+        """Give up a silent target if another one may be tried."""
+        if not self.sending.may_retry_answer():
+            return False
+        self._leave(Outcome.SILENT)
+        self._follow(self.sending.failed(), Cause.SILENT)
+        return True
+
+    def deadline_passed(self) -> None:
+        """Stop: the time is up."""
+        waited = self._connection is not None
+        cause = Cause.SILENT if waited else Cause.DEADLINE
+        if self._waiter is not None and not self._waiter.cancelled:
+            cause = Cause.NO_CAPACITY
+        self._leave(Outcome.SILENT if waited else Outcome.NOT_SENT)
+        self._follow(self.sending.give_up(), cause)
+
+    def abandon(self, outcome: Outcome) -> Step:
+        """Stop, and close the connection; return what is known."""
+        self._leave(outcome)
+        return self.sending.give_up()
+
+    def _try_next(self) -> bool:
+        admitted, sending = self._admitted, self.sending
+        now = self._context.seconds()
+        target = self._selector.choose(
+            admitted.matched.service.name,
+            admitted.matched.route,
+            admitted.workspace,
+            now,
+            sending.tried,
+        )
+        if target is None:
+            return False
+        self._target = target
+        self._started_s = now
+        self._head_received_s = None
+        sending.connect(target.name)
+        self._connecting = self._context.pool.acquire(
+            target, self, proven=not sending.idempotent
+        )
+        return True
+
+    def connected(self, connection: TargetConnection) -> None:
+        """Write the request, unless time has passed what allowed it."""
+        self._connecting = None
+        now = self._context.seconds()
+        cause = self._forbids_writing(now)
+        if cause is not None:
+            connection.close()
+            self._record(Outcome.NOT_SENT)
+            self._owner.attempts_failed(self.sending.give_up(), cause, "")
+            return
+        self.sending.write()
+        self._connection = connection
+        self._streams = not self._incoming.complete
+        body = None if self._streams else self._incoming.peek()
+        connection.send(
+            self._encode(max(1, int((self._admitted.deadline - now) * 1000)), body),
+            self,
+            to_head_request=self._head.method == "HEAD",
+            whole=not self._streams,
+        )
+        if self._streams:
+            self.sending.replayable = False
+            connection.transport.registerProducer(BodyProducer(self._caller), True)
+            self._caller.resume_body()
+            self._upload()
+
+    def _forbids_writing(self, now: float) -> Cause | None:
+        """Check again what a pause of this process may have changed."""
+        if now >= self._admitted.deadline:
+            return Cause.DEADLINE
+        if not self._context.agreement.is_fresh(now):
+            return Cause.NOT_FRESH
+        return None
+
+    def connect_failed(self, error: ConnectError) -> None:
+        """Try another target: nothing was written."""
+        self._connecting = None
+        self._record(Outcome.NOT_SENT)
+        self._follow(self.sending.connect_failed(), Cause.NO_CONNECTION, str(error))
+
+    def answer_received(self, piece: AnswerPiece) -> None:
+        """Pass on a piece of the answer, once it is known to be the right one."""
+        head = piece.head
+        if head is not None:
+            self._head_received_s = self._context.seconds()
+            if not self._accepts(head, piece.ended):
+                return
+        if piece.ended:
+            self._connection = None
+            if head is not None:
+                self._status = head.status
+            self._record(Outcome.ERROR if self._status >= 500 else Outcome.OK)
+            self.sending.end()
+        self._owner.answer_progressed(head, piece)
+
+    def answer_failed(self, error: BackendServerError) -> None:
+        """Retry, refuse, or break the answer that has begun."""
+        self._connection = None
+        if isinstance(error, CutAnswerError):
+            outcome, cause = Outcome.CUT, Cause.CUT_ANSWER
+        else:
+            outcome, cause = Outcome.WRONG, Cause.WRONG_ANSWER
+        self._record(outcome)
+        self._follow(self.sending.failed(), cause, str(error))
+
+    def _accepts(self, head: AnswerHead, ended: bool) -> bool:
+        if head.request_id is not None and head.request_id != self._head.request_id:
+            self._drop_connection()
+            self.answer_failed(WrongAnswerError("the answer is of another request"))
+            return False
+        if head.status == 503 and head.shed == SHED_NOT_RUN:
+            self._drop_answer(ended)
+            self._record(Outcome.SHED)
+            # Only the echoed id shows that this answer is of this request.
+            known = head.request_id is not None
+            step = self.sending.shed() if known else self.sending.failed()
+            self._follow(step, Cause.SHED)
+            return False
+        if head.status >= 500 and self.sending.may_retry_answer():
+            self._drop_answer(ended)
+            self._record(Outcome.ERROR)
+            self._follow(self.sending.failed(), Cause.WRONG_ANSWER)
+            return False
+        self.sending.answer()
+        self._status = head.status
+        return True
+
+    @property
+    def _head(self) -> RequestHead:
+        return self._incoming.head
+
+    def _encode(self, remaining_ms: int, body: bytes | None) -> bytes:
+        if self._relays:
+            return encode_relay(
+                self._head, mode=self._mode, remaining_ms=remaining_ms, body=body
+            )
+        return encode_request(
+            self._head,
+            workspace=self._admitted.workspace,
+            remaining_ms=remaining_ms,
+            body=body,
+        )
+
+    def _upload(self) -> None:
+        assert self._connection is not None
+        data = self._incoming.take()
+        whole = self._incoming.complete
+        if self._head.chunked:
+            data = encode_chunk(data) + (LAST_CHUNK if whole else b"")
+        self._connection.send_more(data, whole=whole)
+        if whole:
+            self._uploaded = True
+            self._connection.transport.unregisterProducer()
+
+    def _drop_answer(self, ended: bool) -> None:
+        """Keep the connection only if nothing of the answer is left on it."""
+        if ended:
+            self._connection = None
+        else:
+            self._drop_connection()
+
+    def _drop_connection(self) -> None:
+        if self._connection is not None:
+            self._connection.abandon()
+            self._connection = None
+
+    def _leave(self, outcome: Outcome) -> None:
+        if self._waiter is not None:
+            service = self._admitted.matched.service.name
+            self._context.queue(service).cancel(self._waiter)
+        if self._connecting is not None:
+            self._connecting.cancel()
+            self._connecting = None
+        self._drop_connection()
+        self._record(outcome)
+
+    def _follow(self, step: Step, cause: Cause, detail: str = "") -> None:
+        if step is not Step.TRY_ANOTHER:
+            self._owner.attempts_failed(step, cause, detail)
+            return
+        self._context.count("retries")
+        self.begin()
+
+    def _record(self, outcome: Outcome) -> None:
+        if self._target is None:
+            return
+        now = self._context.seconds()
+        answered_s = self._head_received_s or now
+        attempt = Attempt(
+            target=self._target.name,
+            route=self._admitted.matched.route,
+            workspace=self._admitted.workspace,
+            outcome=outcome,
+            latency_s=answered_s - self._started_s,
+        )
+        self._target = None
+        self._selector.record(attempt, now)
+        if not self._relays:
+            self._context.slot_released(self._admitted.matched.service.name)
--- a/src/gentianhitch/callers/connection.py
+++ b/src/gentianhitch/callers/connection.py
@@ -46,6 +46,7 @@
         self._refusal: Refusal | None = None
         self._serving = False
         self._paused = False
+        self._body_paused = False
         self._lingering = False
         self._lost = False
         self._active_s = context.seconds()
@@ -83,7 +84,7 @@
         self._serving = False
         if self._exchange is None and not self._is_ending and self._refusal is not None:
             self._refuse(self._refusal)
-        self._pause_if_pipelined()
+        self._pause_or_resume()
 
     @property
     def _is_ending(self) -> bool:
@@ -95,8 +96,18 @@
         incoming.listener = exchange
         exchange.start()
 
-    def _pause_if_pipelined(self) -> None:
-        pause = len(self._waiting) >= PIPELINED_REQUESTS
+    def pause_body(self) -> None:
+        """Read no more until the body that came has been sent on."""
+        self._body_paused = True
+        self._pause_or_resume()
+
+    def resume_body(self) -> None:
+        """Read on."""
+        self._body_paused = False
+        self._pause_or_resume()
+
+    def _pause_or_resume(self) -> None:
+        pause = self._body_paused or len(self._waiting) >= PIPELINED_REQUESTS
         if pause == self._paused or self._is_ending:
             return
         self._paused = pause
@@ -112,6 +123,7 @@
         if self._exchange is not exchange:
             return
         self._exchange = None
+        self._body_paused = False
         self._active_s = self._context.seconds()
         if keep_alive:
             self._serve()
--- a/src/gentianhitch/callers/encoding.py
+++ b/src/gentianhitch/callers/encoding.py
@@ -7,9 +7,12 @@
 from gentianhitch.backend_servers.answers import AnswerHead
 from gentianhitch.callers.requests import HOP_BY_HOP
 from gentianhitch.callers.requests import OWN_PREFIXES
+from gentianhitch.callers.requests import RelayMode
 from gentianhitch.callers.requests import RequestHead
+from gentianhitch.decisions.idempotency import StoredAnswer
 
 ANSWER_NOT_FORWARDED = HOP_BY_HOP | {b"content-length", b"shed", b"x-request-id"}
+METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -20,26 +23,54 @@
     head: RequestHead, *, workspace: str | None, remaining_ms: int, body: bytes | None
 ) -> bytes:
     """Encode a request without its key; ``body`` is None when it comes later."""
+    lines = _request_lines(head, remaining_ms, body)
+    if workspace is not None:
+        lines.append(b"Gentianhitch-Workspace: " + workspace.encode())
+    return _join(lines, body)
+
+
+def encode_relay(
+    head: RequestHead, *, mode: RelayMode, remaining_ms: int, body: bytes | None
+) -> bytes:
+    """Encode a request for another entry instance, which checks the key itself."""
+    lines = _request_lines(head, remaining_ms, body)
+    if head.key is not None:
+        lines.append(b"Authorization: Bearer " + head.key)
+    lines.append(b"Gentianhitch-Relay: " + mode.value)
+    return _join(lines, body)
+
+
+def _request_lines(
+    head: RequestHead, remaining_ms: int, body: bytes | None
+) -> list[bytes]:
     lines = [b"%b %b HTTP/1.1" % (head.method.encode(), head.target)]
     lines += [b"%b: %b" % header for header in head.headers]
     lines.append(b"X-Request-Id: " + head.request_id)
     lines.append(b"Gentianhitch-Deadline-Ms: %d" % remaining_ms)
-    if workspace is not None:
-        lines.append(b"Gentianhitch-Workspace: " + workspace.encode())
     if body is not None:
-        if body or head.has_body or head.method in ("POST", "PUT", "PATCH"):
+        if body or head.has_body or head.method in METHODS_WITH_BODY:
             lines.append(b"Content-Length: %d" % len(body))
     elif head.chunked:
         lines.append(b"Transfer-Encoding: chunked")
     else:
         lines.append(b"Content-Length: %d" % head.content_length)
+    return lines
+
+
+def _join(lines: list[bytes], body: bytes | None) -> bytes:
     lines.append(b"\r\n")
     encoded = b"\r\n".join(lines)
     return encoded + body if body else encoded
 
 
-def encode_answer_head(head: AnswerHead, *, request_id: bytes, close: bool) -> bytes:
-    """Encode the head of an answer for the caller."""
+def encode_answer_head(
+    head: AnswerHead, *, request_id: bytes, close: bool, relayed: bool = False
+) -> bytes:
+    """Encode the head of an answer for the caller.
+
+    Only another instance (``relayed``) may set the headers of this system.
+    """
+    own_prefixes = () if relayed else OWN_PREFIXES
     dropped = ANSWER_NOT_FORWARDED
     for name, value in head.headers:
         if name.lower() == b"connection":
@@ -50,7 +81,7 @@
         b"%b: %b" % (name, value)
         for name, value in head.headers
         if (lowered := name.lower()) not in dropped
-        and not lowered.startswith(OWN_PREFIXES)
+        and not lowered.startswith(own_prefixes)
     ]
     lines.append(b"X-Request-Id: " + request_id)
     if head.content_length is not None:
@@ -63,6 +94,23 @@
     return b"\r\n".join(lines)
 
 
+def encode_stored_answer(
+    answer: StoredAnswer, *, request_id: bytes, close: bool
+) -> bytes:
+    """Encode the answer of an earlier request for its repeat."""
+    head = AnswerHead(
+        status=answer.status,
+        reason=answer.reason,
+        headers=[*answer.headers, (b"Gentianhitch-Replayed", b"yes")],
+        content_length=len(answer.body),
+        has_body=True,
+        request_id=None,
+        shed=None,
+    )
+    encoded = encode_answer_head(head, request_id=request_id, close=close, relayed=True)
+    return encoded + answer.body
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Encode one chunk of a chunked body."""
     return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
--- a/src/gentianhitch/callers/exchange.py
+++ b/src/gentianhitch/callers/exchange.py
@@ -1,37 +1,38 @@
-"""Serve one request: check it, send it to a target and pass the answer back."""
+"""Serve one request: check it, have it sent and pass the answer back."""
 
 from __future__ import annotations
 
 import math
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING
+from typing import Any
 
 from gentianhitch.backend_servers.answers import AnswerHead
 from gentianhitch.backend_servers.answers import AnswerPiece
-from gentianhitch.backend_servers.connection import TargetConnection
-from gentianhitch.backend_servers.errors import BackendServerError
-from gentianhitch.backend_servers.errors import ConnectError
-from gentianhitch.backend_servers.errors import CutAnswerError
-from gentianhitch.backend_servers.errors import WrongAnswerError
-from gentianhitch.backend_servers.pool import Connecting
 from gentianhitch.callers.admission import Admitted
+from gentianhitch.callers.attempts import Attempts
 from gentianhitch.callers.encoding import CONTINUE
 from gentianhitch.callers.encoding import LAST_CHUNK
 from gentianhitch.callers.encoding import encode_answer_head
 from gentianhitch.callers.encoding import encode_chunk
-from gentianhitch.callers.encoding import encode_request
+from gentianhitch.callers.encoding import encode_stored_answer
 from gentianhitch.callers.incoming import Incoming
+from gentianhitch.callers.keyed import KeyedRun
+from gentianhitch.callers.keyed import Relay
+from gentianhitch.callers.keyed import Replay
+from gentianhitch.callers.keyed import Run
+from gentianhitch.callers.keyed import fingerprint
 from gentianhitch.callers.observing import Finished
+from gentianhitch.callers.refusals import VOUCHES_HEADER
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.refusals import Refusal
 from gentianhitch.callers.refusals import RefusalOutcome
 from gentianhitch.callers.refusals import encode_refusal
-from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.callers.requests import RelayMode
 from gentianhitch.decisions.interfaces import Outcome
 from gentianhitch.decisions.interfaces import Verdict
-from gentianhitch.decisions.sending import Sending
 from gentianhitch.decisions.sending import Stage
 from gentianhitch.decisions.sending import Step
-from gentianhitch.operators.document import BackendServer
 
 if TYPE_CHECKING:
     from gentianhitch.callers.connection import CallerConnection
@@ -40,8 +41,14 @@
 BUFFERED_BODY_BYTES = 64 * 1024
 """A body up to this size is complete before anything is sent, and replayable."""
 
+KEYED_BODY_BYTES = 1024 * 1024
+"""A request with an idempotency key is complete before it is sent."""
+
 WAIT_STEP_S = 0.01
-SHED_NOT_RUN = b"not-run"
+ATTEMPT_SHARE = 0.5
+"""Part of the remaining time after which a silent target is given up."""
+
+CALLER_GONE_STATUS = 499
 
 
 class Exchange:
@@ -56,23 +63,18 @@
         self._head = incoming.head
         self._started_s = context.seconds()
         self._admitted: Admitted | None = None
-        self._sending: Sending | None = None
-        self._target: BackendServer | None = None
-        self._connecting: Connecting | None = None
-        self._connection: TargetConnection | None = None
-        self._attempt_started_s = 0.0
-        self._head_received_s: float | None = None
+        self._attempts: Attempts | None = None
+        self._keyed: KeyedRun | None = None
+        self._relay: Relay | None = None
         self._answer: AnswerHead | None = None
-        self._streams = False
-        self._body_sent = False
+        self._may_send = False
+        self._is_paid = False
         self._registered = False
         self._ended = False
-        self._deadline_call = None
-        self._wait_call = None
+        self._timer: Any = None
+        self._wait_call: Any = None
         self.progressed_s = self._started_s
 
-    # From the caller.
-
     def start(self) -> None:
         """Check the request and send it once enough of its body is here."""
         checked = self._context.admission.check(self._head, self._started_s)
@@ -83,14 +85,19 @@
             self._refuse(Refusal(self._incoming.fault))
             return
         self._admitted = checked
-        service = checked.matched.service
-        budget = self._context.budget(service.name)
-        budget.deposit()
-        self._sending = Sending(checked.matched.idempotent, budget)
-        self._deadline_call = self._context.reactor.callLater(
-            checked.deadline - self._started_s, self._deadline_passed
-        )
-        self._take_token()
+        self._context.budget(checked.matched.service.name).deposit()
+        self._set_timer(self._started_s, may_retry=checked.matched.idempotent)
+        if self._head.idempotency_key is not None and not checked.matched.idempotent:
+            self._keyed = KeyedRun(
+                self._context.pins,
+                self._context.key_memory,
+                self._head,
+                checked.workspace,
+            )
+        if self._keyed is None or self._keyed.is_decided_here(self._started_s):
+            self._take_token()
+        else:
+            self._allow_sending()
 
     def body_progressed(self) -> None:
         """Send on what came of the body, or refuse if it can't be completed."""
@@ -98,19 +105,40 @@
             return
         if self._incoming.fault is not None:
             self._give_up(self._incoming.fault)
-        elif self._connection is not None and self._streams:
-            self._send_more()
-        elif self._wait_call is None and self._target is None and self._is_ready():
-            self._attempt()
+        elif self._attempts is not None:
+            self.progressed_s = self._context.seconds()
+            self._attempts.body_progressed()
+        elif self._may_send:
+            self._send_if_ready()
+        self._bound_buffer()
+
+    def _bound_buffer(self) -> None:
+        """Stop reading while much of the body waits to be sent."""
+        incoming = self._incoming
+        if self._ended or incoming.complete:
+            return
+        if self._keyed is not None:
+            if incoming.buffered_bytes > KEYED_BODY_BYTES:
+                self._refuse(Refusal(Cause.LARGE_BODY))
+        elif incoming.buffered_bytes > 2 * BUFFERED_BODY_BYTES:
+            self._caller.pause_body()
 
     def caller_gone(self) -> None:
         """Cancel the request at the target: nobody waits for its answer."""
         if self._ended:
             return
-        self._abandon(Outcome.ABANDONED)
-        self._end(status=499, cause="caller-gone")
+        if self._attempts is not None:
+            self._attempts.abandon(Outcome.ABANDONED)
+        self._end(status=CALLER_GONE_STATUS, cause="caller-gone")
 
-    # Admission.
+    def stalled(self) -> None:
+        """Break an answer that no longer moves."""
+        if self._ended or self._answer is None or self._attempts is None:
+            return
+        self._attempts.abandon(Outcome.SILENT)
+        self._break(Cause.SILENT)
+
+    # Before sending.
 
     def _take_token(self) -> None:
         self._wait_call = None
@@ -121,247 +149,180 @@
             verdict = self._context.limiter.take(workspace, now)
             if verdict is Verdict.REFUSED:
                 retry_after_s = self._context.limiter.retry_after_s(workspace, now)
-                self._refuse(
-                    Refusal(
-                        Cause.OVER_RATE,
-                        retry_after_s=max(1, math.ceil(retry_after_s)),
-                    )
-                )
+                after_s = max(1, math.ceil(retry_after_s))
+                self._refuse(Refusal(Cause.OVER_RATE, retry_after_s=after_s))
                 return
             if verdict is Verdict.WAIT:
-                self._wait_call = self._context.reactor.callLater(
+                self._wait_call = self._context.clock.callLater(
                     WAIT_STEP_S, self._take_token
                 )
                 return
+        self._is_paid = True
+        self._allow_sending()
+
+    def _allow_sending(self) -> None:
+        self._may_send = True
         if self._head.expects_continue and not self._incoming.complete:
             self._caller.transport.write(CONTINUE)
-        if self._is_ready():
-            self._attempt()
+        self._send_if_ready()
 
-    def _is_ready(self) -> bool:
+    def _send_if_ready(self) -> None:
         incoming = self._incoming
-        return incoming.complete or incoming.buffered_bytes >= BUFFERED_BODY_BYTES
+        large = self._keyed is None and incoming.buffered_bytes >= BUFFERED_BODY_BYTES
+        if incoming.complete or large:
+            self._send()
 
-    # Attempts.
-
-    def _attempt(self) -> None:
-        assert self._admitted is not None
-        assert self._sending is not None
-        context, admitted, sending = self._context, self._admitted, self._sending
-        now = context.seconds()
-        target = context.selector.choose(
-            admitted.matched.service.name,
-            admitted.matched.route,
-            admitted.workspace,
-            now,
-            sending.tried,
-        )
-        if target is None:
-            self._give_up(Cause.NO_CAPACITY)
+    def _send(self) -> None:
+        if self._keyed is None:
+            self._run()
             return
-        self._target = target
-        self._attempt_started_s = now
-        self._head_received_s = None
-        sending.connect(target.name)
-        self._connecting = context.pool.acquire(
-            target, self, proven=not sending.idempotent
+        request = fingerprint(self._head, self._incoming.peek())
+        step = self._keyed.next_step(self._context.seconds(), request)
+        self._take_step(step)
+
+    @singledispatchmethod
+    def _take_step(self, step: Any) -> None:
+        raise NotImplementedError(step)
+
+    @_take_step.register
+    def _(self, step: Run) -> None:
+        if self._is_paid:
+            self._run()
+        else:
+            self._take_token()
+
+    @_take_step.register
+    def _(self, step: Relay) -> None:
+        self._relay = step
+        self._begin_attempts(step)
+
+    @_take_step.register
+    def _(self, step: Replay) -> None:
+        answer = step.answer
+        self._caller.transport.write(
+            encode_stored_answer(
+                answer, request_id=self._head.request_id, close=not self._keeps_alive()
+            )
         )
+        self._context.count("replayed_answers")
+        self._end(status=answer.status, cause=None)
+
+    @_take_step.register
+    def _(self, step: Refusal) -> None:
+        self._refuse(step)
 
-    def connected(self, connection: TargetConnection) -> None:
-        """Write the request."""
+    def _run(self) -> None:
+        self._relay = None
+        self._begin_attempts(None)
+
+    def _begin_attempts(self, relay: Relay | None) -> None:
         assert self._admitted is not None
-        assert self._sending is not None
-        self._connecting = None
-        self._sending.write()
-        self._connection = connection
-        incoming = self._incoming
-        self._streams = not incoming.complete
-        body = None if self._streams else incoming.peek()
-        remaining_s = self._admitted.deadline - self._context.seconds()
-        data = encode_request(
-            self._head,
-            workspace=self._admitted.workspace,
-            remaining_ms=max(1, int(remaining_s * 1000)),
-            body=body,
-        )
-        connection.send(
-            data,
+        self._attempts = Attempts(
+            self._context,
+            self._caller,
+            self._incoming,
+            self._admitted,
             self,
-            to_head_request=self._head.method == "HEAD",
-            whole=not self._streams,
+            relay_to=None if relay is None else relay.address,
+            mode=RelayMode.RUN if relay is None else relay.mode,
         )
-        if self._streams:
-            self._sending.replayable = False
-            connection.transport.registerProducer(self._caller.transport, True)
-            self._send_more()
-
-    def _send_more(self) -> None:
-        assert self._connection is not None
-        if self._body_sent:
-            return
-        data = self._incoming.take()
-        whole = self._incoming.complete
-        if self._head.chunked:
-            data = encode_chunk(data) + (LAST_CHUNK if whole else b"")
-        self._connection.send_more(data, whole=whole)
-        self.progressed_s = self._context.seconds()
-        if whole:
-            self._body_sent = True
-            self._connection.transport.unregisterProducer()
-
-    def connect_failed(self, error: ConnectError) -> None:
-        """Try another target: nothing was written."""
-        assert self._sending is not None
-        self._connecting = None
-        self._record(Outcome.NOT_SENT)
-        self._follow(self._sending.connect_failed(), Cause.NO_CONNECTION, str(error))
+        self._attempts.begin()
 
-    # From the target.
+    # From the attempts.
 
-    def answer_received(self, piece: AnswerPiece) -> None:
+    def answer_progressed(self, head: AnswerHead | None, piece: AnswerPiece) -> None:
         """Pass on a piece of the answer."""
         self.progressed_s = self._context.seconds()
-        if piece.head is not None and not self._begin_answer(piece.head, piece.ended):
-            return
+        if head is not None:
+            if self._relay is not None and self._asked(head, ended=piece.ended):
+                return
+            self._answer = head
         answer = self._answer
         assert answer is not None
         data = piece.body
+        if self._keyed is not None and data:
+            self._keyed.capture(data)
         if answer.has_body and answer.content_length is None:
             data = encode_chunk(data) + (LAST_CHUNK if piece.ended else b"")
-        transport = self._caller.transport
-        if piece.head is not None:
+        if head is not None:
             data = self._encode_head(answer) + data
+        transport = self._caller.transport
         if data:
             transport.write(data)
         if piece.ended:
-            self._finish_answer(answer)
-        elif not self._registered:
+            self._end(status=answer.status, cause=None)
+        elif not self._registered and self._attempts is not None:
             self._registered = True
-            transport.registerProducer(self._connection, True)
-
-    def answer_failed(self, error: BackendServerError) -> None:
-        """Retry, refuse, or break the caller's connection."""
-        assert self._sending is not None
-        self._connection = None
-        if isinstance(error, CutAnswerError):
-            outcome, cause = Outcome.CUT, Cause.CUT_ANSWER
-        else:
-            outcome, cause = Outcome.WRONG, Cause.WRONG_ANSWER
-        self._record(outcome)
-        self._follow(self._sending.failed(), cause, str(error))
-
-    def _begin_answer(self, head: AnswerHead, ended: bool) -> bool:
-        assert self._sending is not None
-        self._head_received_s = self.progressed_s
-        if head.request_id is not None and head.request_id != self._head.request_id:
-            self._drop_connection()
-            self.answer_failed(WrongAnswerError("the answer is of another request"))
-            return False
-        if head.status == 503 and head.shed == SHED_NOT_RUN:
-            self._drop_answer(ended)
-            self._record(Outcome.SHED)
-            if head.request_id is None:
-                # Nothing shows that this answer is of this request.
-                step = self._sending.failed()
-            else:
-                step = self._sending.shed()
-            self._follow(step, Cause.SHED)
-            return False
-        if head.status >= 500 and self._sending.may_retry_answer():
-            self._drop_answer(ended)
-            self._record(Outcome.ERROR)
-            self._follow(self._sending.failed(), Cause.WRONG_ANSWER)
-            return False
-        self._sending.answer()
-        self._answer = head
-        return True
+            transport.registerProducer(self._attempts.connection, True)
 
-    def _drop_answer(self, ended: bool) -> None:
-        """Keep the connection only if nothing of the answer is left on it."""
-        if ended:
-            self._connection = None
+    def attempts_failed(self, step: Step, cause: Cause, detail: str) -> None:
+        """Refuse, or break the answer that has begun."""
+        if step is Step.BREAK:
+            self._break(cause)
+            return
+        not_run = step is Step.REFUSE_NOT_RUN and self._relay is None
+        outcome = RefusalOutcome.NOT_RUN if not_run else RefusalOutcome.UNKNOWN
+        self._refuse(Refusal(cause, outcome, detail))
+
+    def _asked(self, head: AnswerHead, *, ended: bool) -> bool:
+        """Take the answer of an instance that was asked about the key."""
+        assert self._relay is not None
+        assert self._keyed is not None
+        relay = self._relay
+        if relay.mode is RelayMode.RUN or head.status != Cause.MISDIRECTED.status:
+            return False
+        if self._attempts is not None and not ended:
+            self._attempts.abandon(Outcome.ABANDONED)
+        if _has_header(head, VOUCHES_HEADER):
+            self._keyed.vouched(relay.address, relay.mode)
         else:
-            self._drop_connection()
-
-    def _drop_connection(self) -> None:
-        if self._connection is not None:
-            self._connection.abandon()
-            self._connection = None
+            self._keyed.declined(relay.address)
+        self._attempts = None
+        self._relay = None
+        self._send()
+        return True
 
     def _encode_head(self, answer: AnswerHead) -> bytes:
         return encode_answer_head(
             answer,
             request_id=self._head.request_id,
             close=not self._keeps_alive(),
+            relayed=self._relay is not None,
         )
 
-    def _finish_answer(self, answer: AnswerHead) -> None:
-        assert self._sending is not None
-        self._connection = None
-        self._record(Outcome.ERROR if answer.status >= 500 else Outcome.OK)
-        self._sending.end()
-        self._end(status=answer.status, cause=None)
-
     # Ends.
 
-    def _follow(self, step: Step, cause: Cause, detail: str = "") -> None:
-        if step is Step.TRY_ANOTHER:
-            self._context.count("retries")
-            self._attempt()
-        elif step is Step.BREAK:
-            self._break(cause)
+    def _set_timer(self, now: float, *, may_retry: bool) -> None:
+        """Wake at the deadline, or earlier if another target may be tried then."""
+        assert self._admitted is not None
+        delay_s = self._admitted.deadline - now
+        if may_retry:
+            delay_s *= ATTEMPT_SHARE
+        self._timer = self._context.clock.callLater(
+            delay_s, self._timer_fired, is_deadline=not may_retry
+        )
+
+    def _timer_fired(self, *, is_deadline: bool) -> None:
+        self._timer = None
+        attempts = self._attempts
+        if attempts is not None and attempts.sending.stage is Stage.ANSWERING:
+            return
+        if not is_deadline:
+            self._set_timer(self._context.seconds(), may_retry=False)
+            if attempts is not None:
+                attempts.time_out_attempt()
+        elif attempts is not None:
+            attempts.deadline_passed()
         else:
-            outcome = RefusalOutcome.UNKNOWN
-            if step is Step.REFUSE_NOT_RUN:
-                outcome = RefusalOutcome.NOT_RUN
-            self._refuse(Refusal(cause, outcome, detail))
+            self._refuse(Refusal(Cause.DEADLINE))
 
     def _give_up(self, cause: Cause) -> None:
         """End a request that can't go on, telling what is known of it."""
-        self._abandon(Outcome.ABANDONED)
-        if self._sending is None:
+        if self._attempts is None:
             self._refuse(Refusal(cause))
         else:
-            self._follow(self._sending.give_up(), cause)
-
-    def _deadline_passed(self) -> None:
-        self._deadline_call = None
-        assert self._sending is not None
-        if self._sending.stage is Stage.ANSWERING:
-            return
-        waited = self._connection is not None
-        self._abandon(Outcome.SILENT if waited else Outcome.NOT_SENT)
-        cause = Cause.SILENT if waited else Cause.DEADLINE
-        self._follow(self._sending.give_up(), cause)
-
-    def stalled(self) -> None:
-        """Break an answer that no longer moves."""
-        if not self._ended and self._answer is not None:
-            self._abandon(Outcome.SILENT)
-            self._break(Cause.SILENT)
-
-    def _abandon(self, outcome: Outcome) -> None:
-        """Leave the current attempt; its connection is never used again."""
-        if self._connecting is not None:
-            self._connecting.cancel()
-            self._connecting = None
-        self._drop_connection()
-        self._record(outcome)
-
-    def _record(self, outcome: Outcome) -> None:
-        if self._target is None or self._admitted is None:
-            return
-        now = self._context.seconds()
-        answered_s = self._head_received_s or now
-        attempt = Attempt(
-            target=self._target.name,
-            route=self._admitted.matched.route,
-            workspace=self._admitted.workspace,
-            outcome=outcome,
-            latency_s=answered_s - self._attempt_started_s,
-        )
-        self._target = None
-        self._context.selector.record(attempt, now)
+            step = self._attempts.abandon(Outcome.ABANDONED)
+            self.attempts_failed(step, cause, "")
 
     def _keeps_alive(self) -> bool:
         return (
@@ -383,7 +344,7 @@
 
     def _break(self, cause: Cause) -> None:
         """Close the caller's connection, so that its answer doesn't look whole."""
-        self._finish(status=502, cause=cause.label)
+        self._finish(status=Cause.CUT_ANSWER.status, cause=cause.label)
         self._caller.break_off()
 
     def _end(self, *, status: int, cause: str | None) -> None:
@@ -393,12 +354,32 @@
 
     def _finish(self, *, status: int, cause: str | None) -> None:
         self._ended = True
-        for call in (self._deadline_call, self._wait_call):
+        for call in (self._timer, self._wait_call):
             if call is not None and call.active():
                 call.cancel()
         if self._registered:
             self._caller.transport.unregisterProducer()
-        route = None if self._admitted is None else self._admitted.matched.route
-        workspace = None if self._admitted is None else self._admitted.workspace
-        duration_s = self._context.seconds() - self._started_s
-        self._context.finished(Finished(workspace, route, status, cause, duration_s))
+        now = self._context.seconds()
+        if self._keyed is not None:
+            attempts = self._attempts
+            self._keyed.ended(
+                may_have_run=attempts is not None and attempts.sending.may_have_run,
+                answer=self._answer,
+                whole=cause is None,
+                now=now,
+            )
+        admitted = self._admitted
+        self._context.finished(
+            Finished(
+                workspace=None if admitted is None else admitted.workspace,
+                route=None if admitted is None else admitted.matched.route,
+                status=status,
+                cause=cause,
+                duration_s=now - self._started_s,
+            )
+        )
+
+
+def _has_header(head: AnswerHead, name: str) -> bool:
+    wanted = name.lower().encode()
+    return any(each.lower() == wanted for each, _ in head.headers)
--- a/src/gentianhitch/callers/refusals.py
+++ b/src/gentianhitch/callers/refusals.py
@@ -9,6 +9,8 @@
 import msgspec
 
 OUTCOME_HEADER = "Gentianhitch-Outcome"
+VOUCHES_HEADER = "Gentianhitch-Vouches"
+"""An instance that was asked says that a key did not run."""
 
 
 class RefusalOutcome(Enum):
@@ -28,7 +30,9 @@
     UNAUTHORISED = "unauthorised", 401, "Send 'Authorization: Bearer KEY'."
     UNKNOWN_ROUTE = "unknown-route", 404, "Use a method and path of the document."
     BODY_TIMEOUT = "body-timeout", 408, "Send the request without long pauses."
-    KEY_REUSED = "key-reused", 409, "Ask the service whether the first request ran."
+    REPEATED = "repeated", 409, "Ask the service whether the first request ran."
+    KEY_REUSED = "key-reused", 409, "Use a new key for each different request."
+    KEY_MOVED = "key-moved", 409, "Ask the service whether the first request ran."
     LARGE_BODY = "large-body", 413, "Send a smaller body."
     MISDIRECTED = "misdirected", 421, "Repeat with the same key at the address named."
     OVER_RATE = "over-rate", 429, "Wait as long as Retry-After says."
@@ -53,13 +57,17 @@
 
 @attrs.frozen
 class Refusal:
-    """One refusal; ``address`` names an instance that can say more."""
+    """One refusal; ``address`` names an instance that can say more.
+
+    ``vouches`` answers another instance: the key did not run.
+    """
 
     cause: Cause
     outcome: RefusalOutcome = RefusalOutcome.NOT_RUN
     detail: str = ""
     retry_after_s: int | None = None
     address: str | None = None
+    vouches: bool = False
 
 
 @attrs.frozen
@@ -86,7 +94,7 @@
             detail=refusal.detail,
             advice=cause.advice,
             request_id=request_id.decode("latin-1"),
-            address=refusal.address,
+            address=None if refusal.address is None else str(refusal.address),
         )
     )
     lines = [
@@ -103,6 +111,8 @@
         lines.append(f"Retry-After: {refusal.retry_after_s}")
     if refusal.address is not None:
         lines.append(f"Gentianhitch-Address: {refusal.address}")
+    if refusal.vouches:
+        lines.append(f"{VOUCHES_HEADER}: yes")
     if close:
         lines.append("Connection: close")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/src/gentianhitch/callers/request_path.py
+++ b/src/gentianhitch/callers/request_path.py
@@ -20,10 +20,14 @@
 from gentianhitch.callers.observing import OnFinished
 from gentianhitch.callers.observing import metric_label
 from gentianhitch.callers.observing import route_label
+from gentianhitch.decisions.idempotency import IdempotencyPins
+from gentianhitch.decisions.idempotency import KeyMemory
+from gentianhitch.decisions.idempotency import LocalPins
 from gentianhitch.decisions.interfaces import Agreement
 from gentianhitch.decisions.interfaces import Limiter
 from gentianhitch.decisions.interfaces import TargetSelector
 from gentianhitch.decisions.sending import RetryBudget
+from gentianhitch.decisions.waiting import FairQueue
 from gentianhitch.settings import LimitSettings
 
 CHECK_INTERVAL_S = 0.5
@@ -41,8 +45,9 @@
 class PathContext:
     """What connections and exchanges share."""
 
-    reactor: Any
+    clock: Any
     admission: Admission
+    agreement: Agreement
     limiter: Limiter
     selector: TargetSelector
     pool: ConnectionPool
@@ -50,14 +55,17 @@
     site: Any
     count: Count
     on_finished: OnFinished
+    pins: IdempotencyPins
+    key_memory: KeyMemory = attrs.Factory(KeyMemory)
     is_leaving: bool = False
     connections: set[CallerConnection] = attrs.Factory(set)
     idle_waiters: list[Deferred[None]] = attrs.Factory(list)
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
+    _queues_by_service: dict[str, FairQueue] = attrs.Factory(dict)
 
     def seconds(self) -> float:
         """Return the runtime's clock."""
-        now: float = self.reactor.seconds()
+        now: float = self.clock.seconds()
         return now
 
     def budget(self, service: str) -> RetryBudget:
@@ -67,6 +75,24 @@
             budget = self._budgets_by_service[service] = RetryBudget()
         return budget
 
+    def queue(self, service: str) -> FairQueue:
+        """Return the queue of requests that wait for a slot of a service."""
+        queue = self._queues_by_service.get(service)
+        if queue is None:
+            queue = self._queues_by_service[service] = FairQueue()
+        return queue
+
+    def slot_released(self, service: str) -> None:
+        """Let a request that waits for a slot of a service try again."""
+        queue = self._queues_by_service.get(service)
+        if queue:
+            queue.slot_released()
+
+    def retry_waiting(self) -> None:
+        """Let waiting requests try again: targets may have come back."""
+        for queue in self._queues_by_service.values():
+            queue.slot_released()
+
     def finished(self, finished: Finished) -> None:
         """Count a request that has ended."""
         if finished.cause is not None:
@@ -112,12 +138,16 @@
         internal: Any = None,
         count: Count = _ignore_count,
         on_finished: OnFinished = _ignore_finished,
+        pins: IdempotencyPins | None = None,
+        clock: Any = None,
     ) -> None:
         limits = LimitSettings() if limits is None else limits
-        self.pool = ConnectionPool(reactor)
+        clock = reactor if clock is None else clock
+        self.pool = ConnectionPool(reactor, clock)
         self._context = PathContext(
-            reactor=reactor,
+            clock=clock,
             admission=Admission(agreement, limits),
+            agreement=agreement,
             limiter=limiter,
             selector=selector,
             pool=self.pool,
@@ -125,9 +155,10 @@
             site=_build_site(reactor, internal),
             count=count,
             on_finished=on_finished,
+            pins=LocalPins() if pins is None else pins,
         )
         self._checks = LoopingCall(self._check)
-        self._checks.clock = reactor
+        self._checks.clock = clock
 
     def doStart(self) -> None:  # noqa: N802
         """Begin to look for silent connections."""
@@ -162,4 +193,5 @@
         now = self._context.seconds()
         for connection in tuple(self._context.connections):
             connection.check(now)
+        self._context.retry_waiting()
         self.pool.close_idle(now)
--- a/src/gentianhitch/callers/requests.py
+++ b/src/gentianhitch/callers/requests.py
@@ -4,6 +4,7 @@
 
 import re
 import uuid
+from enum import Enum
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -42,6 +43,18 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class RelayMode(Enum):
+    """Why another instance passed a request with an idempotency key on.
+
+    RUN: it takes this instance for the one that decides. OWN and HISTORY: it
+    decides itself, and asks whether the key ran here, or anywhere.
+    """
+
+    RUN = b"run"
+    OWN = b"own"
+    HISTORY = b"history"
+
+
 @attrs.define
 class RequestHead:
     """The head of one request; ``target`` is the path and query as sent."""
@@ -58,6 +71,7 @@
     key: bytes | None
     deadline_ms: int | None
     idempotency_key: bytes | None
+    relay: RelayMode | None
 
     @property
     def is_internal(self) -> bool:
@@ -81,6 +95,7 @@
     key: bytes | None = None
     deadline_ms: int | None = None
     idempotency_key: bytes | None = None
+    relay: RelayMode | None = None
     authorization_seen: bool = False
     connection: bytes = b""
 
@@ -108,6 +123,7 @@
         key=fields.key,
         deadline_ms=fields.deadline_ms,
         idempotency_key=fields.idempotency_key,
+        relay=fields.relay,
     )
 
 
@@ -164,6 +180,13 @@
     fields.deadline_ms = int(text)
 
 
+def _read_relay(fields: _Fields, value: bytes) -> None:
+    try:
+        fields.relay = RelayMode(value)
+    except ValueError as error:
+        raise RequestError(Cause.BAD_HEADER, "Gentianhitch-Relay") from error
+
+
 def _read_authorization(fields: _Fields, value: bytes) -> None:
     if fields.authorization_seen:
         raise RequestError(Cause.UNAUTHORISED)
@@ -180,6 +203,7 @@
     b"x-request-id": _read_request_id,
     b"idempotency-key": _read_idempotency_key,
     b"gentianhitch-deadline-ms": _read_deadline,
+    b"gentianhitch-relay": _read_relay,
     b"authorization": _read_authorization,
 }
 
--- a/src/gentianhitch/decisions/sending.py
+++ b/src/gentianhitch/decisions/sending.py
@@ -8,10 +8,10 @@
 
 from gentianhitch.errors import GentianhitchError
 
-RETRY_SHARE = 0.1
-"""Retries per request of a service, in the long run."""
+REQUESTS_PER_RETRY = 10
+"""A service's requests pay for one retry in so many: at most 10% more load."""
 
-MAX_RETRY_TOKENS = 20.0
+MAX_SAVED_RETRIES = 20
 MAX_ATTEMPTS = 3
 
 
@@ -42,24 +42,26 @@
 class RetryBudget:
     """Allow retries worth a share of the requests of one service.
 
-    It starts empty, so retries never exceed ``RETRY_SHARE`` of the requests.
+    It starts empty, so there is never more than one retry for each
+    ``REQUESTS_PER_RETRY`` requests.
     """
 
-    _tokens: float = 0.0
+    _saved_requests: int = 0
 
     def deposit(self) -> None:
         """Count one request."""
-        self._tokens = min(self._tokens + RETRY_SHARE, MAX_RETRY_TOKENS)
+        limit = MAX_SAVED_RETRIES * REQUESTS_PER_RETRY
+        self._saved_requests = min(self._saved_requests + 1, limit)
 
     def has_token(self) -> bool:
         """Tell whether a retry is allowed now."""
-        return self._tokens >= 1.0
+        return self._saved_requests >= REQUESTS_PER_RETRY
 
     def take(self) -> bool:
         """Spend one retry; False when the budget is used up."""
         if not self.has_token():
             return False
-        self._tokens -= 1.0
+        self._saved_requests -= REQUESTS_PER_RETRY
         return True
 
 
@@ -123,6 +125,10 @@
         """Tell whether an error answer may be dropped for another attempt."""
         return self.stage is Stage.WRITTEN and self._may_retry()
 
+    def has_attempts_left(self) -> bool:
+        """Tell whether a silent target might be given up for another."""
+        return self.idempotent and self.attempts < MAX_ATTEMPTS - 1
+
     def answer(self) -> None:
         """Note that the answer begins to go to the caller."""
         self._expect(Stage.WRITTEN)
--- /dev/null
+++ b/tests/decisions/test_routing.py
@@ -0,0 +1,68 @@
+"""Routes and keys are found in every active state."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.routing import Routing
+from gentianhitch.decisions.routing import RoutingIndex
+from gentianhitch.operators.document import Route
+from tests.builders_path import KEY
+from tests.builders_path import build_document
+
+
+def build_route(path, **options):
+    return Route("GET", path, "stock", **{"idempotent": True, **options})
+
+
+def build_routing(*documents):
+    routing = Routing()
+    routing.update(
+        tuple(AgreedState(n, {}, document) for n, document in enumerate(documents))
+    )
+    return routing
+
+
+class TestRoutingIndex:
+    @pytest.mark.parametrize(
+        ("path", "found"),
+        [
+            ("/a", "/a"),
+            ("/a/b", "/a/*"),
+            ("/a/b/c", "/a/b/*"),
+            ("/a/b/c/d", "/a/b/*"),
+            ("/a/b/exact", "/a/b/exact"),
+            ("/ab", "/*"),
+            ("/", "/*"),
+        ],
+    )
+    def test_exact_then_longest_prefix(self, path, found):
+        paths = ("/a", "/a/*", "/a/b/*", "/a/b/exact", "/*")
+        document = build_document(routes=tuple(build_route(each) for each in paths))
+        index = RoutingIndex.from_document(document)
+        assert index.find_route("GET", path).path == found
+        assert index.find_route("POST", path) is None
+
+
+class TestRouting:
+    def test_right_needs_every_state(self):
+        closed = build_document(routes=(build_route("/a", idempotent=False),))
+        opened = build_document(routes=(build_route("/a", open=True),))
+        for documents in ((closed, opened), (opened, closed)):
+            matched = build_routing(*documents).match("GET", "/a")
+            assert not matched.open
+            assert not matched.idempotent
+        assert build_routing(opened).match("GET", "/a").open
+
+    def test_key_needs_every_state(self):
+        with_key, without = build_document(), build_document(keys=())
+        assert build_routing(with_key).authorise(KEY) == "nord"
+        assert build_routing(with_key, without).authorise(KEY) is None
+        assert build_routing(without, with_key).authorise(KEY) is None
+
+    def test_state_without_document_gives_no_rights(self):
+        routing = build_routing(build_document())
+        routing.update((AgreedState(1, {}, None),))
+        assert routing.match("GET", "/stock/1") is None
+        assert routing.authorise(KEY) is None
