--- /dev/null
+++ b/src/gentianhitch/benchmarks/detection.py
@@ -0,0 +1,153 @@
+"""Measure how soon gray targets are ejected, at both deployments' sizes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from gentianhitch.benchmarks.deployments import CROATIA
+from gentianhitch.benchmarks.deployments import DENMARK
+from gentianhitch.benchmarks.deployments import Deployment
+from gentianhitch.benchmarks.plain_judges import PLAIN_WAYS
+from gentianhitch.benchmarks.result import BenchResult
+from gentianhitch.benchmarks.simulated_fleet import MakeJudge
+from gentianhitch.benchmarks.simulated_fleet import SimulatedFleet
+from gentianhitch.benchmarks.simulated_fleet import Tally
+from gentianhitch.benchmarks.simulated_targets import Fault
+from gentianhitch.decisions.interfaces import Outcome
+
+HARD_GOAL_S = 2.0
+SOFT_GOAL_S = 5.0
+WARM_UP_S = 12.0
+PATIENCE_S = 20.0
+STEP_S = 0.05
+LOW_LOAD = 0.05
+HIGH_LOAD = 0.8
+CUT_OFF_INSTANCES = 3
+NEVER = -1.0
+
+HARD = (
+    Fault("slow x10", factor=10.0),
+    Fault("errors 100%", failing=1.0),
+    Fault("wrong", failing=1.0, outcome=Outcome.WRONG),
+    Fault("silent", failing=1.0, outcome=Outcome.SILENT),
+    Fault("flapping", failing=1.0, flapping=True),
+)
+SOFT = (
+    Fault("slow x3", factor=3.0),
+    Fault("errors 20%", failing=0.2),
+)
+NARROW = ("one route", "one workspace")
+PARTIAL = "some instances only"
+
+
+@attrs.frozen
+class Case:
+    """One deployment's service under one load and one fault."""
+
+    deployment: Deployment
+    service: str
+    load: float
+    fault: Fault
+    goal_s: float
+
+
+@attrs.frozen
+class Measured:
+    """Times in seconds, NEVER if it did not happen; ``hurt`` is a part of 1."""
+
+    detection_s: float
+    hurt: float
+    hurt_requests: int
+    false_ejections: int
+
+    def row(self, case: Case, way: str) -> dict[str, Any]:
+        """Return a row of the table."""
+        return {
+            "deployment": case.deployment.name,
+            "service": case.service,
+            "load": case.load,
+            "fault": case.fault.name,
+            "way": way,
+            "detection_s": self.detection_s,
+            "goal_s": case.goal_s,
+            "hurt_until_detection": self.hurt,
+            "hurt_requests": self.hurt_requests,
+            "false_ejections": self.false_ejections,
+        }
+
+
+def cases(deployment: Deployment, service: str, load: float) -> list[Case]:
+    """List every fault for one service under one load."""
+    faults = [(fault, HARD_GOAL_S) for fault in HARD]
+    faults += [(fault, SOFT_GOAL_S) for fault in SOFT]
+    faults.append((Fault("one route", 10.0, route=f"/{service}/search"), SOFT_GOAL_S))
+    faults.append((Fault("one workspace", 10.0, workspace="workspace-0"), SOFT_GOAL_S))
+    faults.append((Fault(PARTIAL, failing=1.0, outcome=Outcome.NOT_SENT), HARD_GOAL_S))
+    return [Case(deployment, service, load, fault, goal) for fault, goal in faults]
+
+
+def measure(case: Case, seed: int, make_judge: MakeJudge | None = None) -> Measured:
+    """Run one case until every instance that meets the fault has answered it."""
+    fleet = SimulatedFleet(case.deployment, case.service, case.load, seed, make_judge)
+    fleet.run_until(WARM_UP_S)
+    false_before = _ejected_targets(fleet)
+    victim = fleet.targets_by_name[f"{case.service}-1"]
+    fault = attrs.evolve(case.fault, start=WARM_UP_S)
+    affected = fleet.steered
+    if fault.name == PARTIAL:
+        affected = fleet.steered[:CUT_OFF_INSTANCES]
+        names = frozenset(instance.member.id.name for instance in affected)
+        fault = attrs.evolve(fault, instances=names)
+    victim.fault = fault
+    fleet.tally = Tally()
+    name = victim.declared.name
+    answered_by: set[str] = set()
+    now = WARM_UP_S
+    while now < WARM_UP_S + PATIENCE_S and len(answered_by) < len(affected):
+        now += STEP_S
+        fleet.run_until(now)
+        for instance in affected:
+            avoided = fleet.ejected_by(instance, name)
+            if fault.name == PARTIAL:
+                avoided = avoided or fleet.avoided_by(instance, name)
+            if avoided:
+                answered_by.add(instance.member.id.name)
+    detected = len(answered_by) == len(affected)
+    false = len((false_before | _ejected_targets(fleet)) - {name})
+    tally = fleet.tally
+    return Measured(
+        round(now - WARM_UP_S, 2) if detected else NEVER,
+        round(tally.hurt / max(tally.requests, 1), 4),
+        tally.hurt,
+        false,
+    )
+
+
+def _ejected_targets(fleet: SimulatedFleet) -> set[str]:
+    return {
+        target
+        for target in fleet.targets_by_name
+        if any(fleet.ejected_by(instance, target) for instance in fleet.steered)
+    }
+
+
+def run() -> BenchResult:
+    """Measure every fault by the fleet's way and by plain ways."""
+    rows = []
+    ok = True
+    worst = 0.0
+    for deployment in (DENMARK, CROATIA):
+        for load in (LOW_LOAD, HIGH_LOAD):
+            for case in cases(deployment, "stock", load):
+                measured = measure(case, seed=1)
+                rows.append(measured.row(case, "fleet"))
+                met = NEVER < measured.detection_s <= case.goal_s
+                ok = ok and met and not measured.false_ejections
+                if case.goal_s == HARD_GOAL_S:
+                    worst = max(worst, measured.detection_s)
+                for way in PLAIN_WAYS:
+                    plain = measure(case, seed=1, make_judge=way)
+                    rows.append(plain.row(case, way.__name__))
+    return BenchResult("detection", worst, HARD_GOAL_S, "s", ok, tuple(rows))
--- a/src/gentianhitch/benchmarks/simulated_fleet.py
+++ b/src/gentianhitch/benchmarks/simulated_fleet.py
@@ -14,6 +14,7 @@
 from gentianhitch.benchmarks.deployments import document
 from gentianhitch.benchmarks.deployments import members
 from gentianhitch.benchmarks.deployments import routes
+from gentianhitch.benchmarks.simulated_targets import NOT_RUN
 from gentianhitch.benchmarks.simulated_targets import Answer
 from gentianhitch.benchmarks.simulated_targets import Asked
 from gentianhitch.benchmarks.simulated_targets import SimulatedTarget
@@ -180,9 +181,16 @@
         self._acquire(instance, route, workspace, deadline)
 
     def _acquire(
-        self, instance: Instance, route: Route, workspace: str, deadline: float
+        self,
+        instance: Instance,
+        route: Route,
+        workspace: str,
+        deadline: float,
+        exclude: frozenset[str] = frozenset(),
     ) -> None:
-        waiting = instance.slots.acquire(self.service, route, workspace, deadline)
+        waiting = instance.slots.acquire(
+            self.service, route, workspace, deadline, exclude
+        )
         waiting.addCallbacks(
             lambda target: self._send(instance, target, route, workspace, deadline),
             self._refused,
@@ -211,8 +219,9 @@
         def end() -> None:
             target.finish(answer)
             self._end(instance, declared.name, route, workspace, answer, latency_s)
-            if answer.outcome is Outcome.SHED:
-                self._acquire(instance, route, workspace, deadline)
+            if answer.outcome in NOT_RUN:
+                exclude = frozenset({declared.name})
+                self._acquire(instance, route, workspace, deadline, exclude)
 
         self.clock.callLater(latency_s, end)
 
--- a/src/gentianhitch/benchmarks/simulated_targets.py
+++ b/src/gentianhitch/benchmarks/simulated_targets.py
@@ -20,6 +20,7 @@
 FLAP_PERIOD_S = 6.0
 SHED_S = 0.001
 ERROR_S = 0.003
+NOT_RUN = (Outcome.SHED, Outcome.NOT_SENT)
 
 
 @attrs.frozen
@@ -84,12 +85,15 @@
     random: Random
     deadline_s: float
     fault: Fault | None = None
+    down_until: float = 0.0
     cold_until: float = 0.0
     running: int = 0
     most_running: int = 0
 
     def ask(self, asked: Asked) -> Answer:
         """Take a request; the caller reports its end to :meth:`finish`."""
+        if asked.now < self.down_until:
+            return Answer(Outcome.NOT_SENT, SHED_S, hurt=False)
         if self.running >= self.declared.slots:
             return Answer(Outcome.SHED, SHED_S, hurt=False)
         self.running += 1
@@ -111,7 +115,7 @@
 
     def finish(self, answer: Answer) -> None:
         """Free the slot of a request."""
-        if answer.outcome is not Outcome.SHED:
+        if answer.outcome not in NOT_RUN or answer.hurt:
             self.running -= 1
 
     def _latency_s(self, asked: Asked, factor: float) -> float:
