--- a/src/gentianhitch/benchmarks/command.py
+++ b/src/gentianhitch/benchmarks/command.py
@@ -11,7 +11,7 @@
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import UsageError
 
-MODULES_BY_NAME: dict[str, str] = {}
+MODULES_BY_NAME: dict[str, str] = {"path": "path"}
 """Module under ``gentianhitch.benchmarks`` whose ``run`` makes the measurement."""
 
 
