Write to sockets at once instead of on the next turn of the loop

Cause: a profile of the request path shows twisted's event dispatch as the largest item: each write adds a writer to the poll set, waits a turn of the loop and takes it out again, twice for each request. Ruled out: another reactor or an event loop outside the house style.

--- a/src/gentianhitch/backend_servers/connection.py
+++ b/src/gentianhitch/backend_servers/connection.py
@@ -13,6 +13,7 @@
 from gentianhitch.backend_servers.errors import BackendServerError
 from gentianhitch.backend_servers.errors import CutAnswerError
 from gentianhitch.backend_servers.errors import WrongAnswerError
+from gentianhitch.writing import write_at_once
 
 
 class AnswerReceiver(TypingProtocol):
@@ -78,13 +79,13 @@
         self._reader.expect(to_head_request=to_head_request)
         self._receiver = receiver
         self._request_written = whole
-        self.transport.write(data)
+        write_at_once(self.transport, data)
 
     def send_more(self, data: bytes, *, whole: bool) -> None:
         """Write more of the request's body."""
         self._request_written = whole
         if data:
-            self.transport.write(data)
+            write_at_once(self.transport, data)
 
     def abandon(self) -> None:
         """Give up the request and close: the connection is never used again."""
--- a/src/gentianhitch/callers/exchange.py
+++ b/src/gentianhitch/callers/exchange.py
@@ -33,6 +33,7 @@
 from gentianhitch.decisions.interfaces import Verdict
 from gentianhitch.decisions.sending import Stage
 from gentianhitch.decisions.sending import Step
+from gentianhitch.writing import write_at_once
 
 if TYPE_CHECKING:
     from gentianhitch.callers.connection import CallerConnection
@@ -248,7 +249,7 @@
             data = self._encode_head(answer) + data
         transport = self._caller.transport
         if data:
-            transport.write(data)
+            write_at_once(transport, data)
         if piece.ended:
             self._end(status=answer.status, cause=None)
         elif not self._registered and self._attempts is not None:
--- a/src/gentianhitch/callers/requests.py
+++ b/src/gentianhitch/callers/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-import uuid
+import secrets
 from enum import Enum
 from urllib.parse import unquote_to_bytes
 
@@ -36,6 +36,7 @@
 }
 INTERNAL_PREFIX = "/.gentianhitch/"
 BEARER = b"bearer "
+REQUEST_ID_BYTES = 16
 
 _REQUEST_ID = re.compile(rb"[A-Za-z0-9._:=+/@-]{1,128}")
 _IDEMPOTENCY_KEY = re.compile(rb"[\x21-\x7e]{1,256}")
@@ -119,7 +120,7 @@
         chunked=fields.chunked,
         keep_alive=keep_alive,
         expects_continue=fields.expects_continue,
-        request_id=fields.request_id or uuid.uuid4().hex.encode(),
+        request_id=fields.request_id or secrets.token_hex(REQUEST_ID_BYTES).encode(),
         key=fields.key,
         deadline_ms=fields.deadline_ms,
         idempotency_key=fields.idempotency_key,
