--- a/src/gentianhitch/decisions/targets/reports.py
+++ b/src/gentianhitch/decisions/targets/reports.py
@@ -49,14 +49,16 @@
         self._received_by_name[sender.name] = Received(now, sender.incarnation, report)
         return True
 
-    def heard(self, now: float) -> list[EvidenceReport]:
+    def heard(self, now: float) -> dict[str, EvidenceReport]:
         """Return the recent reports and forget the others."""
         self._received_by_name = {
             name: received
             for name, received in self._received_by_name.items()
             if now - received.at <= REPORT_AGE_S
         }
-        return [received.report for received in self._received_by_name.values()]
+        return {
+            name: received.report for name, received in self._received_by_name.items()
+        }
 
     def gray(self, expected: int, now: float) -> dict[Scope, float]:
         """Return the pooled score of each scope that most instances show as gray.
@@ -67,12 +69,12 @@
         reports = self.heard(now)
         if len(reports) * 2 < expected:
             return {}
-        scores_by_scope: dict[Scope, list[float]] = {}
-        for report in reports:
+        scores_by_scope: dict[Scope, dict[str, float]] = {}
+        for name, report in reports.items():
             for score in report.scores:
-                scores_by_scope.setdefault(scope_of(score), []).append(score.score)
+                scores_by_scope.setdefault(scope_of(score), {})[name] = score.score
         gray = {
-            scope: sum(min(score, MAX_PART) for score in scores)
+            scope: sum(min(score, MAX_PART) for score in scores.values())
             for scope, scores in scores_by_scope.items()
             if _most_show(scope, scores, reports)
         }
@@ -88,7 +90,7 @@
         """Return the targets that any instance found leaving or cold."""
         return frozenset(
             target
-            for report in self.heard(now)
+            for report in self.heard(now).values()
             for target in (*report.leaving, *report.cold)
         )
 
@@ -96,7 +98,7 @@
         """Return the targets that more than one instance found leaving."""
         reports = self.heard(now)
         needed = min(2, len(reports))
-        found = [target for report in reports for target in report.leaving]
+        found = [target for report in reports.values() for target in report.leaving]
         return tuple(sorted({t for t in found if found.count(t) >= needed}))
 
 
@@ -111,12 +113,12 @@
 
 
 def _most_show(
-    scope: Scope, scores: list[float], reports: list[EvidenceReport]
+    scope: Scope, scores_by_name: dict[str, float], reports: dict[str, EvidenceReport]
 ) -> bool:
-    showing = sum(score >= SHOWS_GRAY for score in scores)
-    seeing = sum(scope.target in report.seen for report in reports)
+    showing = {name for name, score in scores_by_name.items() if score >= SHOWS_GRAY}
+    seeing = {name for name, report in reports.items() if scope.target in report.seen}
     least = max(min(2, len(reports)), MIN_SHOWING_PART * len(reports))
-    return showing * 2 > seeing and showing >= least
+    return len(showing) * 2 > len(showing | seeing) and len(showing) >= least
 
 
 def _is_enough(scope: Scope, pooled: float) -> bool:
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -21,7 +21,7 @@
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.operators.document import Route
 
-POOR_SCORE = 6.0
+POOR_SCORE = 5.0
 """Own evidence from which a target is used only when no other has a slot."""
 
 REPORTED_SCORE = 1.0
