Gather tokens in equal parts and return what is not spent

Cause: two instances that each held a part of the last token both failed, and a lender's cap stayed reduced for the whole lease of a loan already spent. Ruled out: asking one holder after another (buckets drain unevenly).

--- a/src/gentianhitch/decisions/limits/account.py
+++ b/src/gentianhitch/decisions/limits/account.py
@@ -63,7 +63,7 @@
     bucket: TokenBucket
     share: Share = NOTHING
     records_by_borrower: dict[InstanceId, BorrowerRecord] = attrs.Factory(dict)
-    _urgent: list[Lending] = attrs.Factory(list)
+    _urgent: dict[tuple[InstanceId, int], Lending] = attrs.Factory(dict)
     _lent: Share = NOTHING
     _next_end: float = math.inf
     _recalled: float = -math.inf
@@ -90,18 +90,32 @@
             now,
         )
 
-    def lend_tokens(self, wanted: LoanWanted, now: float) -> LoanGranted:
-        """Grant tokens for requests that wait at the borrower."""
+    def lend_tokens(
+        self, borrower: InstanceId, wanted: LoanWanted, now: float
+    ) -> LoanGranted | None:
+        """Grant tokens for requests that wait; None for a copy of a request."""
         self.settle(now)
+        if (borrower, wanted.number) in self._urgent:
+            return None
         tokens = self.bucket.remove(wanted.tokens)
         lent = Share(0.0, tokens)
         if tokens > 0.0:
             end = now + URGENT_LOAN_S * CLOCK_MARGIN
-            self._urgent.append(Lending(wanted.number, lent, end))
+            self._urgent[borrower, wanted.number] = Lending(wanted.number, lent, end)
             self._count_lent(now)
             self.settle(now)
         return LoanGranted(wanted.number, lent, tokens, self.share)
 
+    def take_tokens_back(
+        self, borrower: InstanceId, number: int, tokens: float, now: float
+    ) -> None:
+        """End an urgent loan and keep its unspent tokens; a copy has no effect."""
+        self.settle(now)
+        if self._urgent.pop((borrower, number), None) is not None:
+            self._count_lent(now)
+            self.settle(now)
+            self.bucket.add(tokens)
+
     def lend_rate(
         self,
         borrower: InstanceId,
@@ -181,14 +195,16 @@
     def _lendings(self) -> list[Lending]:
         records = self.records_by_borrower.values()
         by_rate = [lending for record in records for lending in record.lendings]
-        return by_rate + self._urgent
+        return by_rate + list(self._urgent.values())
 
     def _count_lent(self, now: float) -> None:
-        self._urgent = [lending for lending in self._urgent if lending.end > now]
+        self._urgent = {
+            key: lending for key, lending in self._urgent.items() if lending.end > now
+        }
         for record in self.records_by_borrower.values():
             record.lendings = [one for one in record.lendings if one.end > now]
         held = [one.outstanding() for one in self.records_by_borrower.values()]
-        held += [lending.lent for lending in self._urgent]
+        held += [lending.lent for lending in self._urgent.values()]
         self._lent = Share(
             sum(share.rate for share in held), sum(share.burst for share in held)
         )
--- a/src/gentianhitch/decisions/limits/borrower.py
+++ b/src/gentianhitch/decisions/limits/borrower.py
@@ -24,7 +24,9 @@
 from gentianhitch.decisions.limits.messages import LoanGranted
 from gentianhitch.decisions.limits.messages import LoanRecall
 from gentianhitch.decisions.limits.messages import LoanRequest
+from gentianhitch.decisions.limits.messages import LoanReturn
 from gentianhitch.decisions.limits.messages import LoanWanted
+from gentianhitch.decisions.limits.messages import TokensReturned
 from gentianhitch.decisions.limits.peers import PeerBook
 from gentianhitch.decisions.limits.shares import NOTHING
 from gentianhitch.decisions.limits.shares import Share
@@ -67,13 +69,13 @@
         self._numbers = count(1)
         self._short_by_lender: dict[tuple[str, InstanceId], float] = {}
 
-    def lenders(self, workspace: str, now: float) -> list[Lendable]:
+    def lenders(self, workspace: str) -> list[Lendable]:
         """Return the holders to ask: each instance begins at a place of its own."""
         state = self._holdings.log.active[-1]
         holders = self._holdings.shares.holders(state, workspace)
         start = self._holdings.shares.place(state, self._holdings.own_id.name)
         ordered = [holders[(start + i) % len(holders)] for i in range(len(holders))]
-        lenders = [
+        return [
             Lendable(
                 holder.id,
                 self._peers.holder(holder.id, holder.peers),
@@ -82,7 +84,12 @@
             for holder in ordered
             if holder.id not in self._holdings.rights_by_origin
         ]
-        return sorted(lenders, key=lambda one: self._peers.is_silent(one.address, now))
+
+    def answering_lenders(self, workspace: str, now: float) -> list[Lendable]:
+        """Return the holders that have lately answered, or all if none has."""
+        lenders = self.lenders(workspace)
+        heard = [one for one in lenders if not self._peers.is_silent(one.address, now)]
+        return heard or lenders
 
     def plan(
         self, budget: Budget, demand: float, now: float, *, kept_s: float = math.inf
@@ -95,7 +102,7 @@
         if demand * LOAN_S >= MIN_BORROWED_REQUESTS:
             missing = max(0.0, HEADROOM * demand - budget.own_share().rate)
         items_by_address: dict[Address, list[LoanWanted]] = defaultdict(list)
-        for lender in self.lenders(budget.workspace, now):
+        for lender in self.lenders(budget.workspace):
             key = (budget.workspace, lender.origin)
             expected = min(
                 missing,
@@ -127,15 +134,29 @@
         self.send({lender.address: [item]})
         return ask.number
 
-    def apply(self, grant: LoanGrant, now: float) -> list[Ask]:
-        """Take the granted loans in and return the requests they answer."""
+    def return_spent(self, budget: Budget, now: float) -> None:
+        """Tell lenders which urgent loans are spent, so that their caps grow back."""
+        spent = [loan for loan in budget.token_loans if loan.bucket.tokens <= 0.0]
+        if spent:
+            budget.token_loans = [
+                loan for loan in budget.token_loans if loan.bucket.tokens > 0.0
+            ]
+            self._send_returns(budget.workspace, spent, now)
+
+    def return_all(self, budget: Budget, now: float) -> None:
+        """Give the tokens of urgent loans back."""
+        returned, budget.token_loans = budget.token_loans, []
+        self._send_returns(budget.workspace, returned, now)
+
+    def apply(self, grant: LoanGrant, now: float) -> list[tuple[Ask, float]]:
+        """Take the granted loans in; return each answered request and its tokens."""
         answered = []
         for item in grant.items:
             ask = self.asks_by_number.pop(item.number, None)
             if ask is not None:
                 self._peers.mark_heard(ask.lender)
                 self._apply_one(ask, item, now)
-                answered.append(ask)
+                answered.append((ask, item.tokens))
         return answered
 
     def return_recalled(self, recall: LoanRecall, now: float) -> None:
@@ -192,6 +213,17 @@
             returned=returned,
         )
 
+    def _send_returns(self, workspace: str, loans: list[Loan], now: float) -> None:
+        items_by_address: dict[Address, list[TokensReturned]] = defaultdict(list)
+        for loan in loans:
+            tokens = loan.bucket.tokens if now < loan.end else 0.0
+            items_by_address[loan.lender].append(
+                TokensReturned(loan.number, workspace, loan.origin, tokens)
+            )
+        for address, items in items_by_address.items():
+            returned = LoanReturn(self._holdings.log.newest, tuple(items))
+            self._transport.send(address, returned)
+
     def _ask(
         self,
         workspace: str,
--- a/src/gentianhitch/decisions/limits/constants.py
+++ b/src/gentianhitch/decisions/limits/constants.py
@@ -5,10 +5,13 @@
 HOLDERS = 8
 """Instances that hold a share of one workspace, at most."""
 
+MIN_HOLDER_BURST = 0.5
+"""Smallest burst of one holder; a workspace with a small burst has few holders."""
+
 LOAN_S = 2.0
 """Lease of a loan of rate, from the moment the borrower asked."""
 
-URGENT_LOAN_S = 0.25
+URGENT_LOAN_S = 0.1
 """Lease of a loan of tokens only; short, as it keeps the lender's cap down."""
 
 CLOCK_MARGIN = 1.02
@@ -45,7 +48,7 @@
 """Shortest time between two requests for rate on behalf of one workspace."""
 
 SILENT_S = 1.0
-"""Time for which a lender that did not answer is asked last."""
+"""Time for which a lender that did not answer is not asked for tokens."""
 
 DEMAND_S = 1.0
 """Time constant of the demand estimate."""
@@ -53,7 +56,7 @@
 HEADROOM = 1.1
 """Factor on the demand up to which rate is kept or borrowed."""
 
-MIN_BORROWED_REQUESTS = 2.0
+MIN_BORROWED_REQUESTS = 6.0
 """Requests during one lease below which only tokens are borrowed."""
 
 IDLE_S = 60.0
--- a/src/gentianhitch/decisions/limits/gathering.py
+++ b/src/gentianhitch/decisions/limits/gathering.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import math
-
 import attrs
 
 from gentianhitch.decisions.limits.borrower import Borrower
-from gentianhitch.decisions.limits.borrower import Lendable
 from gentianhitch.decisions.limits.budget import WHOLE_TOKEN
 from gentianhitch.decisions.limits.budget import Budget
 from gentianhitch.decisions.limits.constants import ASK_TIMEOUT_S
@@ -16,7 +13,10 @@
 from gentianhitch.decisions.limits.constants import MAX_WAIT_S
 from gentianhitch.decisions.limits.constants import PASS_PAUSE_S
 from gentianhitch.decisions.limits.constants import PASSES
+from gentianhitch.decisions.limits.hashing import hash_name
 from gentianhitch.decisions.limits.holdings import Holdings
+from gentianhitch.decisions.limits.loans import Ask
+from gentianhitch.instances.identity import InstanceId
 
 AHEAD_S = 0.05
 """Time whose expected requests are gathered together with those that wait."""
@@ -28,15 +28,15 @@
 
     started: float
     waiting: int = 0
-    queue: list[Lendable] = attrs.Factory(list)
     passes: int = 0
-    next_pass: float = 0.0
+    next_ask: float = 0.0
+    empty_origins: set[InstanceId] = attrs.Factory(set)
     sent_by_number: dict[int, float] = attrs.Factory(dict)
 
-    def pending(self, now: float) -> int:
-        """Return how many requests may still be answered in time."""
-        recent = [at for at in self.sent_by_number.values() if now - at < ASK_TIMEOUT_S]
-        return len(recent)
+    def is_pending(self, now: float) -> bool:
+        """Tell whether a request may still be answered in time."""
+        sent = self.sent_by_number.values()
+        return any(now - at < ASK_TIMEOUT_S for at in sent)
 
 
 @attrs.frozen
@@ -48,7 +48,7 @@
 
 
 class Gatherer:
-    """Ask holder after holder until the waiting requests have their tokens."""
+    """Ask all holders, again and again, until waiting requests have tokens."""
 
     def __init__(self, holdings: Holdings, borrower: Borrower) -> None:
         self._holdings = holdings
@@ -87,12 +87,15 @@
         if gathering is not None:
             gathering.waiting = max(0, gathering.waiting - 1)
 
-    def answered(self, workspace: str, number: int, now: float) -> None:
-        """Go on after the answer to an urgent request."""
-        gathering = self._gatherings_by_workspace.get(workspace)
-        if gathering is not None and number in gathering.sent_by_number:
-            del gathering.sent_by_number[number]
-            self._advance(self._holdings.budget(workspace, now), gathering, now)
+    def answered(self, ask: Ask, tokens: float, now: float) -> None:
+        """Go on after an urgent request was answered with ``tokens``."""
+        gathering = self._gatherings_by_workspace.get(ask.workspace)
+        if gathering is None or ask.number not in gathering.sent_by_number:
+            return
+        del gathering.sent_by_number[ask.number]
+        if tokens < ask.tokens:
+            gathering.empty_origins.add(ask.origin)
+        self._advance(self._holdings.budget(ask.workspace, now), gathering, now)
 
     def poll(self, now: float) -> None:
         """Go on where answers are overdue; end searches that have failed."""
@@ -109,18 +112,28 @@
         if missing <= 1.0 - WHOLE_TOKEN:
             del self._gatherings_by_workspace[budget.workspace]
             self._pauses_by_workspace.pop(budget.workspace, None)
-            return
-        if gathering.pending(now):
-            return
-        if not gathering.queue and not self._next_pass(budget, gathering, now):
-            return
-        asked = min(len(gathering.queue), max(1, math.ceil(missing)))
-        for lender in gathering.queue[:asked]:
+        elif now - gathering.started >= MAX_WAIT_S:
+            self._fail(budget, now)
+        elif now >= gathering.next_ask and not gathering.is_pending(now):
+            self._ask(budget, gathering, missing, now)
+
+    def _ask(
+        self, budget: Budget, gathering: Gathering, missing: float, now: float
+    ) -> None:
+        lenders = [
+            lender
+            for lender in self._borrower.answering_lenders(budget.workspace, now)
+            if lender.origin not in gathering.empty_origins
+        ]
+        if not lenders:
+            self._end_pass(budget, gathering, now)
+        # Equal parts of all holders leave their buckets equally full, so that
+        # none runs over while another is empty.
+        for lender in lenders:
             number = self._borrower.ask_tokens(
-                budget.workspace, lender, missing / asked, now
+                budget.workspace, lender, missing / len(lenders), now
             )
             gathering.sent_by_number[number] = now
-        del gathering.queue[:asked]
 
     def _missing(self, budget: Budget, gathering: Gathering, now: float) -> float:
         spendable = budget.spendable(now)
@@ -131,19 +144,23 @@
             return gathering.waiting - spendable
         return gathering.waiting + ahead - spendable
 
-    def _next_pass(self, budget: Budget, gathering: Gathering, now: float) -> bool:
-        failed = gathering.passes >= PASSES and now >= gathering.next_pass
-        if failed or now - gathering.started >= MAX_WAIT_S:
-            self._pause(budget.workspace, now)
-            del self._gatherings_by_workspace[budget.workspace]
-            return False
-        if now < gathering.next_pass:
-            return False
+    def _end_pass(self, budget: Budget, gathering: Gathering, now: float) -> None:
         gathering.passes += 1
-        # Recalled loans come back in the meantime.
-        gathering.next_pass = now + PASS_PAUSE_S
-        gathering.queue = self._borrower.lenders(budget.workspace, now)
-        return bool(gathering.queue)
+        if gathering.passes >= PASSES:
+            self._fail(budget, now)
+            return
+        # Two instances that each hold a part of the last token would both fail:
+        # both give theirs back and try again at different times. Recalled loans
+        # return in the meantime, too.
+        self._borrower.return_all(budget, now)
+        gathering.empty_origins.clear()
+        spread = hash_name(f"{self._holdings.own_id.name} {gathering.passes}") % 1000
+        gathering.next_ask = now + PASS_PAUSE_S * (0.5 + spread / 1000)
+
+    def _fail(self, budget: Budget, now: float) -> None:
+        self._borrower.return_all(budget, now)
+        self._pause(budget.workspace, now)
+        del self._gatherings_by_workspace[budget.workspace]
 
     def _pause(self, workspace: str, now: float) -> None:
         last = self._pauses_by_workspace.get(workspace)
--- a/src/gentianhitch/decisions/limits/lender.py
+++ b/src/gentianhitch/decisions/limits/lender.py
@@ -11,6 +11,7 @@
 from gentianhitch.decisions.limits.messages import LoanGranted
 from gentianhitch.decisions.limits.messages import LoanRecall
 from gentianhitch.decisions.limits.messages import LoanRequest
+from gentianhitch.decisions.limits.messages import LoanReturn
 from gentianhitch.decisions.limits.messages import LoanWanted
 from gentianhitch.decisions.limits.peers import PeerBook
 from gentianhitch.decisions.limits.shares import NOTHING
@@ -47,6 +48,18 @@
         if granted:
             self._transport.send(request.reply_to, LoanGrant(tuple(granted)))
 
+    def take_back(self, borrower: InstanceId, returned: LoanReturn, now: float) -> None:
+        """Take unspent tokens of urgent loans back."""
+        if not self._holdings.is_fresh(now):
+            return
+        # Under other states the tokens may already have been earned elsewhere.
+        same_state = returned.sequence == self._holdings.log.newest
+        for item in returned.items:
+            account = self._holdings.account(item.workspace, item.origin, now)
+            if account is not None:
+                tokens = item.tokens if same_state else 0.0
+                account.take_tokens_back(borrower, item.number, tokens, now)
+
     def recall_own(self, budget: Budget, now: float) -> None:
         """Recall loans because requests wait at this instance itself."""
         for account in budget.accounts_by_origin.values():
@@ -68,8 +81,8 @@
             return LoanGranted(wanted.number, NOTHING, 0.0, NOTHING)
         self._holdings.budget(wanted.workspace, now).used = now
         if wanted.urgent:
-            item = account.lend_tokens(wanted, now)
-            if item.tokens < wanted.tokens:
+            item = account.lend_tokens(borrower, wanted, now)
+            if item is not None and item.tokens < wanted.tokens:
                 self._recall(account, wanted.workspace, now)
             return item
         same_state = sequence == self._holdings.log.newest
--- a/src/gentianhitch/decisions/limits/limiter.py
+++ b/src/gentianhitch/decisions/limits/limiter.py
@@ -23,6 +23,7 @@
 from gentianhitch.decisions.limits.messages import LoanGrant
 from gentianhitch.decisions.limits.messages import LoanRecall
 from gentianhitch.decisions.limits.messages import LoanRequest
+from gentianhitch.decisions.limits.messages import LoanReturn
 from gentianhitch.decisions.limits.messages import ShareNotice
 from gentianhitch.decisions.limits.messages import Transfer
 from gentianhitch.decisions.limits.messages import TransferAck
@@ -67,6 +68,7 @@
         self._handlers_by_kind: dict[type, Callable[[InstanceId, Any, float], None]] = {
             LoanRequest: self.lender.answer,
             LoanGrant: self._receive_grant,
+            LoanReturn: self.lender.take_back,
             LoanRecall: lambda _, recall, now: self.borrower.return_recalled(
                 recall, now
             ),
@@ -97,6 +99,7 @@
         if budget.spend(now):
             if since is not None:
                 self.gatherer.leave(workspace)
+                self.borrower.return_spent(budget, now)
             self.counters.admitted_by_workspace[workspace] += 1
             return Verdict.ADMITTED
         return self._wait(budget, now, since)
@@ -141,9 +144,9 @@
         self.succession.tick(now)
 
     def _receive_grant(self, _: InstanceId, grant: LoanGrant, now: float) -> None:
-        for ask in self.borrower.apply(grant, now):
-            if ask.urgent:
-                self.gatherer.answered(ask.workspace, ask.number, now)
+        for ask, tokens in self.borrower.apply(grant, now):
+            if ask.urgent and self.holdings.is_fresh(now):
+                self.gatherer.answered(ask, tokens, now)
 
     def _hindrance(self, workspace: str, now: float) -> Cause | None:
         if not self.holdings.is_fresh(now):
--- a/src/gentianhitch/decisions/limits/messages.py
+++ b/src/gentianhitch/decisions/limits/messages.py
@@ -60,6 +60,24 @@
     items: tuple[LoanGranted, ...]
 
 
+@attrs.frozen
+class TokensReturned:
+    """Tokens of the urgent loan ``number`` that have left the borrower's bucket."""
+
+    number: int
+    workspace: str
+    origin: InstanceId
+    tokens: float
+
+
+@message
+class LoanReturn:
+    """Carry unspent tokens back to a lender; it counts each loan's once."""
+
+    sequence: int
+    items: tuple[TokensReturned, ...]
+
+
 @message
 class LoanRecall:
     """Ask a borrower to return at once what it does not need."""
--- a/src/gentianhitch/decisions/limits/shares.py
+++ b/src/gentianhitch/decisions/limits/shares.py
@@ -11,6 +11,7 @@
 
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.limits.constants import HOLDERS
+from gentianhitch.decisions.limits.constants import MIN_HOLDER_BURST
 from gentianhitch.decisions.limits.hashing import hash_name
 from gentianhitch.decisions.limits.hashing import ranked
 from gentianhitch.instances.identity import InstanceId
@@ -110,8 +111,8 @@
         workspace = table.workspaces_by_name.get(name)
         if workspace is None:
             return ()
-        # A holder whose cap is below one request could never admit one alone.
-        count = max(1, min(self.max_holders, int(workspace.burst)))
+        # Tokens in many small parts have to be gathered from many holders.
+        count = max(1, min(self.max_holders, int(workspace.burst / MIN_HOLDER_BURST)))
         return table.holders.holders(name, count)
 
     def place(self, state: AgreedState, name: str) -> int:
