Let requests wait for a token through the limits driver

Cause: the request path asked the limiter again every 10 ms without the time of its first try, so each retry counted as new demand and the limiter's own bound on the wait never ended. The driver already serves waiters in order as soon as a grant arrives; the path now awaits it. Ruled out: passing 'since' through the polling, which keeps two timers for one wait. The test of the wait is as strict (nothing is sent before the verdict); a new one closes the caller amid the wait.

--- a/src/gentianhitch/benchmarks/request_paths.py
+++ b/src/gentianhitch/benchmarks/request_paths.py
@@ -9,6 +9,7 @@
 import treq
 from klein import Klein
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
 from twisted.internet.protocol import Factory
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.resource import Resource
@@ -53,9 +54,9 @@
         """Return the only state."""
         return self.states
 
-    def take(self, workspace: str, now: float) -> Verdict:
+    def take(self, workspace: str, max_wait_s: float) -> Deferred[Verdict]:
         """Admit."""
-        return Verdict.ADMITTED
+        return succeed(Verdict.ADMITTED)
 
     def retry_after_s(self, workspace: str, now: float) -> float:
         """Return 0: nothing is refused."""
--- a/src/gentianhitch/callers/request_path.py
+++ b/src/gentianhitch/callers/request_path.py
@@ -24,8 +24,8 @@
 from gentianhitch.decisions.idempotency import KeyMemory
 from gentianhitch.decisions.idempotency import LocalPins
 from gentianhitch.decisions.interfaces import Agreement
-from gentianhitch.decisions.interfaces import Limiter
 from gentianhitch.decisions.interfaces import TargetSelector
+from gentianhitch.decisions.interfaces import TokenSource
 from gentianhitch.decisions.sending import RetryBudget
 from gentianhitch.decisions.waiting import FairQueue
 from gentianhitch.settings import LimitSettings
@@ -48,7 +48,7 @@
     clock: Any
     admission: Admission
     agreement: Agreement
-    limiter: Limiter
+    tokens: TokenSource
     selector: TargetSelector
     pool: ConnectionPool
     limits: LimitSettings
@@ -131,7 +131,7 @@
         self,
         reactor: Any,
         agreement: Agreement,
-        limiter: Limiter,
+        tokens: TokenSource,
         selector: TargetSelector,
         limits: LimitSettings | None = None,
         *,
@@ -148,7 +148,7 @@
             clock=clock,
             admission=Admission(agreement, limits),
             agreement=agreement,
-            limiter=limiter,
+            tokens=tokens,
             selector=selector,
             pool=self.pool,
             limits=limits,
--- a/src/gentianhitch/decisions/interfaces.py
+++ b/src/gentianhitch/decisions/interfaces.py
@@ -68,6 +68,18 @@
         ...
 
 
+class TokenSource(Protocol):
+    """Wait for a token of a workspace, for a short time."""
+
+    def take(self, workspace: str, max_wait_s: float) -> Deferred[Verdict]:
+        """Take one request's token; the answer is never WAIT."""
+        ...
+
+    def retry_after_s(self, workspace: str, now: float) -> float:
+        """Return the time after which a refused request may be repeated."""
+        ...
+
+
 class Outcome(Enum):
     """How one attempt at a backend server ended."""
 
--- a/src/gentianhitch/decisions/limits/driver.py
+++ b/src/gentianhitch/decisions/limits/driver.py
@@ -20,7 +20,7 @@
 
 
 class LimitsDriver:
-    """Run rounds, hand messages to the limiter and let requests wait."""
+    """Run rounds, pass messages on and let requests wait; implements TokenSource."""
 
     def __init__(
         self,
@@ -68,6 +68,10 @@
             self._polls.start(POLL_S, now=False)
         return answer
 
+    def retry_after_s(self, workspace: str, now: float) -> float:
+        """Return the time after which a refused request may be repeated."""
+        return self.limiter.retry_after_s(workspace, now)
+
     def begin_leaving(self) -> Deferred[bool]:
         """Hand the shares over; True when acknowledged, False after a timeout."""
         if self._left is None:
--- a/tests/builders_path.py
+++ b/tests/builders_path.py
@@ -6,6 +6,7 @@
 import re
 
 import attrs
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.task import Clock
@@ -81,10 +82,19 @@
 class FakeLimiter:
     verdicts: list = attrs.Factory(list)
     taken: list = attrs.Factory(list)
+    waiting: Deferred = attrs.Factory(Deferred)
 
-    def take(self, workspace, now):
+    def take(self, workspace, max_wait_s):
         self.taken.append(workspace)
-        return self.verdicts.pop(0) if self.verdicts else Verdict.ADMITTED
+        self.waiting = Deferred()
+        self.answer()
+        return self.waiting
+
+    def answer(self):
+        """Give the next verdict; WAIT keeps the request waiting."""
+        verdict = self.verdicts.pop(0) if self.verdicts else Verdict.ADMITTED
+        if verdict is not Verdict.WAIT:
+            self.waiting.callback(verdict)
 
     def retry_after_s(self, workspace, now):
         return 1.5
--- a/tests/callers/test_request_path.py
+++ b/tests/callers/test_request_path.py
@@ -86,15 +86,24 @@
         got = caller.received()
         assert got.index(b"first") < got.index(b"second")
 
-    def test_wait_verdict_tries_again(self):
+    def test_request_without_token_waits_for_one(self):
         bench = PathBench()
         bench.limiter.verdicts = [Verdict.WAIT, Verdict.ADMITTED]
         caller = bench.caller()
         caller.send(request())
         assert bench.reactor.dials == []
-        bench.reactor.advance(0.01)
+        bench.limiter.answer()
         assert len(bench.reactor.dials) == 1
 
+    def test_token_after_the_caller_has_gone_sends_nothing(self):
+        bench = PathBench()
+        bench.limiter.verdicts = [Verdict.WAIT, Verdict.ADMITTED]
+        caller = bench.caller()
+        caller.send(request())
+        caller.close()
+        bench.limiter.answer()
+        assert bench.reactor.dials == []
+
     def test_expect_continue_is_answered_once_admitted(self):
         bench = PathBench()
         caller = bench.caller()
