--- a/src/gentianhitch/callers/attempts.py
+++ b/src/gentianhitch/callers/attempts.py
@@ -5,9 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from twisted.internet.interfaces import IPushProducer
-from zope.interface import implementer
-
 from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.answers import AnswerHead
 from gentianhitch.backend_servers.answers import AnswerPiece
@@ -18,8 +15,6 @@
 from gentianhitch.backend_servers.errors import WrongAnswerError
 from gentianhitch.backend_servers.pool import Connecting
 from gentianhitch.callers.admission import Admitted
-from gentianhitch.callers.encoding import LAST_CHUNK
-from gentianhitch.callers.encoding import encode_chunk
 from gentianhitch.callers.encoding import encode_relay
 from gentianhitch.callers.encoding import encode_request
 from gentianhitch.callers.incoming import Incoming
@@ -27,9 +22,9 @@
 from gentianhitch.callers.relays import OneInstance
 from gentianhitch.callers.requests import RelayMode
 from gentianhitch.callers.requests import RequestHead
-from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.callers.reservation import Reservation
+from gentianhitch.callers.upload import Upload
 from gentianhitch.decisions.interfaces import Outcome
-from gentianhitch.decisions.interfaces import TargetSelector
 from gentianhitch.decisions.sending import Sending
 from gentianhitch.decisions.sending import Step
 from gentianhitch.decisions.waiting import Waiter
@@ -54,26 +49,6 @@
         ...
 
 
-@implementer(IPushProducer)
-class BodyProducer:
-    """Let a target's connection pace the caller's body."""
-
-    def __init__(self, caller: CallerConnection) -> None:
-        self._caller = caller
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Read no more from the caller."""
-        self._caller.pause_body()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Read on."""
-        self._caller.resume_body()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Leave the caller's connection open: it still gets an answer."""
-        self._caller.resume_body()
-
-
 class Attempts:
     """Drive the attempts of one request; ``mode`` is set on a relay."""
 
@@ -95,21 +70,18 @@
         self._owner = owner
         self._mode = mode
         self._relays = relay_to is not None
-        self._selector: TargetSelector = (
-            context.selector if relay_to is None else OneInstance(relay_to)
-        )
-        service = admitted.matched.service.name
-        self._budget = context.budget(service)
-        self.sending = Sending(admitted.matched.idempotent, self._budget)
-        self._target: BackendServer | None = None
+        if relay_to is None:
+            self._slot = Reservation(context.selector, admitted, context.slot_released)
+        else:
+            self._slot = Reservation(OneInstance(relay_to), admitted, _ignore_release)
+        self._service = admitted.matched.service.name
+        budget = context.budget(self._service)
+        self.sending = Sending(admitted.matched.idempotent, budget)
         self._connecting: Connecting | None = None
         self._connection: TargetConnection | None = None
         self._waiter: Waiter | None = None
-        self._started_s = 0.0
-        self._head_received_s: float | None = None
         self._status = 0
-        self._streams = False
-        self._uploaded = False
+        self._upload: Upload | None = None
 
     @property
     def connection(self) -> TargetConnection | None:
@@ -117,23 +89,19 @@
         return self._connection
 
     def begin(self) -> None:
-        """Try the next target; wait in the queue if every slot is taken."""
+        """Try the first target; wait in the queue if every slot is taken."""
         if self._try_next():
             return
-        if self.sending.attempts:
-            self._owner.attempts_failed(self.sending.give_up(), Cause.NO_CAPACITY, "")
-            return
-        queue = self._context.queue(self._admitted.matched.service.name)
+        queue = self._context.queue(self._service)
         self._waiter = queue.add(self._admitted.workspace, self._try_next)
         if self._waiter is None:
-            self._owner.attempts_failed(
-                self.sending.give_up(), Cause.NO_CAPACITY, "the queue is full"
-            )
+            step = self.sending.give_up()
+            self._owner.attempts_failed(step, Cause.NO_CAPACITY, "the queue is full")
 
     def body_progressed(self) -> None:
         """Send on what came of the body."""
-        if self._connection is not None and self._streams and not self._uploaded:
-            self._upload()
+        if self._connection is not None and self._upload is not None:
+            self._upload.progressed()
 
     def time_out_attempt(self) -> bool:
         """Give up a silent target if another one may be tried."""
@@ -158,26 +126,22 @@
         return self.sending.give_up()
 
     def _try_next(self) -> bool:
-        admitted, sending = self._admitted, self.sending
-        now = self._context.seconds()
-        target = self._selector.choose(
-            admitted.matched.service.name,
-            admitted.matched.route,
-            admitted.workspace,
-            now,
-            sending.tried,
-        )
+        target = self._slot.find(self._context.seconds(), self.sending.tried)
         if target is None:
             return False
-        self._target = target
-        self._started_s = now
-        self._head_received_s = None
-        sending.connect(target.name)
-        self._connecting = self._context.pool.acquire(
-            target, self, proven=not sending.idempotent
-        )
+        self._connect(target)
         return True
 
+    def _connect(self, target: BackendServer) -> None:
+        self._slot.hold(target, self._context.seconds())
+        self.sending.connect(target.name)
+        connecting = self._context.pool.acquire(
+            target, self, proven=not self.sending.idempotent
+        )
+        # None: it is already decided, and another attempt may be connecting.
+        if connecting is not None:
+            self._connecting = connecting
+
     def connected(self, connection: TargetConnection) -> None:
         """Write the request, unless time has passed what allowed it."""
         self._connecting = None
@@ -190,19 +154,18 @@
             return
         self.sending.write()
         self._connection = connection
-        self._streams = not self._incoming.complete
-        body = None if self._streams else self._incoming.peek()
+        whole = self._incoming.complete
+        body = self._incoming.peek() if whole else None
         connection.send(
             self._encode(max(1, int((self._admitted.deadline - now) * 1000)), body),
             self,
             to_head_request=self._head.method == "HEAD",
-            whole=not self._streams,
+            whole=whole,
         )
-        if self._streams:
+        if not whole:
             self.sending.replayable = False
-            connection.transport.registerProducer(BodyProducer(self._caller), True)
-            self._caller.resume_body()
-            self._upload()
+            self._upload = Upload(self._caller, self._incoming, connection)
+            self._upload.start()
 
     def _forbids_writing(self, now: float) -> Cause | None:
         """Check again what a pause of this process may have changed."""
@@ -222,7 +185,7 @@
         """Pass on a piece of the answer, once it is known to be the right one."""
         head = piece.head
         if head is not None:
-            self._head_received_s = self._context.seconds()
+            self._slot.head_received(self._context.seconds())
             if not self._accepts(head, piece.ended):
                 return
         if piece.ended:
@@ -256,15 +219,26 @@
             step = self.sending.shed() if known else self.sending.failed()
             self._follow(step, Cause.SHED)
             return False
-        if head.status >= 500 and self.sending.may_retry_answer():
-            self._drop_answer(ended)
-            self._record(Outcome.ERROR)
-            self._follow(self.sending.failed(), Cause.WRONG_ANSWER)
+        if head.status >= 500 and self._retries_error(ended):
             return False
         self.sending.answer()
         self._status = head.status
         return True
 
+    def _retries_error(self, ended: bool) -> bool:
+        """Drop an error answer if another target is there to be tried."""
+        if not self.sending.may_retry_answer():
+            return False
+        other = self._slot.find(self._context.seconds(), self.sending.tried)
+        if other is None:
+            return False
+        self._drop_answer(ended)
+        self._record(Outcome.ERROR)
+        self.sending.failed()
+        self._context.count("retries")
+        self._connect(other)
+        return True
+
     @property
     def _head(self) -> RequestHead:
         return self._incoming.head
@@ -281,17 +255,6 @@
             body=body,
         )
 
-    def _upload(self) -> None:
-        assert self._connection is not None
-        data = self._incoming.take()
-        whole = self._incoming.complete
-        if self._head.chunked:
-            data = encode_chunk(data) + (LAST_CHUNK if whole else b"")
-        self._connection.send_more(data, whole=whole)
-        if whole:
-            self._uploaded = True
-            self._connection.transport.unregisterProducer()
-
     def _drop_answer(self, ended: bool) -> None:
         """Keep the connection only if nothing of the answer is left on it."""
         if ended:
@@ -306,8 +269,7 @@
 
     def _leave(self, outcome: Outcome) -> None:
         if self._waiter is not None:
-            service = self._admitted.matched.service.name
-            self._context.queue(service).cancel(self._waiter)
+            self._context.queue(self._service).cancel(self._waiter)
         if self._connecting is not None:
             self._connecting.cancel()
             self._connecting = None
@@ -315,25 +277,16 @@
         self._record(outcome)
 
     def _follow(self, step: Step, cause: Cause, detail: str = "") -> None:
-        if step is not Step.TRY_ANOTHER:
-            self._owner.attempts_failed(step, cause, detail)
-            return
-        self._context.count("retries")
-        self.begin()
+        if step is Step.TRY_ANOTHER:
+            if self._try_next():
+                self._context.count("retries")
+                return
+            step = self.sending.give_up()
+        self._owner.attempts_failed(step, cause, detail)
 
     def _record(self, outcome: Outcome) -> None:
-        if self._target is None:
-            return
-        now = self._context.seconds()
-        answered_s = self._head_received_s or now
-        attempt = Attempt(
-            target=self._target.name,
-            route=self._admitted.matched.route,
-            workspace=self._admitted.workspace,
-            outcome=outcome,
-            latency_s=answered_s - self._started_s,
-        )
-        self._target = None
-        self._selector.record(attempt, now)
-        if not self._relays:
-            self._context.slot_released(self._admitted.matched.service.name)
+        self._slot.release(outcome, self._context.seconds())
+
+
+def _ignore_release(service: str) -> None:
+    """Leave the queue of the service alone: a relay held none of its slots."""
--- a/src/gentianhitch/callers/exchange.py
+++ b/src/gentianhitch/callers/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 from typing import Any
@@ -29,8 +28,8 @@
 from gentianhitch.callers.refusals import RefusalOutcome
 from gentianhitch.callers.refusals import encode_refusal
 from gentianhitch.callers.requests import RelayMode
+from gentianhitch.callers.tokens import TokenWait
 from gentianhitch.decisions.interfaces import Outcome
-from gentianhitch.decisions.interfaces import Verdict
 from gentianhitch.decisions.sending import Stage
 from gentianhitch.decisions.sending import Step
 from gentianhitch.writing import write_at_once
@@ -45,7 +44,6 @@
 KEYED_BODY_BYTES = 1024 * 1024
 """A request with an idempotency key is complete before it is sent."""
 
-WAIT_STEP_S = 0.01
 ATTEMPT_SHARE = 0.5
 """Part of the remaining time after which a silent target is given up."""
 
@@ -73,7 +71,7 @@
         self._registered = False
         self._ended = False
         self._timer: Any = None
-        self._wait_call: Any = None
+        self._token: TokenWait | None = None
         self.progressed_s = self._started_s
 
     def start(self) -> None:
@@ -142,22 +140,17 @@
     # Before sending.
 
     def _take_token(self) -> None:
-        self._wait_call = None
         assert self._admitted is not None
-        workspace = self._admitted.workspace
-        if workspace is not None:
-            now = self._context.seconds()
-            verdict = self._context.limiter.take(workspace, now)
-            if verdict is Verdict.REFUSED:
-                retry_after_s = self._context.limiter.retry_after_s(workspace, now)
-                after_s = max(1, math.ceil(retry_after_s))
-                self._refuse(Refusal(Cause.OVER_RATE, retry_after_s=after_s))
-                return
-            if verdict is Verdict.WAIT:
-                self._wait_call = self._context.clock.callLater(
-                    WAIT_STEP_S, self._take_token
-                )
-                return
+        self._token = TokenWait(
+            self._context.limiter,
+            self._context.clock,
+            self._admitted.workspace,
+            self._token_taken,
+            self._refuse,
+        )
+        self._token.take()
+
+    def _token_taken(self) -> None:
         self._is_paid = True
         self._allow_sending()
 
@@ -355,9 +348,10 @@
 
     def _finish(self, *, status: int, cause: str | None) -> None:
         self._ended = True
-        for call in (self._timer, self._wait_call):
-            if call is not None and call.active():
-                call.cancel()
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._token is not None:
+            self._token.cancel()
         if self._registered:
             self._caller.transport.unregisterProducer()
         now = self._context.seconds()
--- a/tests/callers/test_sockets.py
+++ b/tests/callers/test_sockets.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+import hashlib
+import random
+import resource
+from pathlib import Path
+
 import attrs
+from httptools import HttpRequestParser
 from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
+from zope.interface import implementer
 
 from gentianhitch.addresses import Address
 from gentianhitch.callers.request_path import RequestPath
@@ -14,9 +25,11 @@
 from tests.builders_path import FakeSelector
 from tests.builders_path import answer
 from tests.builders_path import build_targets
+from tests.builders_path import order
 from tests.builders_path import request
 from tests.reactors import connect_caller
 from tests.reactors import run_scenario
+from tests.reactors import sleep
 
 
 class EchoTarget(Protocol):
@@ -24,17 +37,20 @@
         self.transport.write(answer(b"from the target"))
 
 
-def listen(reactor, internal=None, target=EchoTarget):
+def listen(reactor, internal=None, target=EchoTarget, **options):
     """Start a target and a request path before it; return the path and its port."""
     listening = reactor.listenTCP(0, Factory.forProtocol(target), interface="127.0.0.1")
     address = Address("127.0.0.1", listening.getHost().port)
-    targets = tuple(attrs.evolve(each, address=address) for each in build_targets())
+    targets = tuple(
+        attrs.evolve(each, address=address) for each in build_targets(slots=64)
+    )
     path = RequestPath(
         reactor,
         FakeAgreement(),
         FakeLimiter(),
         FakeSelector(targets),
         internal=internal,
+        **options,
     )
     port = reactor.listenTCP(0, path, interface="127.0.0.1")
     return path, port.getHost().port
@@ -69,3 +85,158 @@
         assert answers[0].body == b"hello Bearer key-of-nord"
         assert answers[1].body == b"from the target"
         assert answers[2].body == b"again Bearer key-of-nord"
+
+
+GIGABYTE = 1024**3
+PIECE = bytes(64 * 1024)
+MAX_GROWTH_BYTES = 64 * 1024 * 1024
+
+
+def resident_bytes():
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+@implementer(IPushProducer)
+class LargeTarget(Protocol):
+    """Send a gigabyte at the pace of its reader."""
+
+    def dataReceived(self, data):  # noqa: N802
+        self.left = GIGABYTE
+        self.transport.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % GIGABYTE
+        )
+        self.transport.registerProducer(self, True)
+        self.resumeProducing()
+
+    def resumeProducing(self):  # noqa: N802
+        self.paused = False
+        while self.left and not self.paused:
+            self.left -= len(PIECE)
+            self.transport.write(PIECE)
+        if not self.left:
+            self.transport.unregisterProducer()
+
+    def pauseProducing(self):  # noqa: N802
+        self.paused = True
+
+    def stopProducing(self):  # noqa: N802
+        self.paused = True
+
+
+class SlowReader(Protocol):
+    """Count bytes and stop reading now and then."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.count = 0
+        self.peak = 0
+        self.pauses = 0
+        self.done = Deferred()
+
+    def dataReceived(self, data):  # noqa: N802
+        before = self.count // (GIGABYTE // 8)
+        self.count += len(data)
+        if self.count // (GIGABYTE // 8) > before:
+            self.peak = max(self.peak, resident_bytes())
+            self.pauses += 1
+            self.transport.pauseProducing()
+            self.reactor.callLater(0.1, self.resume)
+        if self.count >= GIGABYTE:
+            self.done.callback(None)
+
+    def resume(self):
+        self.peak = max(self.peak, resident_bytes())
+        if self.transport.connected:
+            self.transport.resumeProducing()
+
+
+class TestStreaming:
+    def test_gigabyte_answer_stays_in_bounded_memory(self):
+        async def scenario(reactor):
+            path, port = listen(reactor, target=LargeTarget)
+            endpoint = TCP4ClientEndpoint(reactor, "127.0.0.1", port)
+            reader = await connectProtocol(endpoint, SlowReader(reactor))
+            idle = resident_bytes()
+            reader.transport.write(request())
+            await reader.done
+            path.close()
+            return reader, idle
+
+        reader, idle = run_scenario(scenario)
+        assert reader.pauses >= 8
+        assert reader.peak - idle < MAX_GROWTH_BYTES
+
+    def test_large_upload_arrives_whole(self):
+        body = random.Random(1).randbytes(5_000_000)
+        digests = []
+
+        class UploadTarget(Protocol):
+            def connectionMade(self):  # noqa: N802
+                self.parser = HttpRequestParser(self)
+                self.digest = hashlib.sha256()
+
+            def dataReceived(self, data):  # noqa: N802
+                self.parser.feed_data(data)
+
+            def on_body(self, data):
+                self.digest.update(data)
+
+            def on_message_complete(self):
+                digests.append(self.digest.hexdigest())
+                self.digest = hashlib.sha256()
+                self.transport.write(answer(b"stored"))
+
+        async def scenario(reactor):
+            path, port = listen(reactor, target=UploadTarget)
+            caller = await connect_caller(reactor, port)
+            caller.transport.write(order(body))
+            first = await caller.answer()
+            head = request("POST", "/orders", Transfer_Encoding="chunked")
+            pieces = [body[at : at + 50_000] for at in range(0, len(body), 50_000)]
+            chunks = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces]
+            caller.transport.write(head + b"".join(chunks) + b"0\r\n\r\n")
+            second = await caller.answer()
+            path.close()
+            return first, second
+
+        answers = run_scenario(scenario)
+        assert [each.body for each in answers] == [b"stored", b"stored"]
+        assert digests == [hashlib.sha256(body).hexdigest()] * 2
+
+    def test_refusal_reaches_a_caller_that_still_sends(self):
+        async def scenario(reactor):
+            path, port = listen(reactor)
+            caller = await connect_caller(reactor, port)
+            caller.transport.write(order(b"x" * 1000, Content_Length="9000000"))
+            caller.transport.write(b"x" * 8_000_000)
+            got = await caller.answer()
+            path.close()
+            return got
+
+        got = run_scenario(scenario)
+        assert got.status == 413
+        assert got.headers_by_name["gentianhitch-outcome"] == "not-run"
+
+    def test_caller_gone_cancels_at_the_target(self):
+        lost = []
+
+        class SilentTarget(Protocol):
+            def dataReceived(self, data):  # noqa: N802
+                lost.append(Deferred())
+
+            def connectionLost(self, reason=None):  # noqa: N802
+                lost[0].callback(True)
+
+        async def scenario(reactor):
+            path, port = listen(reactor, target=SilentTarget)
+            caller = await connect_caller(reactor, port)
+            caller.transport.write(order())
+            while not lost:
+                await sleep(reactor, 0.005)
+            caller.transport.loseConnection()
+            cancelled = await lost[0]
+            path.close()
+            return cancelled
+
+        assert run_scenario(scenario) is True
