--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,129 @@
+"""Keep the stand-in platform's keys, leases and lagging list."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+Clock = Callable[[], float]
+
+
+class StoreConflictError(Exception):
+    """A compare-and-swap found another revision."""
+
+    def __init__(self, current: Record | None) -> None:
+        super().__init__("conflict")
+        self.current = current
+
+
+@attrs.frozen
+class Record:
+    """One key with its base64 value and the revision of its last write."""
+
+    key: str
+    value: str
+    revision: int
+    lease: str | None = None
+
+
+@attrs.define
+class LeaseRecord:
+    """One running lease."""
+
+    ttl_s: float
+    ends_at: float
+
+
+@attrs.define
+class Store:
+    """Hold keys with compare-and-swap and delete those whose lease ends."""
+
+    clock: Clock
+    records_by_key: dict[str, Record] = attrs.Factory(dict)
+    leases_by_id: dict[str, LeaseRecord] = attrs.Factory(dict)
+    _revisions: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    def get(self, key: str) -> Record | None:
+        """Read one key."""
+        self._expire()
+        return self.records_by_key.get(key)
+
+    def put(self, key: str, value: str, expected: int, lease: str | None) -> Record:
+        """Write if the key is still at ``expected`` (0: absent)."""
+        self._require(key, expected)
+        if lease is not None and lease not in self.leases_by_id:
+            raise StoreConflictError(self.records_by_key.get(key))
+        record = Record(key, value, next(self._revisions), lease)
+        self.records_by_key[key] = record
+        return record
+
+    def delete(self, key: str, expected: int) -> None:
+        """Delete if the key is still at ``expected``."""
+        self._require(key, expected)
+        self.records_by_key.pop(key, None)
+
+    def grant(self, ttl_s: float) -> str:
+        """Create a lease and return its id."""
+        lease = f"lease-{next(self._revisions)}"
+        self.leases_by_id[lease] = LeaseRecord(ttl_s, self.clock() + ttl_s)
+        return lease
+
+    def renew(self, lease: str) -> None:
+        """Renew a lease that has not ended."""
+        self._expire()
+        if lease not in self.leases_by_id:
+            raise StoreConflictError(None)
+        record = self.leases_by_id[lease]
+        record.ends_at = self.clock() + record.ttl_s
+
+    def _require(self, key: str, expected: int) -> None:
+        self._expire()
+        current = self.records_by_key.get(key)
+        if (current.revision if current else 0) != expected:
+            raise StoreConflictError(current)
+
+    def _expire(self) -> None:
+        now = self.clock()
+        ended = {id_ for id_, one in self.leases_by_id.items() if one.ends_at <= now}
+        if not ended:
+            return
+        for id_ in ended:
+            del self.leases_by_id[id_]
+        for key, record in list(self.records_by_key.items()):
+            if record.lease in ended:
+                del self.records_by_key[key]
+
+
+@attrs.define
+class LaggingList:
+    """Show the list of entry instances as it was ``lag_s`` ago."""
+
+    clock: Clock
+    lag_s: float = 0.0
+    current: tuple[dict[str, Any], ...] = ()
+    _changes: list[tuple[float, tuple[dict[str, Any], ...]]] = attrs.Factory(list)
+
+    def set(self, instances: list[dict[str, Any]]) -> None:
+        """Replace the list; readers see it after the lag."""
+        self.current = tuple(instances)
+        self._changes.append((self.clock(), self.current))
+
+    def upsert(self, instance: dict[str, Any]) -> None:
+        """Add one instance or replace the one of the same name."""
+        self.set([*self._others(instance["name"]), instance])
+
+    def remove(self, name: str) -> None:
+        """Remove one instance."""
+        self.set(self._others(name))
+
+    def visible(self) -> tuple[dict[str, Any], ...]:
+        """Return what readers see now."""
+        seen_until = self.clock() - self.lag_s
+        seen = [value for at, value in self._changes if at <= seen_until]
+        return seen[-1] if seen else ()
+
+    def _others(self, name: str) -> list[dict[str, Any]]:
+        return [one for one in self.current if one["name"] != name]
