--- a/src/gentianhitch/benchmarks/simulated_fleet.py
+++ b/src/gentianhitch/benchmarks/simulated_fleet.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Any
 
 import attrs
 from twisted.python.failure import Failure
@@ -97,7 +98,8 @@
         self.deployment = deployment
         declared = document(deployment)
         self._state = AgreedState(1, members(), declared)
-        self._network = Network(self.clock, self.random, self._delays())  # type: ignore[arg-type]
+        network_clock: Any = self.clock
+        self._network = Network(network_clock, self.random, self._delays())
         self._routes = routes(service)
         self._workspaces = [workspace.name for workspace in declared.workspaces]
         self.targets_by_name = {
--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
 
@@ -20,16 +21,18 @@
 from gentianhitch.decisions.targets.outstanding import Running
 from gentianhitch.decisions.targets.placement import steered
 from gentianhitch.decisions.targets.service_view import ServiceView
+from gentianhitch.decisions.targets.setting import Setting
+from gentianhitch.decisions.targets.setting import setting_of
 from gentianhitch.decisions.targets.slots import Clock
 from gentianhitch.decisions.targets.standing import Standing
-from gentianhitch.decisions.targets.steward import Setting
+from gentianhitch.decisions.targets.steward import Send
 from gentianhitch.decisions.targets.steward import Steward
-from gentianhitch.decisions.targets.steward import setting_of
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.transport import Transport
 from gentianhitch.operators.document import Route
 
+MakeSteward = Callable[[str, InstanceId, Send, Counter[str], float], Steward]
 MESSAGES = (EvidenceReport, VoteRequest, Vote, EjectionGrants)
 TICK_S = 0.25
 REPORT_S = 0.5
@@ -47,6 +50,7 @@
         transport: Transport,
         random: Random,
         now: float,
+        make_steward: MakeSteward = Steward,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.hints = TargetHints()
@@ -54,8 +58,8 @@
         self._me = me
         self._transport = transport
         self._random = random
-        self._started = now
         self._now = now
+        self._make_steward = make_steward
         self._states: tuple[AgreedState, ...] = ()
         self._settings_by_service: dict[str, Setting] = {}
         self._steered: frozenset[str] = frozenset()
@@ -134,7 +138,7 @@
         for service, setting in self._settings_by_service.items():
             if self._me in setting.everyone():
                 if service not in self._stewards_by_service:
-                    self._stewards_by_service[service] = Steward(
+                    self._stewards_by_service[service] = self._make_steward(
                         service, self._me, self._send, self.counts, now
                     )
             else:
@@ -149,7 +153,7 @@
     def _report_if_due(self, service: str, setting: Setting, now: float) -> None:
         view = self._views_by_service.get(service)
         used = view is not None and now - view.used <= USED_S
-        if not used and self._me not in setting.near:
+        if not used and self._me.name not in setting.near:
             return
         view = self.view(service)
         interval = REPORT_S if view.suspects(now) else IDLE_REPORT_S
--- a/src/gentianhitch/decisions/targets/messages.py
+++ b/src/gentianhitch/decisions/targets/messages.py
@@ -45,11 +45,15 @@
 
 @message
 class Vote:
-    """A steward's leased vote, with the scopes that it judges gray."""
+    """A steward's leased vote, with what its reports show.
+
+    ``gray`` are scopes, worst first; ``absent`` are targets without capacity.
+    """
 
     service: str
     number: int
     gray: tuple[ScopeScore, ...]
+    absent: tuple[str, ...]
 
 
 @message
--- a/src/gentianhitch/decisions/targets/reports.py
+++ b/src/gentianhitch/decisions/targets/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import attrs
 
@@ -12,7 +12,7 @@
 from gentianhitch.instances.identity import InstanceId
 
 REPORT_AGE_S = 3.0
-SHOWS_GRAY = 2.0
+SHOWS_GRAY = 1.5
 """Score from which one instance's evidence shows a scope as gray."""
 
 MAX_PART = 8.0
@@ -60,31 +60,31 @@
             name: received.report for name, received in self._received_by_name.items()
         }
 
-    def gray(self, expected: int, now: float) -> dict[Scope, float]:
+    def hears_most(self, near: Collection[str], now: float) -> bool:
+        """Tell whether at least half of the instances of the service report."""
+        heard = self.heard(now)
+        return sum(name in heard for name in near) * 2 >= len(near)
+
+    def gray(self, near: Collection[str], now: float) -> dict[Scope, float]:
         """Return the pooled score of each scope that most instances show as gray.
 
-        ``expected`` instances use the service; hearing fewer than half of them
-        shows nothing.
+        ``near`` names the instances to which callers of the service are steered;
+        those not heard count as seeing the scope well.
         """
         reports = self.heard(now)
-        if len(reports) * 2 < expected:
-            return {}
+        unheard = frozenset(near) - reports.keys()
         scores_by_scope: dict[Scope, dict[str, float]] = {}
         for name, report in reports.items():
             for score in report.scores:
                 scores_by_scope.setdefault(scope_of(score), {})[name] = score.score
-        gray = {
-            scope: sum(min(score, MAX_PART) for score in scores.values())
-            for scope, scores in scores_by_scope.items()
-            if _most_show(scope, scores, reports)
-        }
-        return _without_parts_of_whole(
-            {
-                scope: pooled
-                for scope, pooled in gray.items()
-                if _is_enough(scope, pooled)
-            }
-        )
+        gray = {}
+        for scope, scores_by_name in scores_by_scope.items():
+            pooled = sum(min(score, MAX_PART) for score in scores_by_name.values())
+            if _is_enough(scope, pooled) and _most_show(
+                scope, scores_by_name, reports, unheard
+            ):
+                gray[scope] = pooled
+        return _without_parts_of_whole(gray)
 
     def absent(self, now: float) -> frozenset[str]:
         """Return the targets that any instance found leaving or cold."""
@@ -113,12 +113,16 @@
 
 
 def _most_show(
-    scope: Scope, scores_by_name: dict[str, float], reports: dict[str, EvidenceReport]
+    scope: Scope,
+    scores_by_name: dict[str, float],
+    reports: dict[str, EvidenceReport],
+    unheard: frozenset[str],
 ) -> bool:
     showing = {name for name, score in scores_by_name.items() if score >= SHOWS_GRAY}
     seeing = {name for name, report in reports.items() if scope.target in report.seen}
-    least = max(min(2, len(reports)), MIN_SHOWING_PART * len(reports))
-    return len(showing) * 2 > len(showing | seeing) and len(showing) >= least
+    known = len(reports) + len(unheard)
+    least = max(min(2, known), MIN_SHOWING_PART * known)
+    return len(showing) * 2 > len(showing | seeing | unheard) and len(showing) >= least
 
 
 def _is_enough(scope: Scope, pooled: float) -> bool:
@@ -126,8 +130,7 @@
 
 
 def _without_parts_of_whole(gray: dict[Scope, float]) -> dict[Scope, float]:
-    whole: Iterable[Scope] = [scope for scope in gray if scope.whole]
-    targets = {scope.target for scope in whole}
+    targets = {scope.target for scope in gray if scope.whole}
     return {
         scope: pooled
         for scope, pooled in gray.items()
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -12,6 +12,7 @@
 from gentianhitch.decisions.targets.messages import EjectionGrants
 from gentianhitch.decisions.targets.messages import EvidenceReport
 from gentianhitch.decisions.targets.outstanding import Running
+from gentianhitch.decisions.targets.paths import Paths
 from gentianhitch.decisions.targets.reports import score_of
 from gentianhitch.decisions.targets.scopes import Scope
 from gentianhitch.decisions.targets.scopes import scopes_for
@@ -21,7 +22,7 @@
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.operators.document import Route
 
-POOR_SCORE = 5.0
+POOR_SCORE = 4.0
 """Own evidence from which a target is used only when no other has a slot."""
 
 REPORTED_SCORE = 1.0
@@ -37,6 +38,7 @@
         self._service = service
         self._hints = hints
         self._random = random
+        self._paths = Paths()
         self._poor: set[Scope] = set()
         self._weights_by_scope: dict[Scope, float] = {}
         self._leaving: frozenset[str] = frozenset()
@@ -47,13 +49,14 @@
         """Return the standing of ``target`` for one request."""
         if target in self._leaving or self._hints.is_leaving(target, now):
             return Standing.UNUSABLE
-        if not self._poor and not self._weights_by_scope:
+        unreachable = self._paths.is_backing_off(target, now)
+        if not self._poor and not self._weights_by_scope and not unreachable:
             return Standing.GOOD
         scopes = scopes_for(target, route, workspace)
         weight = min(self._weights_by_scope.get(scope, 1.0) for scope in scopes)
         if weight == 0.0:
             return Standing.UNUSABLE
-        if any(scope in self._poor for scope in scopes):
+        if unreachable or any(scope in self._poor for scope in scopes):
             return Standing.POOR
         return Standing.GOOD if self._random.random() < weight else Standing.POOR
 
@@ -61,6 +64,7 @@
         """Keep what one ended attempt shows."""
         self.used = now
         self._hints.record(attempt, now)
+        self._paths.record(attempt, now)
         cold = self._hints.is_cold(attempt.target, now)
         noted = ended.noted if ended else 0
         self.evidence.record(attempt, now, cold=cold, noted=noted)
--- a/src/gentianhitch/decisions/targets/steward.py
+++ b/src/gentianhitch/decisions/targets/steward.py
@@ -8,24 +8,24 @@
 import attrs
 from loguru import logger
 
-from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.targets.leadership import Candidacy
 from gentianhitch.decisions.targets.leadership import Voter
 from gentianhitch.decisions.targets.ledger import EJECTION_S
 from gentianhitch.decisions.targets.ledger import Capacity
 from gentianhitch.decisions.targets.ledger import FloorError
 from gentianhitch.decisions.targets.ledger import Ledger
+from gentianhitch.decisions.targets.messages import MAX_NAMES
 from gentianhitch.decisions.targets.messages import MAX_SCORES
 from gentianhitch.decisions.targets.messages import Ejection
 from gentianhitch.decisions.targets.messages import EjectionGrants
 from gentianhitch.decisions.targets.messages import EvidenceReport
 from gentianhitch.decisions.targets.messages import Vote
 from gentianhitch.decisions.targets.messages import VoteRequest
-from gentianhitch.decisions.targets.placement import stewards
 from gentianhitch.decisions.targets.reports import ReportPool
 from gentianhitch.decisions.targets.reports import scope_of
 from gentianhitch.decisions.targets.reports import score_of
 from gentianhitch.decisions.targets.scopes import Scope
+from gentianhitch.decisions.targets.setting import Setting
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 
@@ -35,72 +35,12 @@
 
 
 @attrs.frozen
-class Setting:
-    """What the agreed states say about one service.
+class Shown:
+    """What the reports that one steward heard show."""
 
-    ``steward_sets`` holds the stewards of each active state, oldest first; the
-    last one also gives the order of preference. ``near`` are the instances to which
-    callers of the service are steered.
-    """
-
-    steward_sets: tuple[dict[InstanceId, Member], ...]
-    slots_by_target: dict[str, int]
-    floor_slots: int
-    near: frozenset[InstanceId]
-
-    @property
-    def preferred(self) -> list[InstanceId]:
-        """Return the newest stewards, first choice first."""
-        return list(self.steward_sets[-1]) if self.steward_sets else []
-
-    def everyone(self) -> dict[InstanceId, Member]:
-        """Return the stewards of all active states."""
-        return {
-            name: m for stewards_ in self.steward_sets for name, m in stewards_.items()
-        }
-
-
-def setting_of(
-    service: str, states: tuple[AgreedState, ...], near: tuple[Member, ...]
-) -> Setting:
-    """Derive the setting of a service: least slots, highest floor, all stewards."""
-    with_document = [state for state in states if state.document is not None]
-    floors = [
-        declared.floor_slots
-        for state in with_document
-        if state.document is not None
-        for declared in state.document.services
-        if declared.name == service
-    ]
-    return Setting(
-        tuple(_stewards_in(service, state) for state in states),
-        _least_slots(service, with_document),
-        max(floors, default=0),
-        frozenset(member.id for member in near),
-    )
-
-
-def _stewards_in(service: str, state: AgreedState) -> dict[InstanceId, Member]:
-    chosen = stewards(service, state.members_by_name.values())
-    return {member.id: member for member in chosen}
-
-
-def _least_slots(service: str, states: list[AgreedState]) -> dict[str, int]:
-    slots_by_state = [
-        {
-            t.name: t.slots
-            for t in state.document.backend_servers
-            if t.service == service
-        }
-        for state in states
-        if state.document is not None
-    ]
-    if not slots_by_state:
-        return {}
-    return {
-        name: min(slots.get(name, newest) for slots in slots_by_state)
-        for name, newest in slots_by_state[-1].items()
-    }
+    at: float
+    gray: frozenset[Scope]
+    absent: frozenset[str]
 
 
 class Steward:
@@ -122,9 +62,7 @@
         self._pool = ReportPool()
         self._ledger = Ledger()
         self._reporters_by_id: dict[InstanceId, tuple[Member, int, float]] = {}
-        self._confirmed_by_steward: dict[
-            InstanceId, tuple[float, frozenset[Scope]]
-        ] = {}
+        self._shown_by_steward: dict[InstanceId, Shown] = {}
         self._votes_by_candidate: dict[InstanceId, tuple[Member, int]] = {}
         self._gray: dict[Scope, float] = {}
         self._leading_since: float | None = None
@@ -142,7 +80,7 @@
         self._judge(setting, now)
         if frozenset(self._gray) != before:
             self._confirm(setting, now)
-        if self.may_grant(now):
+        if self.may_grant(now) and self._pool.hears_most(setting.near, now):
             self._grant_to(sender, report.number, now)
 
     def on_request(
@@ -153,7 +91,7 @@
         if self._voter.asked(sender.id, request, setting.preferred, now):
             self._votes_by_candidate = {sender.id: (sender, request.number)}
             self._judge(setting, now)
-            self._vote(sender, request.number)
+            self._vote(sender, request.number, now)
 
     def on_vote(
         self, sender: InstanceId, vote: Vote, setting: Setting, now: float
@@ -161,8 +99,11 @@
         """Count a vote and keep what its sender confirms."""
         self._refresh(setting, now)
         self._candidacy.voted(sender, vote.number)
-        scopes = frozenset(scope_of(score) for score in vote.gray)
-        self._confirmed_by_steward[sender] = (now, scopes)
+        self._shown_by_steward[sender] = Shown(
+            now,
+            frozenset(scope_of(score) for score in vote.gray),
+            frozenset(vote.absent),
+        )
         self._refresh(setting, now)
         self._decide(setting, now)
 
@@ -205,19 +146,20 @@
         return not self._voter.hears_better(self._me, setting.preferred, now)
 
     def _judge(self, setting: Setting, now: float) -> None:
-        self._gray = self._pool.gray(len(setting.near), now)
+        self._gray = self._pool.gray(setting.near, now)
 
     def _confirm(self, setting: Setting, now: float) -> None:
         for candidate, number in self._votes_by_candidate.values():
-            self._vote(candidate, number)
+            self._vote(candidate, number, now)
 
-    def _vote(self, candidate: Member, number: int) -> None:
+    def _vote(self, candidate: Member, number: int, now: float) -> None:
         ranked = sorted(self._gray.items(), key=lambda item: -item[1])[:MAX_SCORES]
         gray = tuple(score_of(scope, pooled) for scope, pooled in ranked)
-        self._send(candidate, Vote(self._service, number, gray))
+        absent = tuple(sorted(self._pool.absent(now)))[:MAX_NAMES]
+        self._send(candidate, Vote(self._service, number, gray, absent))
 
     def _decide(self, setting: Setting, now: float) -> None:
-        if not self.may_grant(now):
+        if not self.may_grant(now) or not self._pool.hears_most(setting.near, now):
             return
         capacity = self._capacity(setting, now)
         confirmed = self._confirmed(setting, now)
@@ -244,24 +186,27 @@
         return ejected
 
     def _capacity(self, setting: Setting, now: float) -> Capacity:
-        return Capacity(
-            setting.slots_by_target, setting.floor_slots, self._pool.absent(now)
+        absent = self._pool.absent(now).union(
+            *(shown.absent for shown in self._recently_shown(now).values())
         )
+        return Capacity(setting.slots_by_target, setting.floor_slots, absent)
+
+    def _recently_shown(self, now: float) -> dict[InstanceId, Shown]:
+        return {
+            steward: shown
+            for steward, shown in self._shown_by_steward.items()
+            if now - shown.at <= CONFIRMED_S
+        }
 
     def _confirmed(self, setting: Setting, now: float) -> list[Scope]:
         """Return what most stewards of every set judge gray, worst first."""
-        recent = {
-            steward: scopes
-            for steward, (at, scopes) in self._confirmed_by_steward.items()
-            if now - at <= CONFIRMED_S
-        }
-        candidates = {scope for scopes in recent.values() for scope in scopes}
+        shown_by_steward = self._recently_shown(now)
+        candidates = {s for shown in shown_by_steward.values() for s in shown.gray}
         confirmed = [
             scope
             for scope in candidates
             if all(
-                sum(scope in recent.get(name, ()) for name in stewards_) * 2
-                > len(stewards_)
+                _most_confirm(scope, stewards_, shown_by_steward)
                 for stewards_ in setting.steward_sets
             )
         ]
@@ -289,3 +234,15 @@
             member,
             EjectionGrants(self._service, number, self._serial, ejections, leaving),
         )
+
+
+def _most_confirm(
+    scope: Scope,
+    stewards_: dict[InstanceId, Member],
+    shown_by_steward: dict[InstanceId, Shown],
+) -> bool:
+    confirming = sum(
+        name in shown_by_steward and scope in shown_by_steward[name].gray
+        for name in stewards_
+    )
+    return confirming * 2 > len(stewards_)
--- a/src/gentianhitch/decisions/targets/track.py
+++ b/src/gentianhitch/decisions/targets/track.py
@@ -12,6 +12,7 @@
 MAX_STEP = 3.0
 MAX_SCORE = 12.0
 DECAY_S = 10.0
+RATE_S = 1.0
 LEVEL_SMOOTHING = 0.05
 ERROR_SMOOTHING = 0.05
 MIN_ERROR_RATE = 0.01
@@ -47,12 +48,18 @@
     error_rate: float = 0.0
     slow: float = 0.0
     bad: float = 0.0
+    rate: float = 0.0
     updated: float = 0.0
 
     def score(self, now: float) -> float:
-        """Return the evidence that the scope is gray."""
+        """Return the evidence that the scope is gray, for any rate of answers.
+
+        A sum of n steps passes a threshold by chance n times as often, so the
+        logarithm of the rate (answers/s) is taken off.
+        """
         elapsed = max(now - self.updated, 0.0)
-        return (self.slow + self.bad) * math.exp(-elapsed / DECAY_S)
+        evidence = (self.slow + self.bad) * math.exp(-elapsed / DECAY_S)
+        return max(evidence - math.log1p(self.rate), 0.0)
 
     def see_latency(self, shift: float, reference: Reference, now: float) -> None:
         """Add an answer's latency, as the logarithm of its ratio to the usual."""
@@ -73,6 +80,7 @@
     def see_end(self, failed: bool, reference: Reference, now: float) -> None:
         """Add a success or a failure."""
         self._decay(now)
+        self.rate += 1 / RATE_S
         self.error_rate += ERROR_SMOOTHING * (float(failed) - self.error_rate)
         usual = min(max(reference.error_rate, MIN_ERROR_RATE), MAX_ERROR_RATE / 2)
         gray = min(max(GRAY_ERROR_RATE, GRAY_ERROR_FACTOR * usual), MAX_ERROR_RATE)
@@ -84,7 +92,9 @@
         self.slow = self.bad = 0.0
 
     def _decay(self, now: float) -> None:
-        factor = math.exp(-max(now - self.updated, 0.0) / DECAY_S)
+        elapsed = max(now - self.updated, 0.0)
+        factor = math.exp(-elapsed / DECAY_S)
+        self.rate *= math.exp(-elapsed / RATE_S)
         self.slow *= factor
         self.bad *= factor
         self.updated = now
