--- a/src/gentianhitch/benchmarks/simulated_targets.py
+++ b/src/gentianhitch/benchmarks/simulated_targets.py
@@ -89,9 +89,11 @@
     cold_until: float = 0.0
     running: int = 0
     most_running: int = 0
+    asked: int = 0
 
     def ask(self, asked: Asked) -> Answer:
         """Take a request; the caller reports its end to :meth:`finish`."""
+        self.asked += 1
         if asked.now < self.down_until:
             return Answer(Outcome.NOT_SENT, SHED_S, hurt=False)
         if self.running >= self.declared.slots:
--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -30,6 +30,7 @@
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.transport import Transport
+from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Route
 
 MakeSteward = Callable[[str, InstanceId, Send, Counter[str], float], Steward]
@@ -38,6 +39,8 @@
 REPORT_S = 0.5
 IDLE_REPORT_S = 1.0
 USED_S = 10.0
+PROBING_STEWARDS = 3
+"""Stewards of a service that probe its targets; hints need two that agree."""
 
 
 class Detector:
@@ -92,6 +95,18 @@
             self._views_by_service[service] = view
         return view
 
+    def probed_targets(self) -> list[BackendServer]:
+        """Return the targets of the services for which this instance is to probe."""
+        document = self._states[-1].document if self._states else None
+        if document is None:
+            return []
+        probed = {
+            service
+            for service, setting in self._settings_by_service.items()
+            if self._me in setting.preferred[:PROBING_STEWARDS]
+        }
+        return [t for t in document.backend_servers if t.service in probed]
+
     def tick(self, outstanding: Outstanding, now: float) -> None:
         """Note overdue requests, report, and act as a steward; call every TICK_S."""
         self._update(now)
@@ -153,14 +168,17 @@
     def _report_if_due(self, service: str, setting: Setting, now: float) -> None:
         view = self._views_by_service.get(service)
         used = view is not None and now - view.used <= USED_S
-        if not used and self._me.name not in setting.near:
+        probing = self._me in setting.preferred[:PROBING_STEWARDS]
+        if not used and not probing and self._me.name not in setting.near:
             return
         view = self.view(service)
-        interval = REPORT_S if view.suspects(now) else IDLE_REPORT_S
+        interval = (
+            REPORT_S if view.is_urgent(setting.slots_by_target, now) else IDLE_REPORT_S
+        )
         if now - self._reported_by_service.get(service, -interval) < interval:
             return
         self._reported_by_service[service] = now
-        report = view.report(now)
+        report = view.report(setting.slots_by_target, now)
         self.counts["ejection.reports"] += 1
         for member in setting.everyone().values():
             self._send(member, report)
--- a/src/gentianhitch/decisions/targets/evidence.py
+++ b/src/gentianhitch/decisions/targets/evidence.py
@@ -133,10 +133,6 @@
             if now - track.updated <= RECENT_S
         ]
 
-    def targets(self) -> list[str]:
-        """Return every target that was ever seen and not forgotten."""
-        return list(self._tracks_by_group.get(WHOLE, {}))
-
     def clear(self, target: str) -> None:
         """Forget the evidence against ``target``."""
         for tracks_by_target in self._tracks_by_group.values():
--- a/src/gentianhitch/decisions/targets/selector.py
+++ b/src/gentianhitch/decisions/targets/selector.py
@@ -84,7 +84,7 @@
 
     def record(self, attempt: Attempt, now: float) -> None:
         """Release the slot of the attempt and keep what it shows."""
-        self._adapt(attempt)
+        self._adapt(attempt, now)
         ended = self.outstanding.end(attempt, now)
         self._judge.record(attempt, ended, now)
         for released in self.on_release:
@@ -105,7 +105,10 @@
 
     def _has_slot(self, entry: ServiceEntry, target: BackendServer, now: float) -> bool:
         part = entry.parts_by_target[target.name]
-        extra = self._allowances_by_target[target.name].slots(target.slots, now)
+        allowance = self._allowances_by_target[target.name]
+        if allowance.is_paused(now):
+            return False
+        extra = allowance.slots(target.slots, now)
         free = min(part.slots + extra, part.connections, target.slots)
         return self.outstanding.count(target.name) < free
 
@@ -121,9 +124,9 @@
         pair = self._random.sample(candidates, 2)
         return min(pair, key=lambda candidate: (candidate.load, candidate.far))
 
-    def _adapt(self, attempt: Attempt) -> None:
+    def _adapt(self, attempt: Attempt, now: float) -> None:
         allowance = self._allowances_by_target[attempt.target]
         if attempt.outcome is Outcome.SHED:
-            allowance.shed()
+            allowance.shed(now)
         elif attempt.outcome is Outcome.OK:
             allowance.answered()
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from random import Random
 
 from gentianhitch.decisions.interfaces import Attempt
@@ -13,6 +14,7 @@
 from gentianhitch.decisions.targets.messages import EvidenceReport
 from gentianhitch.decisions.targets.outstanding import Running
 from gentianhitch.decisions.targets.paths import Paths
+from gentianhitch.decisions.targets.reports import SHOWS_GRAY
 from gentianhitch.decisions.targets.reports import score_of
 from gentianhitch.decisions.targets.scopes import Scope
 from gentianhitch.decisions.targets.scopes import scopes_for
@@ -40,6 +42,7 @@
         self._random = random
         self._paths = Paths()
         self._poor: set[Scope] = set()
+        self._suspect: set[Scope] = set()
         self._weights_by_scope: dict[Scope, float] = {}
         self._leaving: frozenset[str] = frozenset()
 
@@ -94,7 +97,7 @@
         for scope, weight in self._weights_by_scope.items():
             if weight == 0.0 and before.get(scope) != 0.0:
                 self.evidence.clear(scope.target)
-        for scope in list(self._poor):
+        for scope in self._poor | self._suspect:
             self._rate(scope, now)
 
     def ejected(self, now: float) -> frozenset[Scope]:
@@ -102,10 +105,9 @@
         weights = self.ejections.weights(now)
         return frozenset(scope for scope, weight in weights.items() if weight == 0.0)
 
-    def report(self, now: float) -> EvidenceReport:
-        """Build the next report to the stewards."""
+    def report(self, targets: Collection[str], now: float) -> EvidenceReport:
+        """Build the next report to the stewards, on ``targets``."""
         scores = self.evidence.scores(REPORTED_SCORE, now)[:MAX_SCORES]
-        targets = self.evidence.targets()
         return EvidenceReport(
             self._service,
             self.ejections.next_number(now),
@@ -115,12 +117,23 @@
             tuple(t for t in targets if self._hints.is_cold(t, now))[:MAX_NAMES],
         )
 
-    def suspects(self, now: float) -> bool:
+    def is_urgent(self, targets: Collection[str], now: float) -> bool:
         """Tell whether a report cannot wait."""
-        return bool(self._poor or self._weights_by_scope or self._leaving)
+        return bool(
+            self._suspect
+            or self._weights_by_scope
+            or self._leaving
+            or any(self._hints.is_leaving(t, now) for t in targets)
+        )
 
     def _rate(self, scope: Scope, now: float) -> None:
-        if self.evidence.score(scope, now) >= POOR_SCORE:
-            self._poor.add(scope)
-        else:
-            self._poor.discard(scope)
+        score = self.evidence.score(scope, now)
+        _keep(self._suspect, scope, score >= SHOWS_GRAY)
+        _keep(self._poor, scope, score >= POOR_SCORE)
+
+
+def _keep(scopes: set[Scope], scope: Scope, kept: bool) -> None:
+    if kept:
+        scopes.add(scope)
+    else:
+        scopes.discard(scope)
--- a/src/gentianhitch/decisions/targets/sharing.py
+++ b/src/gentianhitch/decisions/targets/sharing.py
@@ -17,6 +17,8 @@
 SHED_FACTOR = 0.5
 GROWTH_PER_ANSWER = 0.1
 GROWTH_PER_S = 0.5
+FIRST_PAUSE_S = 0.004
+MAX_PAUSE_S = 1.0
 
 
 @attrs.frozen
@@ -60,14 +62,23 @@
 
     extra: float = 1.0
     _updated: float = 0.0
+    _pause_s: float = 0.0
+    _paused_until: float = 0.0
 
     def answered(self) -> None:
         """Note an answer that was given while beyond the own slots."""
         self.extra += GROWTH_PER_ANSWER
+        self._pause_s = 0.0
 
-    def shed(self) -> None:
+    def shed(self, now: float) -> None:
         """Note that the target shed a request."""
         self.extra = max(self.extra * SHED_FACTOR, MIN_ALLOWANCE)
+        self._pause_s = min(max(self._pause_s * 2, FIRST_PAUSE_S), MAX_PAUSE_S)
+        self._paused_until = now + self._pause_s
+
+    def is_paused(self, now: float) -> bool:
+        """Tell whether the target shed so lately that it gets nothing now."""
+        return now < self._paused_until
 
     def slots(self, limit: int, now: float) -> int:
         """Return the slots beyond the own ones that may be used at ``now``."""
--- a/src/gentianhitch/decisions/targets/steward.py
+++ b/src/gentianhitch/decisions/targets/steward.py
@@ -66,6 +66,7 @@
         self._votes_by_candidate: dict[InstanceId, tuple[Member, int]] = {}
         self._gray: dict[Scope, float] = {}
         self._leading_since: float | None = None
+        self._leaving: tuple[str, ...] = ()
         self._serial = 0
 
     def on_report(
@@ -80,8 +81,20 @@
         self._judge(setting, now)
         if frozenset(self._gray) != before:
             self._confirm(setting, now)
-        if self.may_grant(now) and self._pool.hears_most(setting.near, now):
-            self._grant_to(sender, report.number, now)
+        if self._leading_since is not None:
+            self._answer(sender, report.number, setting, now)
+
+    def _answer(
+        self, sender: Member, number: int, setting: Setting, now: float
+    ) -> None:
+        if not self._pool.hears_most(setting.near, now):
+            return
+        leaving = self._pool.leaving(now)
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self._grant_to_all(now)
+        else:
+            self._grant_to(sender, number, now)
 
     def on_request(
         self, sender: Member, request: VoteRequest, setting: Setting, now: float
@@ -229,10 +242,11 @@
             Ejection(scope.target, scope.route, scope.workspace, round(weight, 3))
             for scope, weight in self._ledger.grant(now).items()
         )
-        leaving = self._pool.leaving(now)
         self._send(
             member,
-            EjectionGrants(self._service, number, self._serial, ejections, leaving),
+            EjectionGrants(
+                self._service, number, self._serial, ejections, self._leaving
+            ),
         )
 
 
--- /dev/null
+++ b/tests/targets/test_probing.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianhitch.addresses import Address
+from gentianhitch.backend_servers.probing import MAX_PROBES_PER_ROUND
+from gentianhitch.backend_servers.probing import Health
+from gentianhitch.backend_servers.probing import ProbeError
+from gentianhitch.backend_servers.probing import Prober
+from gentianhitch.backend_servers.probing import read_health
+from gentianhitch.decisions.targets.hints import COLD_S
+from gentianhitch.decisions.targets.hints import TargetHints
+from tests.builders_targets import document
+
+
+class TestProber:
+    def setup_method(self) -> None:
+        self.clock = Clock()
+        self.hints = TargetHints()
+        self.asked: list[tuple[Address, Deferred[Health]]] = []
+        self.targets = document(targets=2).backend_servers
+        self.prober = Prober(self.fetch, lambda: self.targets, self.hints, self.clock)
+
+    def fetch(self, address: Address) -> Deferred[Health]:
+        done: Deferred[Health] = Deferred()
+        self.asked.append((address, done))
+        return done
+
+    def test_draining_and_cold_become_hints(self) -> None:
+        self.prober.probe()
+        self.asked[0][1].callback(Health("draining"))
+        self.asked[1][1].callback(Health("serving", cold=True))
+        assert self.hints.is_leaving("t0", 0.0)
+        assert self.hints.is_cold("t1", 0.0)
+        assert not self.hints.is_leaving("t1", 0.0)
+
+    def test_silent_target_is_asked_once_and_is_no_evidence(self) -> None:
+        for _ in range(3):
+            self.prober.probe()
+        assert len(self.asked) == 2
+        self.asked[0][1].errback(ProbeError("no answer"))
+        self.prober.probe()
+        assert len(self.asked) == 3
+        assert not self.hints.is_leaving("t0", 0.0)
+
+    def test_many_targets_are_probed_in_turn(self) -> None:
+        self.targets = document(targets=MAX_PROBES_PER_ROUND + 10).backend_servers
+        for _ in range(2):
+            self.prober.probe()
+        assert len({address for address, _ in self.asked}) == len(self.targets)
+
+    def test_target_that_keeps_saying_cold_is_cold_for_a_bounded_time(self) -> None:
+        for second in range(30):
+            self.hints.hear_cold("t0", float(second))
+        assert not self.hints.is_cold("t0", COLD_S + 1)
+
+
+class TestReadHealth:
+    @pytest.mark.parametrize("data", [b"", b"{}", b'{"state": "well"}', b"x" * 5000])
+    def test_malformed_answer_is_refused(self, data: bytes) -> None:
+        with pytest.raises(ProbeError):
+            read_health(data)
