--- a/tests/targets/test_steward.py
+++ b/tests/targets/test_steward.py
@@ -23,6 +23,8 @@
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from tests.builders_targets import member
+from tests.targets.naive import ForgetfulSteward
+from tests.targets.naive import HastySteward
 
 STEP_S = 0.25
 SLOTS = {f"t{index}": 6 for index in range(6)}
@@ -32,17 +34,23 @@
 class Stewards:
     """Stewards that reach each other at once, each with its own setting."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, kind: type[Steward] = Steward) -> None:
         self.now = 0.0
+        self.kind = kind
         self.members = [member(index) for index in range(count)]
         self.grants: list[tuple[float, InstanceId, Member, object]] = []
-        self.stewards_by_id = {
-            m.id: Steward("stock", m.id, partial(self.send, m), Counter(), 0.0)
-            for m in self.members
-        }
+        self.stewards_by_id = {m.id: self.start(m) for m in self.members}
         self.settings_by_id: dict[InstanceId, Setting] = {}
         self.cut: Callable[[Member, Member], bool] = lambda _, __: False
 
+    def start(self, m: Member) -> Steward:
+        return self.kind("stock", m.id, partial(self.send, m), Counter(), self.now)
+
+    def restart(self, *indexes: int) -> None:
+        for index in indexes:
+            m = self.members[index]
+            self.stewards_by_id[m.id] = self.start(m)
+
     def setting(self, *sets: range) -> Setting:
         steward_sets = tuple(
             {self.members[i].id: self.members[i] for i in s} for s in sets
@@ -119,6 +127,35 @@
         stewards.use(stewards.setting(*sets_of_new), *range(5, 10))
         assert stewards.run(30.0) == leaders
 
+    @pytest.mark.parametrize(
+        ("kind", "restarts", "holds"),
+        [
+            pytest.param(Steward, False, True, id="leader lost"),
+            pytest.param(Steward, True, True, id="voters restarted"),
+            pytest.param(HastySteward, False, False, id="naive: grants at once"),
+            pytest.param(ForgetfulSteward, True, False, id="naive: votes at once"),
+        ],
+    )
+    def test_new_leader_grants_after_the_last_lease_of_the_old_one(
+        self, kind: type[Steward], restarts: bool, holds: bool
+    ) -> None:
+        stewards = Stewards(5, kind)
+        stewards.use(stewards.setting(range(5)), *range(5))
+        stewards.run(12.0)
+        old, new = stewards.members[:2]
+        assert stewards.leaders() == [old.id]
+        stewards.cut = lambda sender, to: (sender is old) != (to is old)
+        if restarts:
+            stewards.restart(1, 2, 3, 4)
+        last_grant = first_grant = 0.0
+        while not first_grant:
+            stewards.run(STEP_S)
+            if old.id in stewards.leaders():
+                last_grant = stewards.now
+            if new.id in stewards.leaders():
+                first_grant = stewards.now
+        assert (first_grant >= last_grant + EJECTION_S) is holds
+
     def test_new_list_in_force_moves_the_lead(self) -> None:
         stewards = Stewards(10)
         stewards.use(stewards.setting(range(5)), *range(10))
