--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
 
@@ -20,21 +21,26 @@
 from gentianhitch.decisions.targets.outstanding import Running
 from gentianhitch.decisions.targets.placement import steered
 from gentianhitch.decisions.targets.service_view import ServiceView
+from gentianhitch.decisions.targets.setting import Setting
+from gentianhitch.decisions.targets.setting import setting_of
 from gentianhitch.decisions.targets.slots import Clock
 from gentianhitch.decisions.targets.standing import Standing
-from gentianhitch.decisions.targets.steward import Setting
+from gentianhitch.decisions.targets.steward import Send
 from gentianhitch.decisions.targets.steward import Steward
-from gentianhitch.decisions.targets.steward import setting_of
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.transport import Transport
+from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Route
 
+MakeSteward = Callable[[str, InstanceId, Send, Counter[str], float], Steward]
 MESSAGES = (EvidenceReport, VoteRequest, Vote, EjectionGrants)
 TICK_S = 0.25
 REPORT_S = 0.5
 IDLE_REPORT_S = 1.0
 USED_S = 10.0
+PROBING_STEWARDS = 3
+"""Stewards of a service that probe its targets; hints need two that agree."""
 
 
 class Detector:
@@ -47,6 +53,7 @@
         transport: Transport,
         random: Random,
         now: float,
+        make_steward: MakeSteward = Steward,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.hints = TargetHints()
@@ -54,8 +61,8 @@
         self._me = me
         self._transport = transport
         self._random = random
-        self._started = now
         self._now = now
+        self._make_steward = make_steward
         self._states: tuple[AgreedState, ...] = ()
         self._settings_by_service: dict[str, Setting] = {}
         self._steered: frozenset[str] = frozenset()
@@ -88,6 +95,18 @@
             self._views_by_service[service] = view
         return view
 
+    def probed_targets(self) -> list[BackendServer]:
+        """Return the targets of the services for which this instance is to probe."""
+        document = self._states[-1].document if self._states else None
+        if document is None:
+            return []
+        probed = {
+            service
+            for service, setting in self._settings_by_service.items()
+            if self._me in setting.preferred[:PROBING_STEWARDS]
+        }
+        return [t for t in document.backend_servers if t.service in probed]
+
     def tick(self, outstanding: Outstanding, now: float) -> None:
         """Note overdue requests, report, and act as a steward; call every TICK_S."""
         self._update(now)
@@ -134,7 +153,7 @@
         for service, setting in self._settings_by_service.items():
             if self._me in setting.everyone():
                 if service not in self._stewards_by_service:
-                    self._stewards_by_service[service] = Steward(
+                    self._stewards_by_service[service] = self._make_steward(
                         service, self._me, self._send, self.counts, now
                     )
             else:
@@ -149,14 +168,17 @@
     def _report_if_due(self, service: str, setting: Setting, now: float) -> None:
         view = self._views_by_service.get(service)
         used = view is not None and now - view.used <= USED_S
-        if not used and self._me not in setting.near:
+        probing = self._me in setting.preferred[:PROBING_STEWARDS]
+        if not used and not probing and self._me.name not in setting.near:
             return
         view = self.view(service)
-        interval = REPORT_S if view.suspects(now) else IDLE_REPORT_S
+        interval = (
+            REPORT_S if view.is_urgent(setting.slots_by_target, now) else IDLE_REPORT_S
+        )
         if now - self._reported_by_service.get(service, -interval) < interval:
             return
         self._reported_by_service[service] = now
-        report = view.report(now)
+        report = view.report(setting.slots_by_target, now)
         self.counts["ejection.reports"] += 1
         for member in setting.everyone().values():
             self._send(member, report)
