Agree on lists and sequences between instances

Cause: instances have to know whether they may act on what they know, and agree on who is there, without asking the platform for each request.

--- a/src/gentianhitch/clock.py
+++ b/src/gentianhitch/clock.py
@@ -28,10 +28,14 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def callLater(  # noqa: N802
-        self, delay: float, function: Callable[..., object], *args: Any, **kwargs: Any
+        self,
+        delay: float,
+        callable: Callable[..., Any],
+        *args: object,
+        **kwargs: object,
     ) -> IDelayedCall:
-        """Call ``function`` after ``delay`` seconds."""
-        call: IDelayedCall = self._reactor.callLater(delay, function, *args, **kwargs)
+        """Call ``callable`` after ``delay`` seconds."""
+        call: IDelayedCall = self._reactor.callLater(delay, callable, *args, **kwargs)
         return call
 
     def getDelayedCalls(self) -> Any:  # noqa: N802
--- /dev/null
+++ b/src/gentianhitch/decisions/freshness.py
@@ -0,0 +1,300 @@
+"""Decide whether this instance may act on what it knows.
+
+``docs/design/freshness.md`` has the rules and the proof.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+import attrs
+
+from gentianhitch.decisions.agreed_list import AgreedList
+from gentianhitch.decisions.evidence import NEVER
+from gentianhitch.decisions.evidence import NOT_YET
+from gentianhitch.decisions.evidence import Quorum
+from gentianhitch.decisions.evidence import Seat
+from gentianhitch.decisions.evidence import Span
+from gentianhitch.decisions.evidence import common_moment
+from gentianhitch.decisions.evidence import nth_largest
+from gentianhitch.decisions.evidence import quorum_of
+from gentianhitch.instances.identity import Member
+
+WINDOW_S = 2.0
+DRIFT_MARGIN_S = 0.1
+"""Waited beyond the window, for clocks that run at slightly different rates."""
+
+LISTS_KEPT = 64
+FORGET_AFTER_S = 60.0
+
+
+@attrs.define(eq=False)
+class Freshness:
+    """Keep the evidence of one instance and judge it.
+
+    Nothing is fresh until the newest sequence known to be in force is also held:
+    others may still act on it, and a right holds only if it gives it too.
+    """
+
+    own: Member
+    window_s: float = WINDOW_S
+    sequence: int = 0
+    in_force: int = 0
+    established: bool = False
+    superseded: bool = False
+    fresh_until: float = NEVER
+    majority_until: float = NEVER
+    fleet_read_at: float = NEVER
+    counts_by_name: Counter[str] = attrs.Factory(Counter)
+    seats_by_name: dict[str, Seat] = attrs.Factory(dict)
+    lists_by_sequence: dict[int, AgreedList] = attrs.Factory(dict)
+    lists_by_key: dict[int, AgreedList] = attrs.Factory(dict)
+    previous_by_sequence: dict[int, AgreedList | None] = attrs.Factory(dict)
+    majority_at_by_sequence: dict[int, float] = attrs.Factory(dict)
+    _read_at: float = NEVER
+    _read_sequence: int = 0
+
+    @property
+    def current(self) -> AgreedList | None:
+        """Return the newest known list."""
+        return self.lists_by_sequence.get(self.sequence)
+
+    def learn(
+        self, sequence: int, agreed: AgreedList, previous: AgreedList | None, now: float
+    ) -> bool:
+        """Take in a loaded sequence; False, and counted, if it is of no use.
+
+        ``previous`` is the list that ``agreed`` follows, None if it follows none.
+        One older than the newest is held too, if it may still be acted upon.
+        """
+        if sequence < self.in_force or sequence in self.lists_by_sequence:
+            self.counts_by_name["freshness.not_newer"] += 1
+            return False
+        self.sequence = max(self.sequence, sequence)
+        self.lists_by_sequence[sequence] = agreed
+        self.previous_by_sequence[sequence] = previous
+        self._keep_list(agreed)
+        for member in agreed.members:
+            self.meet(member, now)
+        self._reach_all(now)
+        self.judge(now)
+        return True
+
+    def meet(self, member: Member, now: float) -> Seat:
+        """Take in that ``member`` runs or ran; a later incarnation takes its seat."""
+        name = member.id.name
+        if name == self.own.id.name and member.id > self.own.id:
+            self.superseded = True
+        seat = self.seats_by_name.get(name)
+        if seat is None or seat.holder.id < member.id:
+            seat = Seat(member, since=now)
+            self.seats_by_name[name] = seat
+        elif seat.holder.id == member.id and seat.holder != member:
+            seat.holder = member
+        return seat
+
+    def read_platform(self, sequence: int, started_at: float, now: float) -> None:
+        """Take in that a read begun at ``started_at`` returned ``sequence``."""
+        if sequence < self.sequence:
+            self.counts_by_name["freshness.stale_reads"] += 1
+            return
+        if started_at >= self._read_at:
+            self._read_at, self._read_sequence = started_at, sequence
+        self.fleet_read_at = max(self.fleet_read_at, started_at)
+        self.judge(now)
+
+    def hear_in_force(self, sequence: int) -> None:
+        """Take in that another instance knows ``sequence`` to be in force."""
+        self._put_in_force(sequence)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether this instance may act on the newest sequence it knows."""
+        self._advance(now)
+        return now < self.fresh_until and self._may_be_fresh()
+
+    def is_fresh_by_majority(self, now: float) -> bool:
+        """Tell whether the majority alone makes this instance fresh."""
+        self._advance(now)
+        return now < self.majority_until and self._may_be_fresh()
+
+    def active_from(self, now: float) -> int:
+        """Return the oldest sequence not superseded by one in force."""
+        self._advance(now)
+        return self.in_force
+
+    def is_settled(self, now: float) -> bool:
+        """Tell whether the newest list is in force."""
+        self._advance(now)
+        in_force, current = self.lists_by_sequence.get(self.in_force), self.current
+        return None not in (in_force, current) and in_force == current
+
+    def is_counted(self) -> bool:
+        """Tell whether others may count this instance in the newest list."""
+        seat = self.seats_by_name.get(self.own.id.name)
+        current = self.current
+        return bool(seat and current and self._own_counts_in(current))
+
+    def forget_absent(self, now: float) -> None:
+        """Drop seats outside every kept list that have been silent for long."""
+        kept = {self.own.id.name}
+        for agreed in (*self.lists_by_sequence.values(), *self._previous_lists()):
+            kept.update(agreed.names)
+        for name, seat in list(self.seats_by_name.items()):
+            silent_s = now - max(seat.since, seat.heard_at, seat.alive_at)
+            if name not in kept and silent_s > FORGET_AFTER_S:
+                del self.seats_by_name[name]
+
+    def judge(self, now: float) -> None:
+        """Draw the conclusions from the evidence."""
+        self._establish()
+        for sequence in self.pending():
+            if sequence not in self.majority_at_by_sequence:
+                moment = self._majority_moment(sequence, now)
+                if moment is not None:
+                    self.majority_at_by_sequence[sequence] = moment
+        self._advance(now)
+        self.majority_until = self._majority_until()
+        read_until = NEVER
+        if self._read_sequence == self.sequence:
+            read_until = self._read_at + self.window_s
+        self.fresh_until = max(self.majority_until, read_until)
+
+    def pending(self) -> list[int]:
+        """Return the known sequences not yet in force, oldest first."""
+        return sorted(s for s in self.lists_by_sequence if s > self.in_force)
+
+    def lists_before_force(self, sequence: int) -> list[AgreedList]:
+        """Return every list whose majority must know ``sequence``.
+
+        Those are its own, and each that may still be acted upon, back to the
+        newest one in force or one that follows none.
+        """
+        known = [s for s in self.lists_by_sequence if self.in_force <= s <= sequence]
+        lists_by_key: dict[int, AgreedList] = {}
+        for each in sorted(known, reverse=True):
+            agreed = self.lists_by_sequence[each]
+            if agreed.key not in lists_by_key and self._ends_chain(lists_by_key):
+                break
+            lists_by_key.setdefault(agreed.key, agreed)
+            previous = self.previous_by_sequence.get(each)
+            if previous is not None and not self._is_in_force_list(agreed):
+                lists_by_key.setdefault(previous.key, previous)
+        return list(lists_by_key.values())
+
+    def _previous_lists(self) -> list[AgreedList]:
+        return [each for each in self.previous_by_sequence.values() if each]
+
+    def _ends_chain(self, lists_by_key: dict[int, AgreedList]) -> bool:
+        return any(agreed.previous_digest is None for agreed in lists_by_key.values())
+
+    def _is_in_force_list(self, agreed: AgreedList) -> bool:
+        in_force = self.lists_by_sequence.get(self.in_force)
+        return in_force is not None and in_force.key == agreed.key
+
+    def _may_be_fresh(self) -> bool:
+        return self.in_force in self.lists_by_sequence and not self.superseded
+
+    def _own_counts_in(self, agreed: AgreedList) -> bool:
+        listed = agreed.members_by_name.get(self.own.id.name)
+        if listed is None or self.superseded:
+            return False
+        return listed.id == self.own.id or (
+            self.established and listed.id < self.own.id
+        )
+
+    def _others(self) -> list[Seat]:
+        own_name = self.own.id.name
+        return [s for name, s in self.seats_by_name.items() if name != own_name]
+
+    def _majority_until(self) -> float:
+        current = self.current
+        if current is None:
+            return NEVER
+        moments = [s.agreed_at for s in self._others() if s.is_counted_in(current)]
+        if self._own_counts_in(current):
+            moments.append(math.inf)
+        moment = nth_largest(moments, current.majority)
+        # Alone in the list, an instance needs nobody's word.
+        return moment + self.window_s
+
+    def _majority_moment(self, sequence: int, now: float) -> float | None:
+        lists = self.lists_before_force(sequence)
+        if not any(agreed.members for agreed in lists):
+            return now
+        return common_moment(self._quorum(agreed, sequence) for agreed in lists)
+
+    def _quorum(self, agreed: AgreedList, sequence: int) -> Quorum:
+        quorum = quorum_of(
+            agreed,
+            self._others(),
+            lambda seat: Span(seat.reached_at(sequence), seat.alive_at),
+        )
+        if not self._own_counts_in(agreed):
+            return quorum
+        own = self.seats_by_name[self.own.id.name]
+        span = Span(own.reached_at(sequence), NOT_YET)
+        return attrs.evolve(quorum, spans=(*quorum.spans, span))
+
+    def _establish(self) -> None:
+        """Count for others once a majority knows of this incarnation.
+
+        The members that do must, at one moment after they came to know of it,
+        have known no newer sequence than this instance.
+        """
+        if self.established or self.superseded:
+            return
+        lists = [
+            agreed
+            for agreed in self.lists_before_force(self.sequence)
+            if self.own.id.name in agreed.members_by_name
+        ]
+        if not lists or not self._may_be_fresh():
+            return
+        quorums = [self._acknowledgement(agreed) for agreed in lists]
+        alone = all(quorum.needed == 0 for quorum in quorums)
+        self.established = alone or common_moment(quorums) is not None
+
+    def _acknowledgement(self, agreed: AgreedList) -> Quorum:
+        needed = min(agreed.majority, len(agreed.members) - 1)
+        return quorum_of(
+            agreed,
+            self._others(),
+            lambda seat: Span(seat.acknowledged_at, seat.agreed_at),
+            needed,
+        )
+
+    def _advance(self, now: float) -> None:
+        wait_s = self.window_s + DRIFT_MARGIN_S
+        due = [
+            s for s, at in self.majority_at_by_sequence.items() if now >= at + wait_s
+        ]
+        if due:
+            self._put_in_force(max(due))
+
+    def _put_in_force(self, sequence: int) -> None:
+        if sequence <= self.in_force:
+            return
+        self.in_force = sequence
+        oldest = min(sequence, self.sequence)
+        for old in [s for s in self.lists_by_sequence if s < oldest]:
+            del self.lists_by_sequence[old]
+            del self.previous_by_sequence[old]
+        for at in [s for s in self.majority_at_by_sequence if s <= sequence]:
+            del self.majority_at_by_sequence[at]
+        for seat in self.seats_by_name.values():
+            for old in [s for s in seat.reached_at_by_sequence if s <= sequence]:
+                del seat.reached_at_by_sequence[old]
+
+    def _keep_list(self, agreed: AgreedList) -> None:
+        self.lists_by_key.pop(agreed.key, None)
+        self.lists_by_key[agreed.key] = agreed
+        while len(self.lists_by_key) > LISTS_KEPT:
+            del self.lists_by_key[next(iter(self.lists_by_key))]
+
+    def _reach_all(self, now: float) -> None:
+        own = self.meet(self.own, now)
+        own.known = self.sequence
+        pending = self.pending()
+        for seat in self.seats_by_name.values():
+            seat.reach(seat.known, pending, now)
--- a/src/gentianhitch/instances/codec.py
+++ b/src/gentianhitch/instances/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TypeVar
+from typing import dataclass_transform
 
 import attrs
 import msgspec
@@ -19,6 +20,7 @@
     """A message from another instance could not be read."""
 
 
+@dataclass_transform(frozen_default=True, field_specifiers=(attrs.field,))
 def message(kind: type[T]) -> type[T]:
     """Make ``kind`` a frozen attrs class that may travel between instances."""
     frozen = attrs.frozen(kind)
--- /dev/null
+++ b/src/gentianhitch/instances/fleet.py
@@ -0,0 +1,354 @@
+"""Tie the decisions about freshness to peers, the platform and the clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterable
+from random import Random
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
+
+from gentianhitch.addresses import Address
+from gentianhitch.decisions.exchange import Exchange
+from gentianhitch.decisions.freshness import Freshness
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.membership import ListWriter
+from gentianhitch.decisions.platform_reads import ReadSchedule
+from gentianhitch.errors import GentianhitchError
+from gentianhitch.instances.identity import InstanceId
+from gentianhitch.instances.identity import Member
+from gentianhitch.instances.messages import Announcement
+from gentianhitch.instances.messages import ExchangeReply
+from gentianhitch.instances.messages import ExchangeRequest
+from gentianhitch.instances.messages import Standing
+from gentianhitch.instances.messages import StandingChanged
+from gentianhitch.instances.partners import Partners
+from gentianhitch.instances.platform_reader import PlatformReader
+from gentianhitch.instances.relay import Relay
+from gentianhitch.instances.relay import RelayError
+from gentianhitch.instances.states import DecodeDocument
+from gentianhitch.instances.states import LoadedState
+from gentianhitch.instances.states import StateLoader
+from gentianhitch.instances.transport import Transport
+from gentianhitch.operators import pieces
+from gentianhitch.operators.head import Head
+from gentianhitch.operators.head import MalformedHeadError
+from gentianhitch.operators.head import decode_head
+from gentianhitch.platform.interface import Platform
+
+ROUND_S = 0.4
+PLATFORM_TICK_S = 0.1
+FORGET_INTERVAL_S = 10.0
+MAX_TOLD_DIRECTLY = 64
+LIVE_WITHIN_S = 3.0
+
+
+class FleetError(GentianhitchError):
+    """Base class of errors about the agreement between instances."""
+
+
+class NotLoadedError(FleetError):
+    """A head names pieces that nobody could bring."""
+
+
+class Fleet:
+    """Agree with the other instances, and show what was agreed on.
+
+    Implements ``Agreement``. Callbacks of ``on_change`` run after a new state,
+    a state in force, or a change of freshness or of a member's standing.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        environment: str,
+        transport: Transport,
+        platform: Platform,
+        clock: IReactorTime,
+        decode_document: DecodeDocument,
+        random: Random,
+        seeds: Iterable[Address] = (),
+        freshness: Freshness | None = None,
+        exchange: Callable[[Freshness], Exchange] = Exchange,
+    ) -> None:
+        self.own = own
+        self.counts_by_name: Counter[str] = Counter()
+        self.freshness = freshness or Freshness(own)
+        self.freshness.counts_by_name = self.counts_by_name
+        self._exchange = exchange(self.freshness)
+        self._environment = environment
+        self._transport = transport
+        self._platform = platform
+        self._clock = clock
+        self._random = random
+        self._seeds = frozenset(seeds)
+        self._partners = Partners(self.freshness, random, self._seeds)
+        self._relay = Relay(own, transport, clock, self.counts_by_name)
+        self._loader = StateLoader(self._relay, decode_document)
+        self._loaded_by_sequence: dict[int, LoadedState] = {}
+        self._active: tuple[int, int, tuple[AgreedState, ...]] = (0, 0, ())
+        self._callbacks: list[Callable[[], None]] = []
+        self._seen: tuple[object, ...] = ()
+        self._was_fresh = False
+        self._fetching: set[InstanceId] = set()
+        self._forgot_at = clock.seconds()
+        self._reader = PlatformReader(
+            environment=environment,
+            platform=platform,
+            clock=clock,
+            freshness=self.freshness,
+            schedule=ReadSchedule(self.freshness),
+            writer=ListWriter(self.freshness),
+            take_head=self.take_head,
+            on_list=self._take_contacts,
+            members_digest=self._members_digest,
+            counts_by_name=self.counts_by_name,
+        )
+        self._loops = [
+            (LoopingCall(self._round), ROUND_S),
+            (LoopingCall(self._tick), PLATFORM_TICK_S),
+        ]
+
+    def start(self) -> None:
+        """Begin to talk to peers and the platform."""
+        self._relay.start()
+        self._transport.subscribe(ExchangeRequest, self._answer)
+        self._transport.subscribe(ExchangeReply, self._hear)
+        self._transport.subscribe(Announcement, self._hear_announcement)
+        self._transport.subscribe(StandingChanged, self._hear_standing)
+        for loop, interval_s in self._loops:
+            loop.clock = self._clock
+            loop.start(interval_s, now=True).addErrback(_log_failure)
+
+    def stop(self) -> None:
+        """Stop talking; what was agreed on grows stale."""
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after every change of what this instance knows."""
+        self._callbacks.append(callback)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether this instance may act on what it knows at ``now``."""
+        return self.freshness.is_fresh(now)
+
+    def active(self, now: float) -> tuple[AgreedState, ...]:
+        """Return the states not superseded by one in force, oldest first."""
+        oldest, newest = self.freshness.active_from(now), self.freshness.sequence
+        if self._active[:2] != (oldest, newest) or not self._active[2]:
+            states = tuple(
+                loaded.state
+                for sequence, loaded in sorted(self._loaded_by_sequence.items())
+                if sequence >= oldest
+            )
+            self._active = (oldest, newest, states)
+        return self._active[2]
+
+    @property
+    def is_superseded(self) -> bool:
+        """Tell whether a later incarnation of this name runs; then stop."""
+        return self.freshness.superseded
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """Return who holds each name of the newest agreed list."""
+        current = self.freshness.current
+        seats = self.freshness.seats_by_name
+        return {n: seats[n].holder for n in current.names} if current else {}
+
+    def live_members(self, now: float) -> list[Member]:
+        """Return the members that were heard lately and serve well."""
+        current = self.freshness.current
+        if current is None:
+            return []
+        live = []
+        for name in current.names:
+            seat = self.freshness.seats_by_name[name]
+            own = seat.holder.id == self.own.id
+            standing = self._exchange.standing if own else seat.standing
+            heard = own or seat.silence_s(now) <= LIVE_WITHIN_S
+            if heard and not (standing.leaving or standing.gray):
+                live.append(seat.holder)
+        return live
+
+    @property
+    def standing(self) -> Standing:
+        """Return what this instance says of itself."""
+        return self._exchange.standing
+
+    def begin_leaving(self) -> None:
+        """Tell the peers that this instance leaves, so that none names it."""
+        self._change_standing(leaving=True, gray=self.standing.gray)
+
+    def report_gray(self, gray: bool) -> None:
+        """Tell the peers whether this instance serves badly itself."""
+        if gray != self.standing.gray:
+            self._change_standing(leaving=self.standing.leaving, gray=gray)
+
+    async def take_head(self, value: bytes) -> bool:
+        """Load a head that the platform answered; False if that failed."""
+        return await self._load_all((value,), None)
+
+    def _change_standing(self, *, leaving: bool, gray: bool) -> None:
+        standing = Standing(self.standing.version + 1, leaving, gray)
+        self._exchange.standing = standing
+        for member in self._partners.some(MAX_TOLD_DIRECTLY):
+            self._transport.send(member.peers, StandingChanged(self.own, standing))
+        self._notice()
+
+    def _round(self) -> None:
+        now = self._clock.seconds()
+        if self.freshness.superseded:
+            return
+        for partner in self._partners.choose(now):
+            request = self._exchange.request(partner.member, now)
+            self._transport.send(partner.peers, request)
+        if now - self._forgot_at >= FORGET_INTERVAL_S:
+            self._forgot_at = now
+            self.freshness.forget_absent(now)
+
+    def _tick(self) -> None:
+        if not self.freshness.superseded:
+            self._reader.tick()
+        self._notice()
+
+    def _answer(self, sender: InstanceId, request: ExchangeRequest) -> None:
+        reply = self._exchange.answer(request, self._clock.seconds())
+        if reply is not None:
+            self._transport.send(request.member.peers, reply)
+
+    def _hear(self, sender: InstanceId, reply: ExchangeReply) -> None:
+        self._exchange.hear(reply, sender, self._clock.seconds())
+        freshness = self.freshness
+        lacks_base = freshness.in_force not in freshness.lists_by_sequence
+        if reply.sequence > freshness.sequence or (lacks_base and reply.sequence):
+            self._pull(sender)
+        self._notice()
+
+    def _hear_announcement(self, sender: InstanceId, hint: Announcement) -> None:
+        self.freshness.meet(hint.member, self._clock.seconds())
+        if hint.sequence > self.freshness.sequence:
+            self._pull(sender)
+
+    def _hear_standing(self, sender: InstanceId, change: StandingChanged) -> None:
+        now = self._clock.seconds()
+        self._exchange.hear_standing(change.member, change.standing, now)
+        self._notice()
+
+    def _pull(self, peer: InstanceId) -> None:
+        seat = self.freshness.seats_by_name.get(peer.name)
+        if seat is None or seat.holder.id != peer or peer in self._fetching:
+            return
+        self._fetching.add(peer)
+        pulling = Deferred.fromCoroutine(self._pull_from(seat.holder))
+        pulling.addErrback(_log_failure)
+
+    async def _pull_from(self, peer: Member) -> None:
+        freshness = self.freshness
+        held = freshness.in_force in freshness.lists_by_sequence
+        try:
+            values = await self._relay.fetch_heads(
+                peer.peers, freshness.sequence if held else 0
+            )
+            await self._load_all(values, peer)
+        except RelayError:
+            self.counts_by_name["fleet.failed_pulls"] += 1
+        finally:
+            self._fetching.discard(peer.id)
+
+    async def _load_all(self, values: tuple[bytes, ...], peer: Member | None) -> bool:
+        for value in values:
+            try:
+                head = decode_head(value)
+                if self._is_of_use(head):
+                    await self._load(head, value, peer)
+            except (MalformedHeadError, NotLoadedError, GentianhitchError):
+                self.counts_by_name["fleet.failed_loads"] += 1
+                return False
+        return True
+
+    def _is_of_use(self, head: Head) -> bool:
+        known = head.sequence in self._loaded_by_sequence
+        return head.sequence > 0 and not known
+
+    async def _load(self, head: Head, value: bytes, peer: Member | None) -> None:
+        async def fetch(digest: str) -> bytes:
+            return await self._fetch_piece(digest, peer)
+
+        loaded = await self._loader.load(head, fetch)
+        now = self._clock.seconds()
+        if head.sequence in self._loaded_by_sequence:
+            return
+        newest = head.sequence > self.freshness.sequence
+        # Held before freshness speaks of it, so that ``active`` has it.
+        self._loaded_by_sequence[head.sequence] = loaded
+        self._relay.values_by_sequence[head.sequence] = value
+        self.freshness.learn(head.sequence, loaded.agreed, loaded.previous, now)
+        self._drop_old(now)
+        if newest:
+            for member in self._partners.some():
+                hint = Announcement(head.sequence, self.own)
+                self._transport.send(member.peers, hint)
+        self._notice()
+
+    async def _fetch_piece(self, digest: str, peer: Member | None) -> bytes:
+        """Fetch a piece from who named it, then other peers, then the platform."""
+        peers = [] if peer is None else [peer, *self._partners.some(2)]
+        for each in peers:
+            try:
+                return await self._relay.fetch_piece(each.peers, digest)
+            except (RelayError, pieces.PieceError):
+                self.counts_by_name["fleet.failed_pieces"] += 1
+        key = pieces.piece_key(self._environment, digest)
+        entry = await self._platform.get(key)
+        if entry is None:
+            raise NotLoadedError(f"piece {digest[:12]} is not in the platform")
+        return entry.value
+
+    def _drop_old(self, now: float) -> None:
+        kept = set(self.freshness.lists_by_sequence)
+        for sequence in [s for s in self._loaded_by_sequence if s not in kept]:
+            del self._loaded_by_sequence[sequence]
+        digests = {
+            d for each in self._loaded_by_sequence.values() for d in each.digests
+        }
+        self._relay.keep(kept, digests)
+
+    def _members_digest(self) -> str | None:
+        loaded = self._loaded_by_sequence.get(self.freshness.sequence)
+        return loaded.head.members_digest if loaded else None
+
+    def _take_contacts(self) -> None:
+        listed = self._reader.writer.listed_by_name.values()
+        self._partners.contacts = self._seeds | {each.peers for each in listed}
+
+    def _notice(self) -> None:
+        """Call back, and log, if what this instance knows has changed."""
+        now = self._clock.seconds()
+        fresh = self.freshness.is_fresh(now)
+        standings = tuple(
+            (name, seat.holder, seat.standing.version)
+            for name, seat in self.freshness.seats_by_name.items()
+        )
+        in_force = self.freshness.in_force
+        seen = (fresh, self.freshness.sequence, in_force, self.standing, standings)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            self.counts_by_name["fleet.freshness_changes"] += 1
+            state = "fresh" if fresh else "not fresh"
+            logger.info("{} at sequence {}", state, self.freshness.sequence)
+        for callback in self._callbacks:
+            callback()
+
+
+def _log_failure(failure: object) -> None:
+    logger.error("the fleet's loop failed: {}", failure)
--- /dev/null
+++ b/src/gentianhitch/instances/states.py
@@ -0,0 +1,94 @@
+"""Load what heads name and hold the states that may be acted upon."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+
+import attrs
+
+from gentianhitch.decisions.agreed_list import AgreedList
+from gentianhitch.decisions.agreed_list import decode_list
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.instances.relay import Relay
+from gentianhitch.operators import pieces
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.head import Head
+
+FetchPiece = Callable[[str], Awaitable[bytes]]
+DecodeDocument = Callable[[bytes], Document]
+
+T = TypeVar("T")
+
+RECENT_VALUES = 16
+
+
+@attrs.frozen
+class LoadedState:
+    """A state with the lists that freshness needs and the pieces it is made of."""
+
+    head: Head
+    state: AgreedState
+    agreed: AgreedList
+    previous: AgreedList | None
+    digests: frozenset[str]
+
+
+@attrs.define(eq=False)
+class StateLoader:
+    """Fetch and decode what a head names; equal parts are decoded once."""
+
+    relay: Relay
+    decode_document: DecodeDocument
+    _lists_by_digest: OrderedDict[str, AgreedList] = attrs.Factory(OrderedDict)
+    _documents_by_digest: OrderedDict[str, Document] = attrs.Factory(OrderedDict)
+
+    async def load(self, head: Head, fetch: FetchPiece) -> LoadedState:
+        """Load the state of ``head``; ``fetch`` brings missing pieces."""
+        used: set[str] = set()
+
+        async def fetch_kept(digest: str) -> bytes:
+            used.add(digest)
+            value = self.relay.pieces_by_digest.get(digest)
+            if value is None:
+                value = await fetch(digest)
+                pieces.validate(digest, value)
+                self.relay.pieces_by_digest[digest] = value
+            return value
+
+        agreed = AgreedList(())
+        if head.members_digest is not None:
+            agreed = await self._list(head.members_digest, fetch_kept)
+        previous = None
+        if agreed.previous_digest is not None:
+            previous = await self._list(agreed.previous_digest, fetch_kept)
+        document = None
+        if head.document is not None:
+            document = await self._document(head.document.digest, fetch_kept)
+        state = AgreedState(head.sequence, agreed.members_by_name, document)
+        return LoadedState(head, state, agreed, previous, frozenset(used))
+
+    async def _list(self, digest: str, fetch: FetchPiece) -> AgreedList:
+        # Joined again even when decoded, so that its pieces stay kept.
+        data = await pieces.join(digest, fetch)
+        agreed = self._lists_by_digest.get(digest)
+        if agreed is None:
+            agreed = decode_list(data)
+            _remember(self._lists_by_digest, digest, agreed)
+        return agreed
+
+    async def _document(self, digest: str, fetch: FetchPiece) -> Document:
+        data = await pieces.join(digest, fetch)
+        document = self._documents_by_digest.get(digest)
+        if document is None:
+            document = self.decode_document(data)
+            _remember(self._documents_by_digest, digest, document)
+        return document
+
+
+def _remember(values: OrderedDict[str, T], digest: str, value: T) -> None:
+    values[digest] = value
+    if len(values) > RECENT_VALUES:
+        values.popitem(last=False)
--- a/src/gentianhitch/soak/network.py
+++ b/src/gentianhitch/soak/network.py
@@ -64,6 +64,10 @@
         """Close the endpoint at ``address``; what is under way to it is lost."""
         self._endpoints_by_address.pop(address, None)
 
+    def is_attached(self, endpoint: Endpoint) -> bool:
+        """Tell whether messages still reach ``endpoint``."""
+        return self._endpoints_by_address.get(endpoint.address) is endpoint
+
     def cut(self, source: Address | None, target: Address | None) -> None:
         """Lose every message from ``source`` to ``target``; ANY stands for all."""
         self._cuts.add((source, target))
