--- a/src/gentianhitch/clock.py
+++ b/src/gentianhitch/clock.py
@@ -30,7 +30,7 @@
     def callLater(  # noqa: N802
         self,
         delay: float,
-        callable: Callable[..., Any],
+        callable: Callable[..., object],
         *args: object,
         **kwargs: object,
     ) -> IDelayedCall:
