--- a/src/gentianhitch/decisions/agreed_list.py
+++ b/src/gentianhitch/decisions/agreed_list.py
@@ -9,6 +9,8 @@
 import xxhash
 
 from gentianhitch.addresses import Address
+from gentianhitch.decisions.rendezvous import ordered
+from gentianhitch.decisions.rendezvous import spread
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
@@ -51,14 +53,25 @@
         """Return a short key of the members' names and incarnations."""
         return key_of([member.id for member in self.members_by_name.values()])
 
+    @cached_property
+    def watch_order(self) -> tuple[str, ...]:
+        """Return the names in the order in which they watch the platform."""
+        return tuple(m.id.name for m in spread(ordered("watch", self.members)))
+
+    @cached_property
+    def watch_rank_by_name(self) -> dict[str, int]:
+        """Return the place of each name in the order of watchers, from 0."""
+        return {name: rank for rank, name in enumerate(self.watch_order)}
+
     @cached_property
     def majority(self) -> int:
         """Return the smallest count above half of the list."""
         return len(self.members) // 2 + 1
 
-    def ids(self) -> set[InstanceId]:
+    @cached_property
+    def ids(self) -> frozenset[InstanceId]:
         """Return the names and incarnations of all members."""
-        return {member.id for member in self.members}
+        return frozenset({member.id for member in self.members})
 
 
 def key_of(ids: list[InstanceId]) -> int:
--- a/src/gentianhitch/decisions/evidence.py
+++ b/src/gentianhitch/decisions/evidence.py
@@ -60,9 +60,10 @@
         listed = agreed.members_by_name.get(self.holder.id.name)
         if listed is None:
             return False
-        if listed.id == self.holder.id:
+        incarnation = self.holder.id.incarnation
+        if listed.id.incarnation == incarnation:
             return True
-        return self.established and listed.id < self.holder.id
+        return self.established and listed.id.incarnation < incarnation
 
 
 def age_byte(moment: float, now: float) -> int:
--- a/src/gentianhitch/decisions/exchange.py
+++ b/src/gentianhitch/decisions/exchange.py
@@ -109,7 +109,7 @@
         """Take in what a member says of itself."""
         seat = self.freshness.meet(member, now)
         if seat.holder.id == member.id:
-            _update_standing(seat, standing)
+            self.freshness.update_standing(seat, standing)
 
     def _hear_sender(
         self, seat: Seat, reply: ExchangeReply, sent_at: float, now: float
@@ -119,7 +119,7 @@
         seat.acknowledged_at = min(seat.acknowledged_at, now)
         self._date(seat, sent_at, reply.sequence)
         seat.reach(reply.sequence, freshness.pending(), now)
-        _update_standing(seat, reply.standing)
+        freshness.update_standing(seat, reply.standing)
 
     def _hear_vector(self, reply: ExchangeReply, asked: _Asked, now: float) -> None:
         agreed = self.freshness.lists_by_key.get(reply.list_key)
@@ -127,26 +127,23 @@
             self.freshness.counts_by_name["exchange.unknown_list"] += 1
             return
         successors = asked.successors if reply.same_successors else reply.successors
-        successor_by_name = {member.id.name: member.id for member in successors}
+        pending = self.freshness.pending()
+        incarnation_by_name = {m.id.name: m.id.incarnation for m in successors}
         for index, name in enumerate(agreed.names):
             seat = self.freshness.seats_by_name.get(name)
             if seat is None or name == self.freshness.own.id.name:
                 continue
             standing = reply.standings_by_index.get(index)
             if standing is not None:
-                _update_standing(seat, standing)
-            listed = agreed.members_by_name[name].id
-            counted = max(successor_by_name.get(name, listed), listed)
-            if reply.ages[index] != NO_AGE and seat.holder.id == counted:
+                self.freshness.update_standing(seat, standing)
+            listed = agreed.members_by_name[name].id.incarnation
+            counted = max(incarnation_by_name.get(name, listed), listed)
+            if reply.ages[index] != NO_AGE and seat.holder.id.incarnation == counted:
                 seat.established = seat.established or counted != listed
-                self._hear_age(seat, reply, index, asked.sent_at, now)
-
-    def _hear_age(
-        self, seat: Seat, reply: ExchangeReply, index: int, sent_at: float, now: float
-    ) -> None:
-        self._date(seat, sent_at - reply.ages[index] * AGE_UNIT_S, reply.sequence)
-        known = reply.sequence - reply.behind_by_index.get(index, 0)
-        seat.reach(known, self.freshness.pending(), now)
+                moment = asked.sent_at - reply.ages[index] * AGE_UNIT_S
+                self._date(seat, moment, reply.sequence)
+                known = reply.sequence - reply.behind_by_index.get(index, 0)
+                seat.reach(known, pending, now)
 
     def _date(self, seat: Seat, moment: float, sequence: int) -> None:
         seat.alive_at = max(seat.alive_at, moment)
@@ -193,7 +190,7 @@
         return tuple(
             seats_by_name[name].holder
             for name, listed in agreed.members_by_name.items()
-            if seats_by_name[name].holder.id > listed.id
+            if seats_by_name[name].holder.id.incarnation > listed.id.incarnation
         )
 
     def _drop_expired(self, now: float) -> None:
@@ -206,8 +203,3 @@
 
 def _key(members: tuple[Member, ...]) -> int:
     return key_of([member.id for member in members])
-
-
-def _update_standing(seat: Seat, standing: Standing) -> None:
-    if standing.version > seat.standing.version:
-        seat.standing = standing
--- a/src/gentianhitch/decisions/freshness.py
+++ b/src/gentianhitch/decisions/freshness.py
@@ -20,6 +20,7 @@
 from gentianhitch.decisions.evidence import nth_largest
 from gentianhitch.decisions.evidence import quorum_of
 from gentianhitch.instances.identity import Member
+from gentianhitch.instances.messages import Standing
 
 WINDOW_S = 2.0
 DRIFT_MARGIN_S = 0.1
@@ -35,6 +36,7 @@
 
     Nothing is fresh until the newest sequence known to be in force is also held:
     others may still act on it, and a right holds only if it gives it too.
+    ``changes`` counts changes of holders and standings.
     """
 
     own: Member
@@ -46,6 +48,7 @@
     fresh_until: float = NEVER
     majority_until: float = NEVER
     fleet_read_at: float = NEVER
+    changes: int = 0
     counts_by_name: Counter[str] = attrs.Factory(Counter)
     seats_by_name: dict[str, Seat] = attrs.Factory(dict)
     lists_by_sequence: dict[int, AgreedList] = attrs.Factory(dict)
@@ -90,10 +93,18 @@
         if seat is None or seat.holder.id < member.id:
             seat = Seat(member, since=now)
             self.seats_by_name[name] = seat
+            self.changes += 1
         elif seat.holder.id == member.id and seat.holder != member:
             seat.holder = member
+            self.changes += 1
         return seat
 
+    def update_standing(self, seat: Seat, standing: Standing) -> None:
+        """Take in what a member says of itself; older versions are dropped."""
+        if standing.version > seat.standing.version:
+            seat.standing = standing
+            self.changes += 1
+
     def read_platform(self, sequence: int, started_at: float, now: float) -> None:
         """Take in that a read begun at ``started_at`` returned ``sequence``."""
         if sequence < self.sequence:
--- a/src/gentianhitch/decisions/membership.py
+++ b/src/gentianhitch/decisions/membership.py
@@ -19,6 +19,7 @@
 FORCE_AFTER_S = 4.0
 LISTED_WITHIN_S = 15.0
 WRITER_STEP_S = 1.5
+JUDGE_INTERVAL_S = 0.25
 
 
 @attrs.frozen
@@ -40,6 +41,7 @@
     freshness: Freshness
     listed_by_name: dict[str, ListedInstance] = attrs.Factory(dict)
     listed_at: float = float("-inf")
+    _judged_at: float = float("-inf")
     _wanted_since: float | None = None
     _by_majority_since: float | None = None
     _lost_since: float | None = None
@@ -52,6 +54,9 @@
 
     def propose(self, now: float) -> ListChange | None:
         """Return the change that this instance should write now, or None."""
+        if now - self._judged_at < JUDGE_INTERVAL_S:
+            return None
+        self._judged_at = now
         self._note(now)
         change = self._wanted(now)
         if change is None:
--- a/src/gentianhitch/decisions/platform_reads.py
+++ b/src/gentianhitch/decisions/platform_reads.py
@@ -7,9 +7,6 @@
 import attrs
 
 from gentianhitch.decisions.freshness import Freshness
-from gentianhitch.decisions.rendezvous import ordered
-from gentianhitch.decisions.rendezvous import spread
-from gentianhitch.instances.identity import Member
 
 WATCHERS = 3
 WATCH_WAIT_S = 2.0
@@ -93,12 +90,4 @@
     current = freshness.current
     if current is None:
         return 0
-    names = [member.id.name for member in watch_order(freshness)]
-    name = freshness.own.id.name
-    return names.index(name) if name in names else len(names)
-
-
-def watch_order(freshness: Freshness) -> list[Member]:
-    """Return the agreed list in the order in which its members watch."""
-    current = freshness.current
-    return spread(ordered("watch", current.members)) if current else []
+    return current.watch_rank_by_name.get(freshness.own.id.name, len(current.members))
--- a/src/gentianhitch/instances/fleet.py
+++ b/src/gentianhitch/instances/fleet.py
@@ -332,12 +332,14 @@
         """Call back, and log, if what this instance knows has changed."""
         now = self._clock.seconds()
         fresh = self.freshness.is_fresh(now)
-        standings = tuple(
-            (name, seat.holder, seat.standing.version)
-            for name, seat in self.freshness.seats_by_name.items()
-        )
         in_force = self.freshness.in_force
-        seen = (fresh, self.freshness.sequence, in_force, self.standing, standings)
+        seen = (
+            fresh,
+            self.freshness.sequence,
+            in_force,
+            self.standing,
+            self.freshness.changes,
+        )
         if seen == self._seen:
             return
         self._seen = seen
--- a/src/gentianhitch/instances/partners.py
+++ b/src/gentianhitch/instances/partners.py
@@ -12,7 +12,6 @@
 from gentianhitch.decisions.freshness import Freshness
 from gentianhitch.decisions.platform_reads import WATCHERS
 from gentianhitch.decisions.platform_reads import rank_of
-from gentianhitch.decisions.platform_reads import watch_order
 from gentianhitch.instances.identity import Member
 
 T = TypeVar("T")
@@ -72,17 +71,16 @@
 
     def _watchers_if_unlisted(self) -> list[Member]:
         current = self.freshness.current
-        if current is None or self.freshness.own.id in current.ids():
+        if current is None or self.freshness.own.id in current.ids:
             return []
         seats = self.freshness.seats_by_name
-        order = watch_order(self.freshness)[:WATCHERS]
-        return [seats[member.id.name].holder for member in order]
+        return [seats[name].holder for name in current.watch_order[:WATCHERS]]
 
     def _newcomers_if_watcher(self, now: float) -> list[Member]:
         if rank_of(self.freshness) >= WATCHERS:
             return []
         current = self.freshness.current
-        ids = current.ids() if current else set()
+        ids = current.ids if current else frozenset()
         newcomers = [
             seat.holder
             for seat in self.freshness.seats_by_name.values()
--- a/src/gentianhitch/soak/network.py
+++ b/src/gentianhitch/soak/network.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import defaultdict
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
 import attrs
+from twisted.internet.base import DelayedCall
+from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import Clock
 
 from gentianhitch.addresses import Address
@@ -20,6 +23,34 @@
 """Stands for every address in a one-way cut."""
 
 
+class SoakClock(Clock):
+    """A paused clock whose cost of a timer does not grow with their number."""
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., Any], *args: object, **kw: object
+    ) -> IDelayedCall:
+        """Call ``callable`` when the clock was advanced by ``delay``."""
+        call = DelayedCall(
+            self.seconds() + delay,
+            callable,
+            args,
+            kw,
+            self.calls.remove,
+            lambda _: None,
+            self.seconds,
+        )
+        insort(self.calls, call, key=DelayedCall.getTime)
+        return call
+
+    def advance(self, amount: float) -> None:
+        """Move the clock on and fire what is due, in order."""
+        self.rightNow += amount
+        while self.calls and self.calls[0].getTime() <= self.seconds():
+            call = self.calls.pop(0)
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+
 @attrs.define
 class Faults:
     """Say how the network treats each message; delays are in seconds."""
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -2,8 +2,6 @@
 
 from random import Random
 
-from twisted.internet.task import Clock
-
 from gentianhitch.addresses import Address
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
@@ -13,6 +11,7 @@
 from gentianhitch.platform.memory import MemoryStore
 from gentianhitch.soak.network import Faults
 from gentianhitch.soak.network import Network
+from gentianhitch.soak.network import SoakClock
 from gentianhitch.soak.process import Process
 
 
@@ -30,7 +29,7 @@
 
 
 def make_network(seed: int = 1, **faults: float) -> Network:
-    return Network(Clock(), Random(seed), Faults(**faults))
+    return Network(SoakClock(), Random(seed), Faults(**faults))
 
 
 def make_listed(member: Member) -> ListedInstance:
