--- /dev/null
+++ b/src/gentianhitch/callers/directory.py
@@ -0,0 +1,80 @@
+"""Answer which instances a caller should use."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+from klein import Klein
+from twisted.web.iweb import IRequest
+
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.steering import choose_instances
+from gentianhitch.instances.identity import Member
+
+MAX_AGE_S = 5
+"""Time that callers may keep an answer; a planned stop waits it out."""
+
+PATH = "/.gentianhitch/directory"
+OUTCOME_HEADER = "Gentianhitch-Outcome"
+NOT_RUN = "not-run"
+
+
+@attrs.frozen
+class DirectoryAnswer:
+    """The answer of the directory; callers may keep it for ``max_age_s``."""
+
+    addresses: list[str]
+    max_age_s: int = MAX_AGE_S
+
+
+@attrs.define(eq=False)
+class Directory:
+    """Serve the directory as a klein resource.
+
+    ``newest`` returns the newest known state, ``live`` the members that serve.
+    """
+
+    newest: Callable[[], AgreedState | None]
+    live: Callable[[], list[Member]]
+    count: Callable[[str], None]
+    app = Klein()
+
+    @app.route(PATH, methods=["GET"])
+    def serve(self, request: IRequest) -> bytes:
+        """Name the instances for the service of the query."""
+        query: dict[bytes, list[bytes]] = request.args  # type: ignore[attr-defined]
+        service = _first(query, b"service")
+        state = self.newest()
+        if not service:
+            return self._refuse(request, 400, "The query needs a service.")
+        if state is None or state.document is None:
+            return self._refuse(request, 503, "No document is in force yet.")
+        if all(each.name != service for each in state.document.services):
+            return self._refuse(request, 404, "The service does not exist.")
+        near = _first(query, b"failure_domain")
+        members = choose_instances(state.document, service, self.live(), near)
+        if not members:
+            return self._refuse(request, 503, "No instance serves at present.")
+        self.count("directory.answers")
+        answer = DirectoryAnswer([str(member.callers) for member in members])
+        return _write_json(request, 200, answer)
+
+    def _refuse(self, request: IRequest, status: int, reason: str) -> bytes:
+        self.count(f"directory.refusals.{status}")
+        request.setHeader(OUTCOME_HEADER, NOT_RUN)
+        return _write_json(request, status, {"error": reason})
+
+
+def _first(query: dict[bytes, list[bytes]], name: bytes) -> str | None:
+    values = query.get(name)
+    return values[0].decode(errors="replace") if values else None
+
+
+def _write_json(request: IRequest, status: int, body: Any) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    request.setHeader("Cache-Control", "no-store")
+    return msgspec.json.encode(body)
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -5,7 +5,9 @@
 from gentianhitch.addresses import Address
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
+from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
+from gentianhitch.operators.document import Service
 from gentianhitch.platform.interface import ListedInstance
 from gentianhitch.platform.interface import ListedState
 from gentianhitch.platform.memory import MemoryStore
@@ -42,6 +44,21 @@
     )
 
 
+def make_document(targets: int = 6, slots: int = 6, connections: int = 330) -> Document:
+    servers = tuple(
+        BackendServer(
+            f"stock-{number}",
+            make_address(number, 9000),
+            f"domain-{number % 3}",
+            "stock",
+            slots,
+            connections,
+        )
+        for number in range(targets)
+    )
+    return Document("trial", (), (Service("stock", 4, 1000),), servers, ())
+
+
 def decode_no_document(data: bytes) -> Document:
     return Document(data.decode(), (), (), (), ())
 
