--- a/src/gentianhitch/soak/process.py
+++ b/src/gentianhitch/soak/process.py
@@ -23,6 +23,49 @@
 from gentianhitch.soak.network import Network
 
 
+@implementer(IDelayedCall)
+@attrs.define(eq=False)
+class ProcessCall:
+    """A timer of a process; due during a pause, it waits until the resume."""
+
+    process: ProcessClock
+    function: Callable[[], object]
+    timer: Any = None
+    waiting: bool = False
+
+    def fire(self) -> None:
+        """Call the function, unless the process is paused or killed."""
+        self.waiting = self.process.paused
+        if self.waiting:
+            self.process.due.append(self)
+        elif not self.process.killed:
+            self.function()
+
+    def cancel(self) -> None:
+        """Never fire."""
+        if self.waiting:
+            self.waiting = False
+            self.process.due.remove(self)
+        else:
+            self.timer.cancel()
+
+    def active(self) -> bool:
+        """Tell whether it can still fire."""
+        return self.waiting or bool(self.timer.active())
+
+    def getTime(self) -> float:  # noqa: N802
+        """Return when it is due."""
+        return float(self.timer.getTime())
+
+    def delay(self, seconds_later: float) -> None:
+        """Fire later."""
+        raise NotImplementedError
+
+    def reset(self, seconds_from_now: float) -> None:
+        """Fire at another time."""
+        raise NotImplementedError
+
+
 @implementer(IReactorTime)
 @attrs.define(eq=False)
 class ProcessClock:
@@ -31,7 +74,7 @@
     clock: Clock
     paused: bool = False
     killed: bool = False
-    _due: list[Callable[[], object]] = attrs.Factory(list)
+    due: list[ProcessCall] = attrs.Factory(list)
 
     def seconds(self) -> float:
         """Return the time, which goes on during a pause."""
@@ -45,14 +88,9 @@
         **kwargs: object,
     ) -> IDelayedCall:
         """Call ``callable`` after ``delay`` seconds, or on resume if later."""
-
-        def fire() -> None:
-            if self.paused:
-                self._due.append(lambda: callable(*args, **kwargs))
-            elif not self.killed:
-                callable(*args, **kwargs)
-
-        return self.clock.callLater(delay, fire)
+        call = ProcessCall(self, lambda: callable(*args, **kwargs))
+        call.timer = self.clock.callLater(delay, call.fire)
+        return call
 
     def getDelayedCalls(self) -> Any:  # noqa: N802
         """Return the timers that have not fired."""
@@ -61,9 +99,10 @@
     def resume(self) -> None:
         """Fire what became due during the pause."""
         self.paused = False
-        due, self._due = self._due, []
-        for call in due:
-            call()
+        while self.due and not self.paused:
+            call = self.due.pop(0)
+            call.waiting = False
+            call.fire()
 
 
 @attrs.define(eq=False)
