--- a/src/gentianhitch/soak/network.py
+++ b/src/gentianhitch/soak/network.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import defaultdict
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
 import attrs
+from twisted.internet.base import DelayedCall
+from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import Clock
 
 from gentianhitch.addresses import Address
@@ -20,6 +23,34 @@
 """Stands for every address in a one-way cut."""
 
 
+class SoakClock(Clock):
+    """A paused clock whose cost of a timer does not grow with their number."""
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., Any], *args: object, **kw: object
+    ) -> IDelayedCall:
+        """Call ``callable`` when the clock was advanced by ``delay``."""
+        call = DelayedCall(
+            self.seconds() + delay,
+            callable,
+            args,
+            kw,
+            self.calls.remove,
+            lambda _: None,
+            self.seconds,
+        )
+        insort(self.calls, call, key=DelayedCall.getTime)
+        return call
+
+    def advance(self, amount: float) -> None:
+        """Move the clock on and fire what is due, in order."""
+        self.rightNow += amount
+        while self.calls and self.calls[0].getTime() <= self.seconds():
+            call = self.calls.pop(0)
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+
 @attrs.define
 class Faults:
     """Say how the network treats each message; delays are in seconds."""
@@ -64,6 +95,10 @@
         """Close the endpoint at ``address``; what is under way to it is lost."""
         self._endpoints_by_address.pop(address, None)
 
+    def is_attached(self, endpoint: Endpoint) -> bool:
+        """Tell whether messages still reach ``endpoint``."""
+        return self._endpoints_by_address.get(endpoint.address) is endpoint
+
     def cut(self, source: Address | None, target: Address | None) -> None:
         """Lose every message from ``source`` to ``target``; ANY stands for all."""
         self._cuts.add((source, target))
