Refuse a request whose timer fires after its deadline

Cause: a loop that was late (a paused process, a busy machine) set the second timer to a negative delay, which the reactor rejects; the request then never ended. Seen as a flaky failure of the mixed-faults test on a busy machine. Ruled out: the test's own clock. The paused test reactor now rejects negative delays as the real one does. Before: red (AssertionError in callLater). After: 12 tests of pauses pass.

--- a/src/gentianhitch/callers/exchange.py
+++ b/src/gentianhitch/callers/exchange.py
@@ -299,7 +299,7 @@
     def _set_timer(self, now: float, *, may_retry: bool) -> None:
         """Wake at the deadline, or earlier if another target may be tried then."""
         assert self._admitted is not None
-        delay_s = self._admitted.deadline - now
+        delay_s = max(0.0, self._admitted.deadline - now)
         if may_retry:
             delay_s *= ATTEMPT_SHARE
         self._timer = self._context.clock.callLater(
--- a/tests/builders_path.py
+++ b/tests/builders_path.py
@@ -202,6 +202,10 @@
         self.dials = []
         self.advance(1000.0)
 
+    def callLater(self, delay, callable, *args, **kwargs):  # noqa: N802
+        assert delay >= 0, f"a real reactor refuses a delay of {delay} s"
+        return super().callLater(delay, callable, *args, **kwargs)
+
     def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
         self.dials.append(Dial(host, port, factory))
 
--- a/tests/callers/test_pauses.py
+++ b/tests/callers/test_pauses.py
@@ -38,6 +38,14 @@
         got = caller.received()
         assert (status_of(got), outcome_of(got)) == (504, "not-run")
 
+    def test_timer_that_fires_after_the_deadline_refuses(self):
+        # The next timer was set to a time already past, which reactors refuse.
+        bench = PathBench()
+        caller, _ = bench.sent(request())
+        bench.reactor.advance(60)
+        got = caller.received()
+        assert (status_of(got), outcome_of(got)) == (504, "unknown")
+
 
 class TestQueue:
     def build(self):
