Serve the whole path through separate processes

gentianhitch entry wires platform, fleet, limits, detection, directory, operators and the request path on one loop. scripts/demo starts three instances with the stand-ins, promotes a document, gives a key and asks; the end-to-end test does the same by command line.

The limits driver stopped its poll loop twice when the drain ended within its callback (AssertionError in the log of a real stop); it now checks that the loop runs.

--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -8,6 +8,7 @@
 import defopt
 
 from gentianhitch.benchmarks.command import bench
+from gentianhitch.entry import entry
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.load.command import load
@@ -17,6 +18,7 @@
 COMMANDS: dict[str, Any] = {
     **operators_commands.COMMANDS,
     "bench": bench,
+    "entry": entry,
     "load": load,
     "report": report,
 }
--- a/src/gentianhitch/decisions/limits/driver.py
+++ b/src/gentianhitch/decisions/limits/driver.py
@@ -95,7 +95,8 @@
         self._serve()
         self._check_left(now)
         idle = not self._waiting and not self.limiter.gatherer.is_active
-        if idle and (self._left is None or self._left.called):
+        done = self._left is None or self._left.called
+        if idle and done and self._polls.running:
             self._polls.stop()
 
     def _serve(self) -> None:
--- /dev/null
+++ b/src/gentianhitch/entry.py
@@ -0,0 +1,330 @@
+"""One entry instance: its parts, wired to one loop."""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import attrs
+import msgspec
+from klein import Klein
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+from twisted.internet.task import deferLater
+
+from gentianhitch import logs
+from gentianhitch.addresses import Address
+from gentianhitch.callers.directory import MAX_AGE_S
+from gentianhitch.callers.directory import PATH as DIRECTORY_PATH
+from gentianhitch.callers.directory import Directory
+from gentianhitch.callers.observing import Finished
+from gentianhitch.callers.request_path import RequestPath
+from gentianhitch.clock import MonotonicClock
+from gentianhitch.decisions.interfaces import AgreedState
+from gentianhitch.decisions.limits.driver import LimitsDriver
+from gentianhitch.decisions.limits.limiter import LocalLimiter
+from gentianhitch.decisions.pins import MemberPins
+from gentianhitch.decisions.targets.detector import TICK_S
+from gentianhitch.decisions.targets.detector import Detector
+from gentianhitch.decisions.targets.selector import TargetPool
+from gentianhitch.errors import ExitCode
+from gentianhitch.errors import GentianhitchError
+from gentianhitch.errors import UsageError
+from gentianhitch.instances.fleet import Fleet
+from gentianhitch.instances.identity import InstanceId
+from gentianhitch.instances.identity import Member
+from gentianhitch.instances.zeromq import ZeroMqTransport
+from gentianhitch.lifecycle import LifecycleActions
+from gentianhitch.lifecycle import create_lifecycle
+from gentianhitch.metrics import Metrics
+from gentianhitch.operators.document_codec import decode_document
+from gentianhitch.operators.resource import OperatorsResource
+from gentianhitch.platform.client import HttpPlatform
+from gentianhitch.settings import Settings
+from gentianhitch.settings import load_settings
+
+OPERATORS_PATH = "/.gentianhitch/operators/"
+LEAVING_MARGIN_S = 1.0
+PINS_INTERVAL_S = 1.0
+SUPERSEDED_CHECK_S = 1.0
+
+
+class ListenError(UsageError):
+    """An address in the settings can't be listened on."""
+
+
+@attrs.frozen
+class Ready:
+    """What an instance prints on standard output when it serves."""
+
+    instance: str
+    incarnation: int
+    callers: Address
+    peers: Address
+    pid: int
+
+
+class EntryInstance:
+    """Own every part of one instance and the order in which they start and stop."""
+
+    def __init__(self, reactor: Any, settings: Settings) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self.clock = MonotonicClock(reactor)
+        self.metrics = Metrics(settings.statsd)
+        self._random = Random()
+        self._id = InstanceId(settings.instance, time.time_ns() // 1_000_000)
+        self._loops: list[LoopingCall] = []
+        self.exit_code = ExitCode.OK
+        self.lifecycle = create_lifecycle(
+            LifecycleActions(self._note_state, self._leave, self._exit)
+        )
+        self.state = "starting"
+
+    def start(self) -> Ready:
+        """Open every listener and begin to talk to peers and the platform."""
+        settings = self._settings
+        now = self.clock.seconds()
+        self.transport = ZeroMqTransport(
+            self._reactor,
+            self._id,
+            settings.environment,
+            settings.peers,
+            self.metrics.count,
+        )
+        callers = self._listen()
+        self.member = Member(
+            self._id, settings.failure_domain, callers, self.transport.address
+        )
+        self.platform = HttpPlatform(
+            self._reactor, settings.platform, settings.instance
+        )
+        self.fleet = Fleet(
+            self.member,
+            settings.environment,
+            self.transport,
+            self.platform,
+            self.clock,
+            decode_document,
+            self._random,
+            settings.seeds,
+        )
+        self._build_decisions(now)
+        self._build_path()
+        self._start_parts()
+        self.lifecycle.started()
+        return Ready(
+            settings.instance,
+            self._id.incarnation,
+            callers,
+            self.transport.address,
+            os.getpid(),
+        )
+
+    def _listen(self) -> Address:
+        wanted = self._settings.callers
+        self._front = _LateFactory()
+        try:
+            self._port = self._reactor.listenTCP(
+                wanted.port, self._front, interface=wanted.host, backlog=1024
+            )
+        except Exception as error:
+            raise ListenError(f"cannot listen on {wanted}: {error}") from error
+        bound = self._port.getHost()
+        return Address(bound.host, bound.port)
+
+    def _build_decisions(self, now: float) -> None:
+        self.limiter = LocalLimiter(
+            self._id, self.member.peers, self.fleet, self.transport, now
+        )
+        self.limits = LimitsDriver(
+            self.limiter, self.transport, self.clock, self.clock.seconds
+        )
+        self.detector = Detector(
+            self.fleet, self._id, self.transport, self._random, now
+        )
+        self.targets = TargetPool(
+            self.fleet,
+            self._id.name,
+            self.member.failure_domain,
+            self.detector,
+            self._random,
+        )
+        self.pins = MemberPins(self._id, self.fleet)
+
+    def _build_path(self) -> None:
+        self.path = RequestPath(
+            self._reactor,
+            self.fleet,
+            self.limits,
+            self.targets,
+            self._settings.limits,
+            internal=self._internal_resource(),
+            count=self.metrics.count,
+            on_finished=self._record_finished,
+            pins=self.pins,
+            clock=self.clock,
+        )
+        self._front.serve_with(self.path)
+
+    def _internal_resource(self) -> Any:
+        app = Klein()
+        directory = Directory(
+            self._newest_state,
+            lambda: self.fleet.live_members(self.clock.seconds()),
+            self.metrics.count,
+        )
+        operators = OperatorsResource(
+            self.platform,
+            self._settings.environment,
+            self._settings.operator_key_hashes,
+        )
+
+        @app.route(DIRECTORY_PATH)  # type: ignore[untyped-decorator]
+        def answer_directory(request: Any) -> Any:
+            return directory.serve(request)
+
+        @app.route(OPERATORS_PATH, branch=True)  # type: ignore[untyped-decorator]
+        def answer_operators(request: Any) -> Any:
+            return operators.resource()
+
+        return app.resource()
+
+    def _newest_state(self) -> AgreedState | None:
+        states = self.fleet.active(self.clock.seconds())
+        return states[-1] if states else None
+
+    def _start_parts(self) -> None:
+        self.fleet.on_change(self._note_change)
+        self.fleet.start()
+        self.limits.start()
+        self.detector.subscribe(self.clock)
+        self._every(TICK_S, self._tick_detector)
+        self._every(PINS_INTERVAL_S, lambda: self.pins.observe(self.clock.seconds()))
+        self._every(SUPERSEDED_CHECK_S, self._check_superseded)
+
+    def _every(self, interval_s: float, call: Callable[[], None]) -> None:
+        loop = LoopingCall(call)
+        loop.clock = self.clock
+        loop.start(interval_s, now=False).addErrback(_log_failure)
+        self._loops.append(loop)
+
+    def _tick_detector(self) -> None:
+        self.detector.tick(self.targets.outstanding, self.clock.seconds())
+
+    def _check_superseded(self) -> None:
+        if self.fleet.is_superseded and self.state == "serving":
+            logger.warning("a later incarnation of this instance runs; leaving")
+            self.lifecycle.stop_requested()
+
+    def _note_change(self) -> None:
+        self.pins.observe(self.clock.seconds())
+
+    def _record_finished(self, finished: Finished) -> None:
+        measure = "refused" if finished.cause else "total"
+        self.metrics.time(measure, finished.workspace, finished.duration_s)
+
+    def _note_state(self, state: str) -> None:
+        if not state.startswith("still"):
+            self.state = state
+        self.metrics.count(f"state.{self.state}")
+        logger.info("state: {}", state)
+
+    def _leave(self) -> None:
+        leaving = Deferred.fromCoroutine(self._drain())
+        leaving.addErrback(_log_failure)
+        leaving.addBoth(lambda _: self.lifecycle.drained())
+
+    async def _drain(self) -> None:
+        """Leave the directory, wait out its answers, hand over, finish, close."""
+        self.fleet.begin_leaving()
+        await deferLater(self._reactor, MAX_AGE_S + LEAVING_MARGIN_S, lambda: None)
+        self.path.begin_leaving()
+        await self.path.when_idle()
+        await self.limits.begin_leaving()
+        self._port.stopListening()
+        await self.path.when_idle()
+
+    def _exit(self) -> None:
+        for loop in self._loops:
+            loop.stop()
+        if hasattr(self, "path"):
+            self.path.close()
+            self.limits.stop()
+            self.fleet.stop()
+            self.transport.close()
+        self._reactor.callLater(0, self._reactor.stop)
+
+
+class _LateFactory:
+    """Give the port a factory once the request path is built.
+
+    The address that the kernel gives must be known before the parts that name it
+    are built; connections can't be accepted before the reactor runs.
+    """
+
+    def __init__(self) -> None:
+        self._factory: Any = None
+
+    def serve_with(self, factory: Any) -> None:
+        """Serve every connection with ``factory`` from now on."""
+        self._factory = factory
+        factory.doStart()
+
+    def doStart(self) -> None:  # noqa: N802
+        """Do nothing: the real factory starts later."""
+
+    def doStop(self) -> None:  # noqa: N802
+        """Stop the real factory."""
+        self._factory.doStop()
+
+    def buildProtocol(self, address: Any) -> Any:  # noqa: N802
+        """Serve a new connection."""
+        return self._factory.buildProtocol(address)
+
+
+def _log_failure(failure: Any) -> None:
+    logger.error("{}: {}", failure.type.__name__, failure.getErrorMessage())
+
+
+def entry(*, settings: Path) -> int:
+    """Serve as one entry instance until SIGTERM or SIGINT.
+
+    :param settings: the settings file, JSON with comments
+    """
+    from twisted.internet import reactor
+
+    checked = load_settings(settings)
+    logs.configure(checked.logs, checked.instance)
+    instance = EntryInstance(reactor, checked)
+    failures: list[GentianhitchError] = []
+
+    def begin() -> None:
+        try:
+            ready = instance.start()
+        except GentianhitchError as error:
+            failures.append(error)
+            reactor.stop()  # type: ignore[attr-defined]
+            return
+        print(msgspec.json.encode(ready, enc_hook=str).decode(), flush=True)
+
+    def stop() -> None:
+        reactor.callFromThread(instance.lifecycle.stop_requested)  # type: ignore[attr-defined]
+
+    _handle_signals(stop)
+    reactor.callWhenRunning(begin)  # type: ignore[attr-defined]
+    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined,call-arg]
+    if failures:
+        raise failures[0]
+    return instance.exit_code
+
+
+def _handle_signals(stop: Callable[[], None]) -> None:
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop())
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -191,6 +191,7 @@
             stdin=subprocess.DEVNULL,
             text=True,
             env=os.environ.copy(),
+            start_new_session=True,
         )
         log.close()
         ready = _read_ready(name, process, self.folder)
