Put documents to trial, promote them and change keys

Cause: operators need one way to change an environment that tells the loser of a race to whom, survives lost replies, and never lets a withdrawn key return. Ruled out: key hashes taken from the operator's file, because a file written before a key was withdrawn would give the key back; production's keys are kept, and a file that lists another one is refused. Generating keys on the entry instance, because then the key would cross the network; only its hash does. Before: no operators' side. Conclusion: trial ids and change ids serve as the write ids of the head.

--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
 from typing import Any
 
 import defopt
@@ -13,8 +12,10 @@
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.load.command import load
 from gentianhitch.load.command import report
+from gentianhitch.operators import commands as operators_commands
 
-COMMANDS: dict[str, Callable[..., Any]] = {
+COMMANDS: dict[str, Any] = {
+    **operators_commands.COMMANDS,
     "bench": bench,
     "load": load,
     "report": report,
--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -7,13 +7,19 @@
 from treq.client import HTTPClient
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.endpoints import TCP6ClientEndpoint
+from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.web._newclient import RequestNotSent
 from twisted.web.client import URI
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+# Raised before any byte of the request was written.
+NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError, RequestNotSent)
+
 
 @implementer(IAgentEndpointFactory)
 class _IpEndpointFactory:
--- /dev/null
+++ b/src/gentianhitch/json_codec.py
@@ -0,0 +1,42 @@
+"""Encode and decode JSON that holds attrs classes and addresses."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from gentianhitch.addresses import Address
+
+T = TypeVar("T")
+
+DecodeError = (msgspec.MsgspecError, ValueError)
+"""What ``decode`` and ``convert`` raise."""
+
+
+def encode(value: object) -> bytes:
+    """Encode a value as JSON."""
+    return msgspec.json.encode(value, enc_hook=_encode_hook)
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Decode JSON as ``kind``."""
+    return msgspec.json.decode(data, type=kind, dec_hook=_decode_hook)
+
+
+def convert(value: Any, kind: type[T]) -> T:
+    """Convert plain JSON values to ``kind``."""
+    return msgspec.convert(value, kind, dec_hook=_decode_hook)
+
+
+def _encode_hook(value: object) -> object:
+    if isinstance(value, Address):
+        return str(value)
+    raise NotImplementedError(type(value))
+
+
+def _decode_hook(kind: type, value: object) -> object:
+    if kind is Address:
+        return Address.parse(value)
+    raise NotImplementedError(kind)
--- /dev/null
+++ b/src/gentianhitch/operators/answers.py
@@ -0,0 +1,81 @@
+"""What operators' calls carry over HTTP, as attrs classes."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianhitch.operators.checking import Fault
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.documents import Change
+from gentianhitch.operators.trial import Trial
+
+PREFIX = "/.gentianhitch/operators"
+OPERATOR_HEADER = "X-Operator"
+OUTCOME_HEADER = "Gentianhitch-Outcome"
+
+
+@attrs.frozen
+class TrialCall:
+    """Put ``document`` to trial under the id ``trial_id``."""
+
+    trial_id: str
+    document: Document
+
+
+@attrs.frozen
+class PromoteCall:
+    """Promote the trial ``trial_id``."""
+
+    trial_id: str
+
+
+@attrs.frozen
+class GiveKeyCall:
+    """Add a key, known by its hash, to a workspace."""
+
+    change_id: str
+    workspace: str
+    key_hash: str
+
+
+@attrs.frozen
+class WithdrawKeyCall:
+    """Remove the key whose hash starts with ``key_id`` from a workspace."""
+
+    change_id: str
+    workspace: str
+    key_id: str
+
+
+@attrs.frozen
+class KeyListing:
+    """The key ids of one workspace."""
+
+    workspace: str
+    key_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class KeysAnswer:
+    """The key ids of workspaces in production."""
+
+    keys: tuple[KeyListing, ...]
+
+
+@attrs.frozen
+class StatusAnswer:
+    """What an environment has agreed on."""
+
+    environment: str
+    sequence: int
+    document: Change | None
+    trial: Trial | None
+
+
+@attrs.frozen
+class ErrorAnswer:
+    """Why a call was refused; ``exit_code`` is that of the command line."""
+
+    message: str
+    exit_code: int
+    faults: tuple[Fault, ...] = ()
--- /dev/null
+++ b/src/gentianhitch/operators/checking.py
@@ -0,0 +1,222 @@
+"""Check the meaning of a document and name every fault with its place."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from functools import singledispatch
+from typing import TypeVar
+
+import attrs
+
+from gentianhitch.errors import UsageError
+from gentianhitch.operators.document import BackendServer
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.document import Route
+from gentianhitch.operators.document import Service
+from gentianhitch.operators.document import Workspace
+
+KEY_HASH = re.compile(r"[0-9a-f]{64}")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+RESERVED_PATH = "/.gentianhitch"
+BELOW = "/*"
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class Fault:
+    """One fault of a document; ``place`` names the record that has it."""
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place} {self.message}"
+
+
+class FaultyDocumentError(UsageError):
+    """Refuse a document with faults."""
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        super().__init__("\n".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+@attrs.frozen
+class _Context:
+    services_by_name: dict[str, Service]
+    slots_by_service: dict[str, int]
+
+    @classmethod
+    def of(cls, document: Document) -> _Context:
+        slots_by_service: dict[str, int] = {}
+        for server in document.backend_servers:
+            slots = slots_by_service.get(server.service, 0) + server.slots
+            slots_by_service[server.service] = slots
+        by_name = {service.name: service for service in document.services}
+        return cls(by_name, slots_by_service)
+
+
+def require_sound(document: Document, environment: str | None = None) -> None:
+    """Raise FaultyDocumentError with all faults of a document."""
+    faults = check_document(document)
+    if environment is not None and document.environment != environment:
+        message = f"is {document.environment!r}, but this is {environment!r}"
+        faults = (Fault("environment", message), *faults)
+    if faults:
+        raise FaultyDocumentError(faults)
+
+
+def check_document(document: Document) -> tuple[Fault, ...]:
+    """Return all faults of a document."""
+    return tuple(_faults(document))
+
+
+def _faults(document: Document) -> Iterator[Fault]:
+    context = _Context.of(document)
+    yield from _duplicates(document)
+    records = (
+        *document.workspaces,
+        *document.services,
+        *document.backend_servers,
+        *document.routes,
+    )
+    for record in records:
+        for message in _check(record, context):
+            yield Fault(_place(record), message)
+
+
+def _duplicates(document: Document) -> Iterator[Fault]:
+    yield from _repeated(document.workspaces, lambda one: one.name)
+    yield from _repeated(document.services, lambda one: one.name)
+    yield from _repeated(document.backend_servers, lambda one: one.name)
+    yield from _repeated(document.routes, lambda one: (one.method, one.path))
+    yield from _repeated_addresses(document.backend_servers)
+    yield from _shared_keys(document.workspaces)
+
+
+def _repeated(records: Iterable[T], key: Callable[[T], object]) -> Iterator[Fault]:
+    seen: set[object] = set()
+    for record in records:
+        if key(record) in seen:
+            yield Fault(_place(record), "is declared twice")
+        seen.add(key(record))
+
+
+def _repeated_addresses(servers: Iterable[BackendServer]) -> Iterator[Fault]:
+    owner_by_address: dict[str, str] = {}
+    for server in servers:
+        owner = owner_by_address.setdefault(server.address, server.name)
+        if owner != server.name:
+            message = f"has the address {server.address} of {owner!r}"
+            yield Fault(_place(server), message)
+
+
+def _shared_keys(workspaces: Iterable[Workspace]) -> Iterator[Fault]:
+    owner_by_hash: dict[str, str] = {}
+    for workspace in workspaces:
+        for key_hash in workspace.key_hashes:
+            owner = owner_by_hash.setdefault(key_hash, workspace.name)
+            if owner != workspace.name:
+                message = f"has a key of workspace {owner!r}"
+                yield Fault(_place(workspace), message)
+
+
+@singledispatch
+def _place(record: object) -> str:
+    raise NotImplementedError(type(record))
+
+
+@_place.register
+def _(record: Workspace) -> str:
+    return f"workspace {record.name!r}"
+
+
+@_place.register
+def _(record: Service) -> str:
+    return f"service {record.name!r}"
+
+
+@_place.register
+def _(record: BackendServer) -> str:
+    return f"backend server {record.name!r}"
+
+
+@_place.register
+def _(record: Route) -> str:
+    return f"route '{record.method} {record.path}'"
+
+
+@singledispatch
+def _check(record: object, context: _Context) -> Iterator[str]:
+    raise NotImplementedError(type(record))
+
+
+@_check.register
+def _(record: Workspace, context: _Context) -> Iterator[str]:
+    yield from _check_name(record.name)
+    # The negated comparison also refuses a number that is not a number.
+    if not 0 <= record.rate < float("inf"):
+        yield f"has rate {record.rate}, which must be finite and not negative"
+    if not 0 <= record.burst < float("inf"):
+        yield f"has burst {record.burst}, which must be finite and not negative"
+    elif record.rate > 0 and record.burst < 1:
+        yield f"has burst {record.burst}, below one request"
+    for key_hash in record.key_hashes:
+        if not KEY_HASH.fullmatch(key_hash):
+            yield "has a key hash that is not a lowercase hexadecimal SHA-256"
+    if len(set(record.key_hashes)) < len(record.key_hashes):
+        yield "has the same key hash twice"
+
+
+@_check.register
+def _(record: Service, context: _Context) -> Iterator[str]:
+    yield from _check_name(record.name)
+    if record.floor_slots < 0:
+        yield f"has floor_slots {record.floor_slots}, which must not be negative"
+    if record.deadline_ms <= 0:
+        yield f"has deadline_ms {record.deadline_ms}, which must be positive"
+    slots = context.slots_by_service.get(record.name, 0)
+    if record.floor_slots > slots:
+        yield f"has floor_slots {record.floor_slots}, above its {slots} declared slots"
+
+
+@_check.register
+def _(record: BackendServer, context: _Context) -> Iterator[str]:
+    yield from _check_name(record.name)
+    yield from _check_service(record.service, context)
+    if not record.failure_domain:
+        yield "has no failure domain"
+    if record.address.port == 0:
+        yield f"has address {record.address} without a port"
+    if record.slots <= 0:
+        yield f"has slots {record.slots}, which must be positive"
+    if record.connections <= 0:
+        yield f"has connections {record.connections}, which must be positive"
+
+
+@_check.register
+def _(record: Route, context: _Context) -> Iterator[str]:
+    yield from _check_service(record.service, context)
+    path = record.path.removesuffix(BELOW)
+    if not record.path.startswith("/"):
+        yield "has a path that does not start with '/'"
+    if any(char in path for char in "*?# ") or not path.isprintable():
+        yield "has a path with characters that no path may have"
+    if path == RESERVED_PATH or path.startswith(RESERVED_PATH + "/"):
+        yield f"is below {RESERVED_PATH}, which the system uses itself"
+    if record.method in ("GET", "HEAD") and not record.idempotent:
+        yield f"is not idempotent, but {record.method} always is"
+
+
+def _check_name(name: str) -> Iterator[str]:
+    if not NAME.fullmatch(name):
+        yield f"has a name that does not match {NAME.pattern}"
+
+
+def _check_service(service: str, context: _Context) -> Iterator[str]:
+    if service not in context.services_by_name:
+        yield f"names service {service!r}, which does not exist"
--- /dev/null
+++ b/src/gentianhitch/operators/documents.py
@@ -0,0 +1,131 @@
+"""Read and write stored documents, and name what is in production."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
+
+import attrs
+
+from gentianhitch.operators import head as heads
+from gentianhitch.operators import pieces
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.document_codec import MalformedDocumentError
+from gentianhitch.operators.document_codec import decode_document
+from gentianhitch.operators.document_codec import encode_document
+from gentianhitch.operators.errors import LostRaceError
+from gentianhitch.operators.errors import OperatorsError
+from gentianhitch.operators.errors import OperatorsOutcomeUnknownError
+from gentianhitch.operators.errors import OperatorsUnavailableError
+from gentianhitch.platform.interface import Platform
+
+T = TypeVar("T")
+
+NO_REVISION = 0
+
+
+@attrs.frozen
+class Production:
+    """The document in production; ``reference`` is None before the first."""
+
+    head: heads.Head
+    document: Document | None
+
+    @property
+    def reference(self) -> heads.DocumentReference | None:
+        """Return the head's reference to the document."""
+        return self.head.document
+
+    @property
+    def revision(self) -> int:
+        """Return the document's revision."""
+        return revision_of(self.head)
+
+
+@attrs.frozen
+class Change:
+    """One accepted change of the document."""
+
+    revision: int
+    sequence: int
+    digest: str
+    changed_by: str
+
+
+def revision_of(head: heads.Head) -> int:
+    """Return the document revision of a head."""
+    return head.document.revision if head.document else NO_REVISION
+
+
+async def read_production(platform: Platform, environment: str) -> Production:
+    """Read the head and its document."""
+    stored = await guarded(heads.read_head(platform, environment))
+    reference = stored.head.document
+    if reference is None:
+        return Production(stored.head, None)
+    document = await read_document(platform, environment, reference.digest)
+    return Production(stored.head, document)
+
+
+async def read_document(platform: Platform, environment: str, digest: str) -> Document:
+    """Read one stored document."""
+    data = await guarded(pieces.load(platform, environment, digest))
+    try:
+        return decode_document(data)
+    except MalformedDocumentError as error:
+        raise OperatorsError(str(error)) from error
+
+
+async def write_document(
+    platform: Platform, environment: str, document: Document
+) -> str:
+    """Store a document and return its digest."""
+    return await guarded(pieces.store(platform, environment, encode_document(document)))
+
+
+async def move_document(
+    platform: Platform,
+    environment: str,
+    change_id: str,
+    base_revision: int,
+    digest: str,
+    changed_by: str,
+) -> Change:
+    """Make ``digest`` the revision after ``base_revision``, once.
+
+    Raise LostRaceError when another change came first. A change of the agreed
+    list is not a lost race.
+    """
+
+    def edit(head: heads.Head) -> heads.Head:
+        require_base(head, base_revision)
+        reference = heads.DocumentReference(
+            base_revision + 1, digest, changed_by, change_id
+        )
+        return attrs.evolve(head, document=reference)
+
+    stored = await guarded(heads.change_head(platform, environment, change_id, edit))
+    return Change(base_revision + 1, stored.head.sequence, digest, changed_by)
+
+
+def require_base(head: heads.Head, base_revision: int) -> None:
+    """Raise LostRaceError unless the document is still at ``base_revision``."""
+    revision = revision_of(head)
+    if head.document and revision != base_revision:
+        raise LostRaceError(
+            f"lost the race to {head.document.changed_by}: production is at revision"
+            f" {revision}, not at {base_revision}"
+        )
+
+
+async def guarded(work: Coroutine[Any, Any, T]) -> T:
+    """Turn errors of the head and of pieces into those of this layer."""
+    try:
+        return await work
+    except (heads.HeadUnavailableError, pieces.PiecesUnavailableError) as error:
+        raise OperatorsUnavailableError(str(error)) from error
+    except heads.ChangeUnknownError as error:
+        raise OperatorsOutcomeUnknownError(str(error)) from error
+    except (heads.HeadError, pieces.PieceError) as error:
+        raise OperatorsError(str(error)) from error
--- a/src/gentianhitch/operators/head.py
+++ b/src/gentianhitch/operators/head.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 
+from gentianhitch import json_codec
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.platform.interface import ABSENT
@@ -97,14 +97,14 @@
 
 def encode_head(head: Head) -> bytes:
     """Encode a head as the value of its key."""
-    return msgspec.json.encode(head)
+    return json_codec.encode(head)
 
 
 def decode_head(value: bytes) -> Head:
     """Decode the value of a head's key; raise MalformedHeadError."""
     try:
-        return msgspec.json.decode(value, type=Head)
-    except msgspec.MsgspecError as error:
+        return json_codec.decode(value, Head)
+    except json_codec.DecodeError as error:
         raise MalformedHeadError(f"malformed head: {error}") from error
 
 
--- /dev/null
+++ b/src/gentianhitch/operators/keys.py
@@ -0,0 +1,151 @@
+"""Give and withdraw the keys of workspaces; only their hashes are stored."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from collections.abc import Callable
+
+import attrs
+
+from gentianhitch.operators import documents
+from gentianhitch.operators.checking import KEY_HASH
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.document import Workspace
+from gentianhitch.operators.errors import LostRaceError
+from gentianhitch.operators.errors import WrongChangeError
+from gentianhitch.platform.interface import Platform
+
+KEY_BYTES = 32
+KEY_ID_LENGTH = 12
+MIN_PREFIX_LENGTH = 6
+MAX_ATTEMPTS = 8
+
+EditWorkspace = Callable[[Workspace], Workspace]
+
+
+@attrs.frozen
+class KeyChange:
+    """A key change; ``key_id`` is the start of the key's hash."""
+
+    change: documents.Change
+    key_id: str
+
+
+def generate_key() -> str:
+    """Generate a key for one workspace."""
+    return secrets.token_urlsafe(KEY_BYTES)
+
+
+def hash_key(key: str) -> str:
+    """Return the hash by which a key is known."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def key_id(key_hash: str) -> str:
+    """Return the short name of a key that operators see."""
+    return key_hash[:KEY_ID_LENGTH]
+
+
+def find_workspace(document: Document, name: str) -> Workspace:
+    """Return a workspace; raise WrongChangeError when it does not exist."""
+    for workspace in document.workspaces:
+        if workspace.name == name:
+            return workspace
+    raise WrongChangeError(f"workspace {name!r} does not exist")
+
+
+async def give_key(
+    platform: Platform,
+    environment: str,
+    change_id: str,
+    workspace: str,
+    key_hash: str,
+    by: str,
+) -> KeyChange:
+    """Add a key to a workspace."""
+    if not KEY_HASH.fullmatch(key_hash):
+        raise WrongChangeError("the key hash is not a lowercase hexadecimal SHA-256")
+
+    def add(edited: Workspace) -> Workspace:
+        if key_hash in edited.key_hashes:
+            raise WrongChangeError(f"workspace {workspace!r} has this key already")
+        return attrs.evolve(edited, key_hashes=(*edited.key_hashes, key_hash))
+
+    change = await _change(platform, environment, change_id, workspace, add, by)
+    return KeyChange(change, key_id(key_hash))
+
+
+async def withdraw_key(
+    platform: Platform,
+    environment: str,
+    change_id: str,
+    workspace: str,
+    prefix: str,
+    by: str,
+) -> KeyChange:
+    """Remove the key whose hash starts with ``prefix`` from a workspace."""
+    if len(prefix) < MIN_PREFIX_LENGTH:
+        raise WrongChangeError(f"a key id has at least {MIN_PREFIX_LENGTH} characters")
+
+    def remove(edited: Workspace) -> Workspace:
+        matching = [one for one in edited.key_hashes if one.startswith(prefix)]
+        if len(matching) != 1:
+            raise WrongChangeError(
+                f"workspace {workspace!r} has {len(matching)} keys {prefix}..."
+            )
+        kept = tuple(one for one in edited.key_hashes if one != matching[0])
+        return attrs.evolve(edited, key_hashes=kept)
+
+    change = await _change(platform, environment, change_id, workspace, remove, by)
+    return KeyChange(change, key_id(prefix))
+
+
+async def _change(
+    platform: Platform,
+    environment: str,
+    change_id: str,
+    workspace: str,
+    edit: EditWorkspace,
+    by: str,
+) -> documents.Change:
+    """Edit one workspace of the document in production, after any other change."""
+    for _ in range(MAX_ATTEMPTS):
+        production = await documents.read_production(platform, environment)
+        done = _done(production, change_id)
+        if done is not None:
+            return done
+        edited = _edited(production, workspace, edit)
+        digest = await documents.write_document(platform, environment, edited)
+        try:
+            return await documents.move_document(
+                platform, environment, change_id, production.revision, digest, by
+            )
+        except LostRaceError:
+            continue
+    raise LostRaceError(f"other changes came first {MAX_ATTEMPTS} times in a row")
+
+
+def _done(production: documents.Production, change_id: str) -> documents.Change | None:
+    reference = production.reference
+    if reference is None or change_id not in production.head.recent_write_ids:
+        return None
+    return documents.Change(
+        reference.revision,
+        production.head.sequence,
+        reference.digest,
+        reference.changed_by,
+    )
+
+
+def _edited(
+    production: documents.Production, name: str, edit: EditWorkspace
+) -> Document:
+    if production.document is None:
+        raise WrongChangeError("nothing was promoted yet")
+    find_workspace(production.document, name)
+    workspaces = tuple(
+        edit(workspace) if workspace.name == name else workspace
+        for workspace in production.document.workspaces
+    )
+    return attrs.evolve(production.document, workspaces=workspaces)
--- /dev/null
+++ b/src/gentianhitch/operators/resource.py
@@ -0,0 +1,195 @@
+"""Serve operators' calls on an entry instance."""
+
+from __future__ import annotations
+
+import hmac
+from typing import Any
+from typing import TypeVar
+
+import attrs
+from klein import Klein
+from loguru import logger
+from twisted.python.failure import Failure
+from twisted.web.http import Request
+
+from gentianhitch import json_codec
+from gentianhitch.errors import ExitCode
+from gentianhitch.errors import GentianhitchError
+from gentianhitch.operators import answers
+from gentianhitch.operators import documents
+from gentianhitch.operators import head as heads
+from gentianhitch.operators import keys
+from gentianhitch.operators import trial as trials
+from gentianhitch.operators.checking import FaultyDocumentError
+from gentianhitch.operators.errors import NotAuthorisedError
+from gentianhitch.operators.errors import WrongChangeError
+from gentianhitch.platform.interface import Platform
+
+T = TypeVar("T")
+
+BEARER = "Bearer "
+UNNAMED = "unnamed"
+MAX_OPERATOR_NAME = 80
+UNAUTHORISED_STATUS = 401
+STATUS_BY_EXIT_CODE = {
+    ExitCode.USAGE: 400,
+    ExitCode.LOST_RACE: 409,
+    ExitCode.OUTCOME_UNKNOWN: 504,
+    ExitCode.FAILED: 503,
+}
+INTERNAL_STATUS = 500
+
+
+@attrs.define(eq=False)
+class OperatorsResource:
+    """Answer operators' calls; ``app.resource()`` is mounted below the prefix."""
+
+    platform: Platform
+    environment: str
+    operator_key_hashes: tuple[str, ...]
+
+    app = Klein()
+
+    def resource(self) -> Any:
+        """Return the twisted.web resource."""
+        return self.app.resource()
+
+    @app.route("/status", methods=["GET"])
+    async def status(self, request: Request) -> bytes:
+        """Tell what is in production and on trial."""
+        self._authorise(request)
+        head = (
+            await documents.guarded(heads.read_head(self.platform, self.environment))
+        ).head
+        current = await trials.read_trial(self.platform, self.environment)
+        answer = answers.StatusAnswer(
+            self.environment, head.sequence, _change_of(head), current.trial
+        )
+        return _answer(request, answer)
+
+    @app.route("/document", methods=["GET"])
+    async def document(self, request: Request) -> bytes:
+        """Return the document in production."""
+        self._authorise(request)
+        production = await documents.read_production(self.platform, self.environment)
+        if production.document is None:
+            raise WrongChangeError("nothing was promoted yet")
+        return _answer(request, production.document)
+
+    @app.route("/trial", methods=["PUT"])
+    async def trial(self, request: Request) -> bytes:
+        """Check a document and put it to trial."""
+        operator = self._authorise(request)
+        call = _read(request, answers.TrialCall)
+        answer = await trials.put_to_trial(
+            self.platform, self.environment, call.trial_id, call.document, operator
+        )
+        logger.info("trial {} stored by {}", answer.trial.id, operator)
+        return _answer(request, answer)
+
+    @app.route("/promote", methods=["POST"])
+    async def promote(self, request: Request) -> bytes:
+        """Move the tried document to production."""
+        operator = self._authorise(request)
+        call = _read(request, answers.PromoteCall)
+        change = await trials.promote(
+            self.platform, self.environment, call.trial_id, operator
+        )
+        logger.info("revision {} promoted by {}", change.revision, operator)
+        return _answer(request, change)
+
+    @app.route("/keys", methods=["GET"])
+    async def list_keys(self, request: Request) -> bytes:
+        """List the key ids of every workspace."""
+        self._authorise(request)
+        production = await documents.read_production(self.platform, self.environment)
+        document = production.document
+        listings = tuple(
+            answers.KeyListing(
+                workspace.name, tuple(keys.key_id(one) for one in workspace.key_hashes)
+            )
+            for workspace in (document.workspaces if document else ())
+        )
+        return _answer(request, answers.KeysAnswer(listings))
+
+    @app.route("/keys/give", methods=["POST"])
+    async def give_key(self, request: Request) -> bytes:
+        """Add a key to a workspace."""
+        operator = self._authorise(request)
+        call = _read(request, answers.GiveKeyCall)
+        changed = await keys.give_key(
+            self.platform,
+            self.environment,
+            call.change_id,
+            call.workspace,
+            call.key_hash,
+            operator,
+        )
+        logger.info("key {} given by {}", changed.key_id, operator)
+        return _answer(request, changed)
+
+    @app.route("/keys/withdraw", methods=["POST"])
+    async def withdraw_key(self, request: Request) -> bytes:
+        """Remove a key from a workspace."""
+        operator = self._authorise(request)
+        call = _read(request, answers.WithdrawKeyCall)
+        changed = await keys.withdraw_key(
+            self.platform,
+            self.environment,
+            call.change_id,
+            call.workspace,
+            call.key_id,
+            operator,
+        )
+        logger.info("key {} withdrawn by {}", changed.key_id, operator)
+        return _answer(request, changed)
+
+    @app.handle_errors(GentianhitchError)
+    def refuse(self, request: Request, failure: Failure) -> bytes:
+        """Answer a call that failed, and say whether it may have had an effect."""
+        error: Any = failure.value
+        status = STATUS_BY_EXIT_CODE.get(error.exit_code, INTERNAL_STATUS)
+        if isinstance(error, NotAuthorisedError):
+            status = UNAUTHORISED_STATUS
+        faults = error.faults if isinstance(error, FaultyDocumentError) else ()
+        unknown = error.exit_code == ExitCode.OUTCOME_UNKNOWN
+        request.setHeader(answers.OUTCOME_HEADER, "unknown" if unknown else "not-run")
+        answer = answers.ErrorAnswer(str(error), int(error.exit_code), faults)
+        return _answer(request, answer, status)
+
+    def _authorise(self, request: Request) -> str:
+        """Return the operator's name; raise NotAuthorisedError."""
+        shown = (request.getHeader("Authorization") or "").removeprefix(BEARER)
+        shown_hash = keys.hash_key(shown)
+        known = [
+            hmac.compare_digest(shown_hash, key_hash)
+            for key_hash in self.operator_key_hashes
+        ]
+        if not any(known):
+            raise NotAuthorisedError("the operator key is missing or unknown")
+        name = request.getHeader(answers.OPERATOR_HEADER) or UNNAMED
+        printable = "".join(char for char in name if char.isprintable())
+        return f"{printable[:MAX_OPERATOR_NAME]} (key {keys.key_id(shown_hash)})"
+
+
+def _change_of(head: heads.Head) -> documents.Change | None:
+    reference = head.document
+    if reference is None:
+        return None
+    return documents.Change(
+        reference.revision, head.sequence, reference.digest, reference.changed_by
+    )
+
+
+def _read(request: Request, kind: type[T]) -> T:
+    content: Any = request.content
+    try:
+        return json_codec.decode(content.read(), kind)
+    except json_codec.DecodeError as error:
+        raise WrongChangeError(f"malformed call: {error}") from error
+
+
+def _answer(request: Request, value: object, status: int = 200) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    return json_codec.encode(value)
--- /dev/null
+++ b/src/gentianhitch/operators/trial.py
@@ -0,0 +1,170 @@
+"""Put documents to trial and promote exactly what was tried."""
+
+from __future__ import annotations
+
+import attrs
+
+from gentianhitch import json_codec
+from gentianhitch.operators import documents
+from gentianhitch.operators import head as heads
+from gentianhitch.operators.checking import Fault
+from gentianhitch.operators.checking import FaultyDocumentError
+from gentianhitch.operators.checking import require_sound
+from gentianhitch.operators.document import Document
+from gentianhitch.operators.document import Workspace
+from gentianhitch.operators.errors import LostRaceError
+from gentianhitch.operators.errors import OperatorsError
+from gentianhitch.operators.errors import OperatorsOutcomeUnknownError
+from gentianhitch.operators.errors import OperatorsUnavailableError
+from gentianhitch.operators.errors import WrongChangeError
+from gentianhitch.platform.interface import ABSENT
+from gentianhitch.platform.interface import ConflictError
+from gentianhitch.platform.interface import OutcomeUnknownError
+from gentianhitch.platform.interface import Platform
+from gentianhitch.platform.interface import UnavailableError
+
+MAX_ATTEMPTS = 8
+
+
+@attrs.frozen
+class Trial:
+    """A document put to trial against revision ``base_revision`` of production."""
+
+    id: str
+    digest: str
+    base_revision: int
+    tried_by: str
+
+
+@attrs.frozen
+class StoredTrial:
+    """The current trial, None before the first, and the revision of its key."""
+
+    trial: Trial | None
+    revision: int
+
+
+@attrs.frozen
+class TrialAnswer:
+    """A stored trial and the one that it replaces."""
+
+    trial: Trial
+    replaced: Trial | None
+
+
+def trial_key(environment: str) -> str:
+    """Return the key that holds the current trial."""
+    return f"gentianhitch/{environment}/trial"
+
+
+async def read_trial(platform: Platform, environment: str) -> StoredTrial:
+    """Read the current trial."""
+    try:
+        entry = await platform.get(trial_key(environment))
+    except UnavailableError as error:
+        raise OperatorsUnavailableError(f"cannot read the trial: {error}") from error
+    if entry is None:
+        return StoredTrial(None, ABSENT)
+    try:
+        trial = json_codec.decode(entry.value, Trial)
+    except json_codec.DecodeError as error:
+        raise OperatorsError(f"malformed trial: {error}") from error
+    return StoredTrial(trial, entry.revision)
+
+
+async def put_to_trial(
+    platform: Platform, environment: str, trial_id: str, document: Document, by: str
+) -> TrialAnswer:
+    """Check a document and make it the current trial.
+
+    Keys of workspaces in production are kept: they change by key changes only.
+    """
+    require_sound(document, environment)
+    production = await documents.read_production(platform, environment)
+    document = _with_keys_of(document, production.document)
+    require_sound(document)
+    digest = await documents.write_document(platform, environment, document)
+    trial = Trial(trial_id, digest, production.revision, by)
+    return await _store(platform, environment, trial)
+
+
+async def promote(
+    platform: Platform, environment: str, trial_id: str, by: str
+) -> documents.Change:
+    """Move the tried document to production; repeating it is safe."""
+    accepted = await _accepted(platform, environment, trial_id)
+    if accepted is not None:
+        return accepted
+    trial = (await read_trial(platform, environment)).trial
+    if trial is None:
+        raise WrongChangeError("no document was put to trial")
+    if trial.id != trial_id:
+        raise LostRaceError(
+            f"lost the race to {trial.tried_by}, whose trial {trial.id} replaced"
+            f" {trial_id}"
+        )
+    return await documents.move_document(
+        platform, environment, trial.id, trial.base_revision, trial.digest, by
+    )
+
+
+async def _accepted(
+    platform: Platform, environment: str, trial_id: str
+) -> documents.Change | None:
+    stored = await documents.guarded(heads.read_head(platform, environment))
+    reference = stored.head.document
+    if reference is None or reference.change_id != trial_id:
+        return None
+    return documents.Change(
+        reference.revision,
+        stored.head.sequence,
+        reference.digest,
+        reference.changed_by,
+    )
+
+
+async def _store(platform: Platform, environment: str, trial: Trial) -> TrialAnswer:
+    replaced: Trial | None = None
+    for _ in range(MAX_ATTEMPTS):
+        current = await read_trial(platform, environment)
+        if current.trial is not None and current.trial.id == trial.id:
+            return TrialAnswer(current.trial, replaced)
+        replaced = current.trial
+        try:
+            await platform.put(
+                trial_key(environment),
+                json_codec.encode(trial),
+                expected_revision=current.revision,
+            )
+        except (ConflictError, OutcomeUnknownError):
+            continue
+        except UnavailableError as error:
+            raise OperatorsUnavailableError(f"cannot write: {error}") from error
+        return TrialAnswer(trial, replaced)
+    raise OperatorsOutcomeUnknownError("no reply to the writes of the trial")
+
+
+def _with_keys_of(document: Document, production: Document | None) -> Document:
+    if production is None:
+        return document
+    known = {workspace.name: workspace for workspace in production.workspaces}
+    faults = tuple(
+        Fault(
+            f"workspace {workspace.name!r}",
+            "lists a key hash that production does not have; change keys by"
+            " 'gentianhitch keys'",
+        )
+        for workspace in document.workspaces
+        if workspace.name in known
+        and not set(workspace.key_hashes) <= set(known[workspace.name].key_hashes)
+    )
+    if faults:
+        raise FaultyDocumentError(faults)
+    kept = tuple(_keep_keys(one, known.get(one.name)) for one in document.workspaces)
+    return attrs.evolve(document, workspaces=kept)
+
+
+def _keep_keys(workspace: Workspace, known: Workspace | None) -> Workspace:
+    if known is None:
+        return workspace
+    return attrs.evolve(workspace, key_hashes=known.key_hashes)
--- a/src/gentianhitch/platform/client.py
+++ b/src/gentianhitch/platform/client.py
@@ -8,16 +8,14 @@
 from urllib.parse import quote
 
 import attrs
-import msgspec
 from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
-from twisted.internet.error import ConnectingCancelledError
-from twisted.web._newclient import RequestNotSent
 from twisted.web.client import HTTPConnectionPool
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
+from gentianhitch.http_client import NOT_SENT_ERRORS
 from gentianhitch.http_client import make_client
 from gentianhitch.http_client import make_pool
 from gentianhitch.platform.interface import ConflictError
@@ -43,9 +41,6 @@
 JSON_TYPE = "application/json"
 MAX_SHOWN_BYTES = 200
 
-# Raised before any byte of the request was written.
-NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError, RequestNotSent)
-
 T = TypeVar("T")
 K = TypeVar("K")
 
@@ -231,7 +226,7 @@
         return answer
 
     async def _exchange(self, address: Address, call: _Call[T]) -> _Answer:
-        body = None if call.body is None else msgspec.json.encode(call.body)
+        body = None if call.body is None else json_codec.encode(call.body)
         response = await self._http.request(
             call.method,
             f"http://{address}{call.path}",
@@ -258,16 +253,10 @@
 
 def _decode(call: _Call[T], kind: type[K], answer: _Answer) -> K:
     try:
-        return msgspec.json.decode(answer.body, type=kind, dec_hook=_decode_hook)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return json_codec.decode(answer.body, kind)
+    except json_codec.DecodeError as error:
         raise call.lost(error) from error
 
 
 def _key_path(key: str) -> str:
     return "/v1/keys/" + quote(key, safe="/")
-
-
-def _decode_hook(kind: type, value: object) -> object:
-    if kind is Address:
-        return Address.parse(value)
-    raise NotImplementedError(kind)
--- a/src/gentianhitch/platform/memory.py
+++ b/src/gentianhitch/platform/memory.py
@@ -23,6 +23,10 @@
 T = TypeVar("T")
 
 
+def _ignore(key: str) -> None:
+    pass
+
+
 @attrs.define
 class _LeaseState:
     ends_at: float
@@ -35,7 +39,8 @@
 
     ``outage`` refuses every call, ``delay_s`` slows every call, and
     ``lost_replies`` is the number of coming replies that are lost after their
-    call took effect. ``listed`` is what the lagging list shows.
+    call took effect. ``listed`` is what the lagging list shows. ``before_put`` is
+    called with each key that is about to be written, to place a race.
     """
 
     clock: Clock
@@ -43,6 +48,7 @@
     delay_s: float = 0.0
     lost_replies: int = 0
     listed: tuple[ListedInstance, ...] = ()
+    before_put: Callable[[str], None] = _ignore
     calls_by_kind: Counter[str] = attrs.Factory(Counter)
     revision: int = 0
     entries_by_key: dict[str, Entry] = attrs.Factory(dict)
@@ -113,6 +119,7 @@
         """Write if the key is still at ``expected_revision``."""
 
         def apply() -> Entry:
+            self.shared.before_put(key)
             self.shared.require(key, expected_revision)
             return self.shared.write(key, value, lease)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -254,7 +254,7 @@
     parser.add_argument("--port", type=int, default=0)
     arguments = parser.parse_args()
     address = serving.listen(StandInPlatform().app, arguments.port)
-    serving.announce(platform=address)
+    serving.announce(address=address)
     serving.serve()
 
 
