--- a/src/gentianhitch/decisions/limits/account.py
+++ b/src/gentianhitch/decisions/limits/account.py
@@ -9,6 +9,7 @@
 from gentianhitch.decisions.limits.bucket import TokenBucket
 from gentianhitch.decisions.limits.constants import CLOCK_MARGIN
 from gentianhitch.decisions.limits.constants import LOAN_S
+from gentianhitch.decisions.limits.constants import MIN_LOAN_BURST
 from gentianhitch.decisions.limits.constants import RECALL_S
 from gentianhitch.decisions.limits.constants import URGENT_LOAN_S
 from gentianhitch.decisions.limits.messages import LoanGranted
@@ -182,9 +183,12 @@
         free_rate = self.share.rate - (self._lent.rate - held.rate)
         free_burst = self.share.burst - (self._lent.burst - held.burst)
         rate = min(wanted, level, free_rate - min(own_rate, level))
-        if rate <= 0.0 or free_burst <= 0.0:
+        if rate <= 0.0:
             return NOTHING
-        return Share(rate, min(free_burst, self.share.burst * rate / self.share.rate))
+        burst = min(free_burst, self.share.burst * rate / self.share.rate)
+        # A bucket below one request fills up and admits nothing; such a workspace
+        # is served by loans of tokens.
+        return NOTHING if burst < MIN_LOAN_BURST else Share(rate, burst)
 
     def _tokens_for(self, rate: float, wanted: float) -> float:
         if rate <= 0.0:
--- a/src/gentianhitch/decisions/limits/constants.py
+++ b/src/gentianhitch/decisions/limits/constants.py
@@ -8,6 +8,9 @@
 MIN_HOLDER_BURST = 0.5
 """Smallest burst of one holder; a workspace with a small burst has few holders."""
 
+MIN_LOAN_BURST = 1.0
+"""Smallest burst of a loan of rate; below it only tokens are lent."""
+
 LOAN_S = 2.0
 """Lease of a loan of rate, from the moment the borrower asked."""
 
--- a/src/gentianhitch/decisions/limits/holdings.py
+++ b/src/gentianhitch/decisions/limits/holdings.py
@@ -60,6 +60,17 @@
         for budget in self.budgets():
             budget.accounts_by_origin.pop(origin, None)
 
+    def drop_unlisted(self, but: InstanceId | None = None) -> None:
+        """Give up the shares of origins that no active state lists."""
+        listed = {
+            member.id
+            for state in self.log.active
+            for member in state.members_by_name.values()
+        }
+        for origin in list(self.rights_by_origin):
+            if self.log.active and origin not in listed and origin != but:
+                self.give_up(origin)
+
     def declared(self, workspace: str) -> Workspace | None:
         """Return the workspace as the newest document declares it."""
         if not self.log.active:
--- a/src/gentianhitch/decisions/limits/rounds.py
+++ b/src/gentianhitch/decisions/limits/rounds.py
@@ -27,7 +27,8 @@
         limiter.succession.tick(now)
         if not limiter.holdings.is_fresh(now):
             return
-        self._drop_ended_rights()
+        limiter.peers.forget_origins(limiter.holdings.log.active)
+        limiter.holdings.drop_unlisted(but=limiter.holdings.own_id)
         limiter.holdings.reopen(now)
         limiter.holdings.forget_idle(now)
         limiter.borrower.send(self._plan(now))
@@ -55,14 +56,3 @@
             for address, items in plan.items():
                 items_by_address[address].extend(items)
         return items_by_address
-
-    def _drop_ended_rights(self) -> None:
-        holdings = self._limiter.holdings
-        states = holdings.log.active
-        self._limiter.peers.forget_origins(states)
-        listed = {
-            member.id for state in states for member in state.members_by_name.values()
-        }
-        for origin in holdings.inherited():
-            if origin not in listed:
-                holdings.give_up(origin)
--- a/src/gentianhitch/decisions/limits/succession.py
+++ b/src/gentianhitch/decisions/limits/succession.py
@@ -66,6 +66,8 @@
     def tick(self, now: float) -> None:
         """Look for heirs and send unacknowledged transfers again."""
         self._transfers.send_due(now)
+        if self.leaving:
+            self._holdings.drop_unlisted()
         if now < self._next_query or not self._holdings.rights_by_origin:
             return
         self._next_query = now + (HEIR_QUERY_S / 10 if self.leaving else HEIR_QUERY_S)
--- a/src/gentianhitch/soak/limits.py
+++ b/src/gentianhitch/soak/limits.py
@@ -25,7 +25,10 @@
 RATES = (1.0, 2.0, 10.0, 60.0)
 BURSTS = (1.0, 4.0, 12.0, 40.0)
 LONGEST_FAULT_S = 20.0
-OUTAGE_S = 2 * 3600.0
+LIST_S = 10.0
+"""Time between two looks whether the agreed list is still right."""
+
+OUTAGE_S = 3 * 3600.0
 
 
 @attrs.frozen
@@ -44,7 +47,12 @@
         self, seed: int, *, factory: LimiterFactory = LocalLimiter, max_holders: int = 4
     ) -> None:
         self.random = Random(seed)
-        self.network = Network(Clock(), self.random, Faults(0.1, 0.1, 0.001, 0.3))
+        faults = Faults(
+            loss=self.random.choice((0.0, 0.02, 0.2)),
+            duplication=self.random.choice((0.0, 0.1, 0.5)),
+            max_delay_s=self.random.choice((0.005, 0.05, 0.5)),
+        )
+        self.network = Network(Clock(), self.random, faults)
         workspaces = (Workspace("small", 2.0, 4.0), Workspace("large", 60.0, 40.0))
         self.fleet = ModelFleet(
             self.random,
@@ -54,6 +62,7 @@
             max_holders=max_holders,
         )
         self.outage_until = 0.0
+        self.next_list = LIST_S
         self.actions_by_name: Counter[str] = Counter()
         self._addresses_by_name = {
             f"entry-{number}": Address("127.0.0.1", 9000 + number)
@@ -64,16 +73,17 @@
         self.fleet.publish(self._listed())
         self.fleet.hear_all()
         self._actions: list[tuple[int, Callable[[], None]]] = [
-            (60, self.requests),
-            (20, self.hot_requests),
+            (20, self.requests),
+            (10, self.hot_requests),
+            (30, self.saturate),
             (10, self.let_time_pass),
             (2, self.kill),
             (2, self.stop_planned),
             (3, self.pause),
             (3, self.cut_evidence),
             (3, self.cut_messages),
-            (3, self.change_list),
-            (2, self.change_document),
+            (2, self.change_list),
+            (1, self.change_document),
             (1, self.outage),
         ]
 
@@ -84,6 +94,9 @@
         self.actions_by_name[action.__name__] += 1
         action()
         self.fleet.advance(self.random.uniform(0.005, 0.3), step=0.02)
+        if self.fleet.clock.seconds() >= self.next_list:
+            self.next_list = self.fleet.clock.seconds() + LIST_S
+            self.follow_list()
 
     def requests(self) -> None:
         """Bring requests to random instances."""
@@ -96,6 +109,14 @@
         for _ in range(self.random.randint(1, 40)):
             self.fleet.request(instance, workspace)
 
+    def saturate(self) -> None:
+        """Bring more to every instance than the limit allows for a while."""
+        for _ in range(self.random.randint(1, 30)):
+            for instance in list(self.fleet.instances_by_name.values()):
+                for workspace in self.fleet.workspaces:
+                    self.fleet.request(instance, workspace.name)
+            self.fleet.advance(self.random.uniform(0.02, 0.3), step=0.02)
+
     def let_time_pass(self) -> None:
         """Let buckets fill and leases end."""
         self.fleet.advance(self.random.uniform(0.5, 8.0), step=0.05)
@@ -138,6 +159,13 @@
         self.network.cut(source, target)
         self._later(lambda: self.network.heal(source, target))
 
+    def follow_list(self) -> None:
+        """Agree on the instances that run, if that has changed."""
+        members_by_name = self._listed()
+        listed = self.fleet.history.states[-1].members_by_name
+        if members_by_name != listed and not self._in_outage():
+            self.fleet.publish(members_by_name)
+
     def change_list(self) -> None:
         """Agree on another list, which may miss or mark live instances."""
         if self._in_outage():
@@ -168,15 +196,15 @@
         """Let the platform be away for hours while every instance is replaced."""
         end = self.fleet.clock.seconds() + self.random.uniform(60.0, OUTAGE_S)
         self.outage_until = end
+        self.fleet.advance(self.random.uniform(0.0, 10.0), step=0.05)
         for name in self._addresses_by_name:
             instance = self.fleet.instances_by_name.get(name)
             if instance is not None:
                 instance.limiter.begin_leaving(self.fleet.clock.seconds())
                 self.fleet.advance(self.random.uniform(0.2, 4.0), step=0.05)
                 self._replace(instance)
-            self.requests()
-            self.fleet.advance(self.random.uniform(1.0, 5.0), step=0.05)
-        self.fleet.advance(end - self.fleet.clock.seconds() - 30.0, step=5.0)
+            self.saturate()
+        self.fleet.advance(end - self.fleet.clock.seconds() - 30.0, step=10.0)
 
     def _replace(self, instance: ModelInstance) -> None:
         name = instance.member.id.name
