Wait for missing tokens only as long as they take to be earned

Cause: a vain search ran a fixed number of passes, ending early where a little more time would have earned the missing part, and asking on where it could not. Ruled out: more passes (messages in overload). Returned tokens now count across a change of states that left the lender's share as it was.

--- a/src/gentianhitch/decisions/limits/constants.py
+++ b/src/gentianhitch/decisions/limits/constants.py
@@ -35,8 +35,8 @@
 PASS_PAUSE_S = 0.015
 """Time between two passes over the lenders, in which recalled loans return."""
 
-PASSES = 3
-"""Passes over all lenders before a shortage counts as exhausted."""
+MIN_PASSES = 2
+"""Passes after which the next one waits until the missing tokens are earned."""
 
 EXHAUSTED_S = 0.05
 """Time during which requests are refused at once after a vain search."""
--- a/src/gentianhitch/decisions/limits/gathering.py
+++ b/src/gentianhitch/decisions/limits/gathering.py
@@ -11,8 +11,8 @@
 from gentianhitch.decisions.limits.constants import EXHAUSTED_S
 from gentianhitch.decisions.limits.constants import MAX_EXHAUSTED_S
 from gentianhitch.decisions.limits.constants import MAX_WAIT_S
+from gentianhitch.decisions.limits.constants import MIN_PASSES
 from gentianhitch.decisions.limits.constants import PASS_PAUSE_S
-from gentianhitch.decisions.limits.constants import PASSES
 from gentianhitch.decisions.limits.hashing import hash_name
 from gentianhitch.decisions.limits.holdings import Holdings
 from gentianhitch.decisions.limits.loans import Ask
@@ -21,6 +21,9 @@
 AHEAD_S = 0.05
 """Time whose expected requests are gathered together with those that wait."""
 
+PRESSING_REFUSALS = 2
+"""Requests refused during one pause that make the next one longer."""
+
 
 @attrs.define
 class Gathering:
@@ -39,12 +42,13 @@
         return any(now - at < ASK_TIMEOUT_S for at in sent)
 
 
-@attrs.frozen
+@attrs.define
 class Pause:
     """Time after a vain search in which no further one is started."""
 
     until: float
     length_s: float
+    refused: int = 0
 
 
 class Gatherer:
@@ -66,9 +70,12 @@
         return workspace in self._gatherings_by_workspace
 
     def is_exhausted(self, workspace: str, now: float) -> bool:
-        """Tell whether a search has lately ended without tokens."""
+        """Tell whether to refuse at once, as a search has lately been in vain."""
         pause = self._pauses_by_workspace.get(workspace)
-        return pause is not None and now < pause.until
+        if pause is None or now >= pause.until:
+            return False
+        pause.refused += 1
+        return True
 
     def begin(self, budget: Budget, now: float) -> bool:
         """Let one more request wait; tell whether a search was started for it."""
@@ -126,7 +133,7 @@
             if lender.origin not in gathering.empty_origins
         ]
         if not lenders:
-            self._end_pass(budget, gathering, now)
+            self._end_pass(budget, gathering, missing, now)
         # Equal parts of all holders leave their buckets equally full, so that
         # none runs over while another is empty.
         for lender in lenders:
@@ -144,18 +151,24 @@
             return gathering.waiting - spendable
         return gathering.waiting + ahead - spendable
 
-    def _end_pass(self, budget: Budget, gathering: Gathering, now: float) -> None:
-        gathering.passes += 1
-        if gathering.passes >= PASSES:
-            self._fail(budget, now)
-            return
+    def _end_pass(
+        self, budget: Budget, gathering: Gathering, missing: float, now: float
+    ) -> None:
         # Two instances that each hold a part of the last token would both fail:
         # both give theirs back and try again at different times. Recalled loans
         # return in the meantime, too.
+        gathering.passes += 1
+        spread = hash_name(f"{self._holdings.own_id.name} {gathering.passes}") % 1000
+        pause_s = PASS_PAUSE_S * (0.5 + spread / 1000)
+        declared = self._holdings.declared(budget.workspace)
+        if gathering.passes >= MIN_PASSES and declared is not None:
+            pause_s = max(pause_s, missing / max(declared.rate, 1e-9))
+        if now + pause_s > gathering.started + MAX_WAIT_S:
+            self._fail(budget, now)
+            return
         self._borrower.return_all(budget, now)
         gathering.empty_origins.clear()
-        spread = hash_name(f"{self._holdings.own_id.name} {gathering.passes}") % 1000
-        gathering.next_ask = now + PASS_PAUSE_S * (0.5 + spread / 1000)
+        gathering.next_ask = now + pause_s
 
     def _fail(self, budget: Budget, now: float) -> None:
         self._borrower.return_all(budget, now)
@@ -165,6 +178,8 @@
     def _pause(self, workspace: str, now: float) -> None:
         last = self._pauses_by_workspace.get(workspace)
         length_s = EXHAUSTED_S
-        if last is not None and now - last.until < MAX_EXHAUSTED_S:
+        # Searches cost messages; they become rare only where many requests are
+        # refused anyway.
+        if last is not None and last.refused >= PRESSING_REFUSALS:
             length_s = min(MAX_EXHAUSTED_S, 2.0 * last.length_s)
         self._pauses_by_workspace[workspace] = Pause(now + length_s, length_s)
--- a/src/gentianhitch/decisions/limits/lender.py
+++ b/src/gentianhitch/decisions/limits/lender.py
@@ -52,12 +52,11 @@
         """Take unspent tokens of urgent loans back."""
         if not self._holdings.is_fresh(now):
             return
-        # Under other states the tokens may already have been earned elsewhere.
-        same_state = returned.sequence == self._holdings.log.newest
         for item in returned.items:
             account = self._holdings.account(item.workspace, item.origin, now)
             if account is not None:
-                tokens = item.tokens if same_state else 0.0
+                kept = self._kept_since(returned.sequence, account, item.workspace)
+                tokens = item.tokens if kept else 0.0
                 account.take_tokens_back(borrower, item.number, tokens, now)
 
     def recall_own(self, budget: Budget, now: float) -> None:
@@ -85,12 +84,21 @@
             if item is not None and item.tokens < wanted.tokens:
                 self._recall(account, wanted.workspace, now)
             return item
-        same_state = sequence == self._holdings.log.newest
+        kept = self._kept_since(sequence, account, wanted.workspace)
         keep = self._own_rate(account, wanted.workspace, now)
         return account.lend_rate(
-            borrower, wanted, keep, now, returned=wanted.returned if same_state else 0.0
+            borrower, wanted, keep, now, returned=wanted.returned if kept else 0.0
         )
 
+    def _kept_since(self, sequence: int, account: Account, workspace: str) -> bool:
+        # Under a state that gave less to this origin, what returned tokens stand
+        # for may have been earned elsewhere.
+        passed = self._holdings.log.since(sequence)
+        if not passed:
+            return passed is not None
+        share = self._holdings.shares.least(passed, workspace, account.origin)
+        return share.covers(account.share)
+
     def _own_rate(self, account: Account, workspace: str, now: float) -> float:
         budget = self._holdings.budget(workspace, now)
         own = budget.own_share().rate
--- a/src/gentianhitch/decisions/limits/messages.py
+++ b/src/gentianhitch/decisions/limits/messages.py
@@ -38,7 +38,7 @@
 class LoanRequest:
     """Carry what one borrower wants from one lender; answer to ``reply_to``.
 
-    Returned tokens count only at a lender whose newest sequence is ``sequence``.
+    ``sequence`` is the newest that the borrower knows.
     """
 
     reply_to: Address
--- a/src/gentianhitch/soak/limits_fleet.py
+++ b/src/gentianhitch/soak/limits_fleet.py
@@ -33,6 +33,15 @@
 LimiterFactory = Callable[..., LocalLimiter]
 
 
+@attrs.frozen
+class ModelRequest:
+    """One request; ``fits`` if one limiter for the fleet would admit it."""
+
+    workspace: str
+    arrived: float
+    fits: bool
+
+
 @attrs.define(eq=False)
 class ModelInstance:
     """One run of an entry instance with its limiter."""
@@ -44,7 +53,7 @@
     paused: bool = False
     cut: bool = False
     leaving: bool = False
-    waiting: list[tuple[str, float]] = attrs.Factory(list)
+    waiting: list[ModelRequest] = attrs.Factory(list)
 
 
 class ModelFleet:
@@ -69,6 +78,7 @@
         self.admitted: Counter[str] = Counter()
         self.refused: Counter[str] = Counter()
         self.wrongly_refused: Counter[str] = Counter()
+        self.waits_s: list[float] = []
         self._factory = factory
         self._options = options
         self._incarnation = 0
@@ -130,39 +140,42 @@
         """Bring one request to an instance."""
         if instance.paused:
             return
-        self._take(instance, workspace, None)
+        now = self.clock.seconds()
+        fits = self.ledger.has_token(workspace, now)
+        self._take(instance, ModelRequest(workspace, now, fits), None)
 
     def advance(self, seconds: float, step: float = 0.005) -> None:
         """Let time pass."""
         self.clock.pump([step] * max(1, round(seconds / step)))
 
     def _take(
-        self, instance: ModelInstance, workspace: str, since: float | None
+        self, instance: ModelInstance, request: ModelRequest, since: float | None
     ) -> None:
         now = self.clock.seconds()
-        verdict = instance.limiter.take(workspace, now, since=since)
+        verdict = instance.limiter.take(request.workspace, now, since=since)
         if verdict is Verdict.WAIT:
-            instance.waiting.append((workspace, now if since is None else since))
-            return
-        if verdict is Verdict.ADMITTED:
-            self.ledger.admit(workspace, now)
-            self.admitted[workspace] += 1
-            return
-        self._count_refused(workspace, now)
-
-    def _count_refused(self, workspace: str, now: float) -> None:
-        self.refused[workspace] += 1
-        if self.ledger.has_token(workspace, now):
-            self.wrongly_refused[workspace] += 1
+            instance.waiting.append(request)
+        elif verdict is Verdict.ADMITTED:
+            self.ledger.admit(request.workspace, now)
+            self.admitted[request.workspace] += 1
+            self.waits_s.append(now - request.arrived)
+        else:
+            self._count_refused(request)
+
+    def _count_refused(self, request: ModelRequest) -> None:
+        self.refused[request.workspace] += 1
+        fits = self.ledger.has_token(request.workspace, self.clock.seconds())
+        if fits and request.fits:
+            self.wrongly_refused[request.workspace] += 1
 
     def _serve(self, instance: ModelInstance) -> None:
         waiting, instance.waiting = instance.waiting, []
-        for workspace, since in waiting:
-            if self.clock.seconds() - since >= MAX_WAIT_S:
-                instance.limiter.give_up(workspace)
-                self._count_refused(workspace, self.clock.seconds())
+        for request in waiting:
+            if self.clock.seconds() - request.arrived >= MAX_WAIT_S:
+                instance.limiter.give_up(request.workspace)
+                self._count_refused(request)
             else:
-                self._take(instance, workspace, since)
+                self._take(instance, request, request.arrived)
 
     def _receiver(self, limiter: LocalLimiter) -> Callable[[InstanceId, Any], None]:
         def receive(sender: InstanceId, body: Any) -> None:
