--- a/src/gentianhitch/decisions/limits/account.py
+++ b/src/gentianhitch/decisions/limits/account.py
@@ -9,6 +9,7 @@
 from gentianhitch.decisions.limits.bucket import TokenBucket
 from gentianhitch.decisions.limits.constants import CLOCK_MARGIN
 from gentianhitch.decisions.limits.constants import LOAN_S
+from gentianhitch.decisions.limits.constants import MIN_LOAN_BURST
 from gentianhitch.decisions.limits.constants import RECALL_S
 from gentianhitch.decisions.limits.constants import URGENT_LOAN_S
 from gentianhitch.decisions.limits.messages import LoanGranted
@@ -135,7 +136,7 @@
         record.asked = now
         lent = self._fair_part(record, wanted.rate, own_rate, now)
         held_rate = wanted.held.rate if wanted.holding else 0.0
-        tokens = self._tokens_for(max(0.0, lent.rate - held_rate), wanted.tokens)
+        tokens = self._tokens_for(max(0.0, lent.rate - held_rate))
         if lent.rate > 0.0:
             end = now + LOAN_S * CLOCK_MARGIN
             record.lendings.append(Lending(wanted.number, lent, end))
@@ -182,15 +183,17 @@
         free_rate = self.share.rate - (self._lent.rate - held.rate)
         free_burst = self.share.burst - (self._lent.burst - held.burst)
         rate = min(wanted, level, free_rate - min(own_rate, level))
-        if rate <= 0.0 or free_burst <= 0.0:
-            return NOTHING
-        return Share(rate, min(free_burst, self.share.burst * rate / self.share.rate))
-
-    def _tokens_for(self, rate: float, wanted: float) -> float:
         if rate <= 0.0:
-            return 0.0
-        part = rate / max(rate, self.bucket.rate)
-        return self.bucket.remove(min(wanted, part * self.bucket.tokens))
+            return NOTHING
+        burst = min(free_burst, self.share.burst * rate / self.share.rate)
+        # A bucket below one request fills up and admits nothing; such a workspace
+        # is served by loans of tokens.
+        return NOTHING if burst < MIN_LOAN_BURST else Share(rate, burst)
+
+    def _tokens_for(self, rate: float) -> float:
+        # Tokens go with the cap, or what exceeds the lender's new cap is lost.
+        part = rate / max(rate, self.bucket.rate) if rate > 0.0 else 0.0
+        return self.bucket.remove(part * self.bucket.tokens)
 
     def _lendings(self) -> list[Lending]:
         records = self.records_by_borrower.values()
