--- a/src/gentianhitch/decisions/targets/reports.py
+++ b/src/gentianhitch/decisions/targets/reports.py
@@ -12,7 +12,7 @@
 from gentianhitch.instances.identity import InstanceId
 
 REPORT_AGE_S = 3.0
-SHOWS_GRAY = 1.5
+SHOWS_GRAY = 1.0
 """Score from which one instance's evidence shows a scope as gray."""
 
 MAX_PART = 8.0
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -27,7 +27,7 @@
 POOR_SCORE = 4.0
 """Own evidence from which a target is used only when no other has a slot."""
 
-REPORTED_SCORE = 1.0
+REPORTED_SCORE = 0.5
 
 
 class ServiceView:
