Tie what a member says of itself to its incarnation

Cause: peers pass standings on by list index. One that had not yet met a replacement passed 'leaving' of its predecessor on, with a version above the replacement's, so every directory left the replacement out for good. Seen in the rolling restart of real processes: entry-1 was fresh again after 1.4 s, but not in a directory after 30 s. Ruled out: the agreed list (it named the new incarnation) and silence (it was heard).

Before: the rolling restart failed at the first instance.

--- a/src/gentianhitch/decisions/freshness.py
+++ b/src/gentianhitch/decisions/freshness.py
@@ -101,6 +101,8 @@
 
     def update_standing(self, seat: Seat, standing: Standing) -> None:
         """Take in what a member says of itself; older versions are dropped."""
+        if standing.incarnation != seat.holder.id.incarnation:
+            return
         if standing.version > seat.standing.version:
             seat.standing = standing
             self.changes += 1
--- a/src/gentianhitch/instances/fleet.py
+++ b/src/gentianhitch/instances/fleet.py
@@ -196,7 +196,9 @@
         return await self._load_all((value,), None)
 
     def _change_standing(self, *, leaving: bool, gray: bool) -> None:
-        standing = Standing(self.standing.version + 1, leaving, gray)
+        standing = Standing(
+            self.own.id.incarnation, self.standing.version + 1, leaving, gray
+        )
         self._exchange.standing = standing
         for member in self._partners.some(MAX_TOLD_DIRECTLY):
             self._transport.send(member.peers, StandingChanged(self.own, standing))
--- a/src/gentianhitch/instances/messages.py
+++ b/src/gentianhitch/instances/messages.py
@@ -21,8 +21,9 @@
 
 @message
 class Standing:
-    """What a member says of itself; the larger version counts."""
+    """What one incarnation says of itself; the larger version counts."""
 
+    incarnation: int = 0
     version: int = 0
     leaving: bool = False
     gray: bool = False
--- /dev/null
+++ b/tests/decisions/test_standing.py
@@ -0,0 +1,17 @@
+from __future__ import annotations
+
+from gentianhitch.decisions.freshness import Freshness
+from gentianhitch.instances.messages import Standing
+from tests.builders_fleet import make_member
+
+
+class TestStanding:
+    def test_word_of_an_earlier_incarnation_is_dropped(self) -> None:
+        # A peer that had not met the replacement passed "leaving" on by name,
+        # and the directory left the replacement out for good.
+        freshness = Freshness(make_member(0))
+        seat = freshness.meet(make_member(1, incarnation=2), now=1.0)
+        freshness.update_standing(seat, Standing(1, version=5, leaving=True))
+        assert not seat.standing.leaving
+        freshness.update_standing(seat, Standing(2, version=1, leaving=True))
+        assert seat.standing.leaving
