Race operators at random and find every accepted change again

Cause: a repeat of an accepted promotion answered "lost the race" when another trial had been stored in between, and single scenarios don't cover late writes. Ruled out: keeping the last documents in the head to name the exact revision of a replaced change, because it would double the head's size; the answer says "accepted, and replaced since by revision N of WHOM".

--- a/src/gentianhitch/operators/commands.py
+++ b/src/gentianhitch/operators/commands.py
@@ -115,7 +115,13 @@
     change = Connection(entry, operator_key_file, operator).run(
         lambda client: _change(client, "POST", "/promote", call, Change)
     )
-    print(f"accepted: revision {change.revision}, sequence {change.sequence}")
+    if change.replaced:
+        print(
+            f"accepted, and replaced since by revision {change.revision} of"
+            f" {change.changed_by}"
+        )
+    else:
+        print(f"accepted: revision {change.revision}, sequence {change.sequence}")
     return ExitCode.OK
 
 
--- a/src/gentianhitch/operators/documents.py
+++ b/src/gentianhitch/operators/documents.py
@@ -45,12 +45,36 @@
 
 @attrs.frozen
 class Change:
-    """One accepted change of the document."""
+    """One accepted change of the document.
+
+    When ``replaced``, a later change followed and the fields describe that one.
+    """
 
     revision: int
     sequence: int
     digest: str
     changed_by: str
+    replaced: bool = False
+
+
+def find_change(head: heads.Head, change_id: str) -> Change | None:
+    """Return an accepted change; None when the head does not show it."""
+    if head.document is None or change_id not in (
+        head.document.change_id,
+        *head.recent_write_ids,
+    ):
+        return None
+    return attrs.evolve(
+        current_change(head, head.document),
+        replaced=head.document.change_id != change_id,
+    )
+
+
+def current_change(head: heads.Head, reference: heads.DocumentReference) -> Change:
+    """Return the change that made the document in production."""
+    return Change(
+        reference.revision, head.sequence, reference.digest, reference.changed_by
+    )
 
 
 def revision_of(head: heads.Head) -> int:
@@ -106,7 +130,10 @@
         return attrs.evolve(head, document=reference)
 
     stored = await guarded(heads.change_head(platform, environment, change_id, edit))
-    return Change(base_revision + 1, stored.head.sequence, digest, changed_by)
+    change = find_change(stored.head, change_id)
+    if change is None:
+        raise OperatorsError(f"the head does not show change {change_id}")
+    return change
 
 
 def require_base(head: heads.Head, base_revision: int) -> None:
--- a/src/gentianhitch/operators/keys.py
+++ b/src/gentianhitch/operators/keys.py
@@ -112,7 +112,7 @@
     """Edit one workspace of the document in production, after any other change."""
     for _ in range(MAX_ATTEMPTS):
         production = await documents.read_production(platform, environment)
-        done = _done(production, change_id)
+        done = documents.find_change(production.head, change_id)
         if done is not None:
             return done
         edited = _edited(production, workspace, edit)
@@ -126,18 +126,6 @@
     raise LostRaceError(f"other changes came first {MAX_ATTEMPTS} times in a row")
 
 
-def _done(production: documents.Production, change_id: str) -> documents.Change | None:
-    reference = production.reference
-    if reference is None or change_id not in production.head.recent_write_ids:
-        return None
-    return documents.Change(
-        reference.revision,
-        production.head.sequence,
-        reference.digest,
-        reference.changed_by,
-    )
-
-
 def _edited(
     production: documents.Production, name: str, edit: EditWorkspace
 ) -> Document:
--- a/src/gentianhitch/operators/resource.py
+++ b/src/gentianhitch/operators/resource.py
@@ -62,8 +62,11 @@
             await documents.guarded(heads.read_head(self.platform, self.environment))
         ).head
         current = await trials.read_trial(self.platform, self.environment)
+        change = (
+            documents.current_change(head, head.document) if head.document else None
+        )
         answer = answers.StatusAnswer(
-            self.environment, head.sequence, _change_of(head), current.trial
+            self.environment, head.sequence, change, current.trial
         )
         return _answer(request, answer)
 
@@ -172,15 +175,6 @@
         return f"{printable[:MAX_OPERATOR_NAME]} (key {keys.key_id(shown_hash)})"
 
 
-def _change_of(head: heads.Head) -> documents.Change | None:
-    reference = head.document
-    if reference is None:
-        return None
-    return documents.Change(
-        reference.revision, head.sequence, reference.digest, reference.changed_by
-    )
-
-
 def _read(request: Request, kind: type[T]) -> T:
     content: Any = request.content
     try:
--- a/src/gentianhitch/platform/memory.py
+++ b/src/gentianhitch/platform/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import Counter
 from collections.abc import Callable
 from typing import TypeVar
@@ -97,12 +98,14 @@
     """One client of a ``MemoryStore``, with one-way cuts of its own.
 
     While ``requests_lost`` a call never arrives; while ``replies_lost`` it takes
-    effect and its answer is lost.
+    effect and its answer is lost. With ``late_s`` a write is given up at once and
+    takes effect that much later.
     """
 
     shared: MemoryStore
     requests_lost: bool = False
     replies_lost: bool = False
+    late_s: float = 0.0
 
     async def get(self, key: str) -> Entry | None:
         """Read one key; None when it is absent."""
@@ -181,6 +184,9 @@
         return await self._call(kind, apply, UnavailableError)
 
     async def _write(self, kind: str, apply: Callable[[], T]) -> T:
+        if self.late_s:
+            self.shared.clock.callLater(self.late_s, _apply_late, apply)
+            raise OutcomeUnknownError(f"no answer to {kind} in time")
         return await self._call(kind, apply, OutcomeUnknownError)
 
     async def _call(
@@ -224,6 +230,11 @@
         return waiting
 
 
+def _apply_late(apply: Callable[[], object]) -> None:
+    with contextlib.suppress(PlatformError):
+        apply()
+
+
 def _fire(waiting: Deferred[None]) -> None:
     if not waiting.called:
         waiting.callback(None)
