Free the slot of a cancelled request in the stand-in backend server

Cause: a request loses its channel before it hears that the caller left, so `_cancelled` raised "'NoneType' object has no attribute 'factory'" and the slot stayed taken for good: every cancelled request would have cost capacity and looked like a gray failure. Ruled out: counting slots by connection, because a connection outlives requests.

--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -29,6 +29,7 @@
 COLD_FACTOR = 5.0
 CHUNK_BYTES = 64 * 1024
 SHED_HEADERS = {b"Shed": b"not-run"}
+DEADLINE_HEADER = "Gentianhitch-Deadline-Ms"
 OWN_PATHS = ("/control/", "/health", "/load")
 
 reactor: Any = installed_reactor
@@ -63,6 +64,7 @@
     most_connections: int = 0
     refused_connections: int = 0
     started_s: float = attrs.field(factory=lambda: float(reactor.seconds()))
+    channels: list[Any] = attrs.field(factory=list)
     record: list[Ran] = attrs.field(factory=list)
     last_id: str = "none"
 
@@ -80,8 +82,9 @@
 
     def load(self) -> dict[str, Any]:
         """Return what the load endpoint tells."""
+        idle = self.faults.lying_load
         return {
-            "running": self.running,
+            "running": 0 if idle else self.running,
             "slots": self.slots,
             "connections": self.open_connections,
             "most_running": self.most_running,
@@ -99,6 +102,8 @@
 
     def process(self) -> None:
         """Serve the request."""
+        # The request has lost its channel when it hears that the caller left.
+        self._server: BackendServer = self.channel.factory.server
         path = self.path.decode("latin-1")
         if path.startswith(OWN_PATHS):
             self._answer_own(path)
@@ -106,20 +111,22 @@
         server = self._server
         if server.faults.draining or server.faults.shedding:
             self._reply(503, b"shed", SHED_HEADERS)
+        elif self._remaining_s() <= 0:
+            self._reply(503, b"the deadline has passed", SHED_HEADERS)
         elif server.running >= server.slots:
             self._reply(503, b"every slot is taken", SHED_HEADERS)
         else:
             self._run(path)
 
-    @property
-    def _server(self) -> BackendServer:
-        server: BackendServer = self.channel.factory.server
-        return server
-
     @property
     def _request_id(self) -> str:
         return self.getHeader("X-Request-Id") or "none"
 
+    def _remaining_s(self) -> float:
+        """Return the time until the caller's deadline."""
+        remaining_ms = self.getHeader(DEADLINE_HEADER)
+        return float("inf") if remaining_ms is None else int(remaining_ms) / 1000
+
     def _run(self, path: str) -> None:
         server = self._server
         now = float(reactor.seconds())
@@ -142,9 +149,19 @@
         server.most_running = max(server.most_running, server.running)
         self.notifyFinish().addErrback(self._cancelled)
         if not course.silent:
-            self._timer = reactor.callLater(
-                server.service_s(course), self._finish, course
-            )
+            self._schedule(course)
+
+    def _schedule(self, course: Course) -> None:
+        service_s, remaining_s = self._server.service_s(course), self._remaining_s()
+        if service_s > remaining_s:
+            self._timer = reactor.callLater(remaining_s, self._expire)
+        else:
+            self._timer = reactor.callLater(service_s, self._finish, course)
+
+    def _expire(self) -> None:
+        """Give the request up at its deadline."""
+        self._leave("expired")
+        self._reply(504, b"the deadline has passed")
 
     def _cancelled(self, _: object) -> None:
         if self._timer is not None and self._timer.active():
@@ -190,6 +207,8 @@
         return json.dumps(shown).encode()
 
     def _cut(self, body: bytes, headers: dict[bytes, bytes]) -> None:
+        if self.channel.cut_off:
+            return
         self._set_headers(200, len(body) + 1, headers)
         self.write(body)
         self.channel.transport.loseConnection()
@@ -205,6 +224,8 @@
     def _reply(
         self, status: int, body: bytes, headers: dict[bytes, bytes] | None = None
     ) -> None:
+        if self.channel.cut_off:
+            return
         own = {b"X-Request-Id": self._request_id.encode("latin-1")}
         self._set_headers(status, len(body), {**own, **(headers or {})})
         if len(body) <= CHUNK_BYTES:
@@ -228,9 +249,18 @@
                 server.record.clear()
         elif path == "/control/faults":
             self._change_faults()
+        elif path == "/control/cut-off-connections":
+            self._reply_json({"cut_off": self._cut_off_connections()})
         else:
             self._reply_json({"error": f"{path} does not exist"}, 404)
 
+    def _cut_off_connections(self) -> int:
+        """Let every other open connection go silent for good; new ones work."""
+        others = [one for one in self._server.channels if one is not self.channel]
+        for channel in others:
+            channel.cut_off = True
+        return len(others)
+
     def _change_faults(self) -> None:
         server = self._server
         try:
@@ -313,18 +343,26 @@
     """Count one connection while it is open."""
 
     factory: Any
+    cut_off = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Count the connection."""
         super().connectionMade()
         server = self.factory.server
         server.open_connections += 1
+        server.channels.append(self)
         server.most_connections = max(server.most_connections, server.open_connections)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Count the connection no more."""
         super().connectionLost(reason)
         self.factory.server.open_connections -= 1
+        self.factory.server.channels.remove(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read the request, unless the connection was cut off."""
+        if not self.cut_off:
+            super().dataReceived(data)
 
 
 def main() -> None:
--- a/standins/backend_server_faults.py
+++ b/standins/backend_server_faults.py
@@ -15,7 +15,8 @@
 
     ``only_path`` and ``only_workspace`` limit every fault to requests below that
     path or of that workspace. ``flap_s`` turns the faults on and off in turn.
-    ``lying_health`` keeps the health endpoint well whatever happens.
+    ``lying_health`` keeps the health endpoint well whatever happens, ``lying_load``
+    shows an idle server.
     """
 
     slow_factor: float = 1.0
@@ -29,6 +30,7 @@
     only_path: str = ""
     only_workspace: str = ""
     lying_health: bool = True
+    lying_load: bool = False
     draining: bool = False
     shedding: bool = False
 
