--- a/tests/decisions/test_idempotency.py
+++ b/tests/decisions/test_idempotency.py
@@ -134,6 +134,19 @@
             pin = pins.locate("nord", key, 3 + REPEAT_WINDOW_S)
             assert pin.place is PinPlace.HERE
 
+    def test_list_counts_as_active_until_it_is_seen_to_be_gone(self):
+        a, b = build_member("a"), build_member("b")
+        agreement, pins = self.build(build_state(1, a, b, document=None))
+        pins.observe(0)
+        agreement.states = (build_state(2, a, b),)
+        pins.observe(1)
+        agreement.states = (build_state(3, a),)
+        seen_s = REPEAT_WINDOW_S - 1
+        places = {pins.locate("nord", key, seen_s).place for key in KEYS}
+        assert places == {PinPlace.HERE, PinPlace.MOVED}
+        later = {pins.locate("nord", key, seen_s + 60).place for key in KEYS}
+        assert later == {PinPlace.HERE, PinPlace.MOVED}
+
     def test_missed_sequence_is_a_gap(self):
         a = build_member("a")
         agreement, pins = self.build(build_state(1, a, document=None))
