--- a/src/gentianhitch/decisions/limits/gathering.py
+++ b/src/gentianhitch/decisions/limits/gathering.py
@@ -129,7 +129,7 @@
     ) -> None:
         lenders = [
             lender
-            for lender in self._borrower.answering_lenders(budget.workspace, now)
+            for lender in self._borrower.lenders.answering(budget.workspace, now)
             if lender.origin not in gathering.empty_origins
         ]
         if not lenders:
--- a/src/gentianhitch/decisions/limits/limiter.py
+++ b/src/gentianhitch/decisions/limits/limiter.py
@@ -129,7 +129,7 @@
 
     def poll(self, now: float) -> None:
         """Go on with requests that wait for tokens."""
-        self.borrower.expire_asks(now)
+        self.borrower.asks.expire(now)
         self.gatherer.poll(now)
 
     def give_up(self, workspace: str) -> None:
@@ -182,4 +182,4 @@
         if now - self._planned_by_workspace.get(budget.workspace, -PLAN_S) >= PLAN_S:
             self._planned_by_workspace[budget.workspace] = now
             demand = budget.demand.rate(now)
-            self.borrower.send(self.borrower.plan(budget, demand, now))
+            self.borrower.send(self.borrower.planner.plan(budget, demand, now))
--- a/src/gentianhitch/decisions/limits/rounds.py
+++ b/src/gentianhitch/decisions/limits/rounds.py
@@ -23,7 +23,7 @@
     def tick(self, now: float) -> None:
         """Do one round."""
         limiter = self._limiter
-        limiter.borrower.expire_asks(now)
+        limiter.borrower.asks.expire(now)
         limiter.succession.tick(now)
         if not limiter.holdings.is_fresh(now):
             return
@@ -52,7 +52,7 @@
         for budget in limiter.holdings.budgets():
             budget.drop_ended(now)
             demand = budget.demand.rate(now)
-            plan = limiter.borrower.plan(budget, demand, now)
+            plan = limiter.borrower.planner.plan(budget, demand, now)
             for address, items in plan.items():
                 items_by_address[address].extend(items)
         return items_by_address
--- a/tests/limits/naive.py
+++ b/tests/limits/naive.py
@@ -53,8 +53,8 @@
 
     def late(self: Borrower, grant: LoanGrant, now: float) -> object:
         for item in grant.items:
-            if item.number in self.asks_by_number:
-                self.asks_by_number[item.number].asked = now
+            if item.number in self.asks._asks_by_number:
+                self.asks._asks_by_number[item.number].asked = now
         return apply(self, grant, now)
 
     monkeypatch.setattr(Borrower, "apply", late)
