--- a/src/gentianhitch/decisions/limits/driver.py
+++ b/src/gentianhitch/decisions/limits/driver.py
@@ -20,7 +20,7 @@
 
 
 class LimitsDriver:
-    """Run rounds, hand messages to the limiter and let requests wait."""
+    """Run rounds, pass messages on and let requests wait; implements TokenSource."""
 
     def __init__(
         self,
@@ -68,6 +68,10 @@
             self._polls.start(POLL_S, now=False)
         return answer
 
+    def retry_after_s(self, workspace: str, now: float) -> float:
+        """Return the time after which a refused request may be repeated."""
+        return self.limiter.retry_after_s(workspace, now)
+
     def begin_leaving(self) -> Deferred[bool]:
         """Hand the shares over; True when acknowledged, False after a timeout."""
         if self._left is None:
@@ -91,7 +95,8 @@
         self._serve()
         self._check_left(now)
         idle = not self._waiting and not self.limiter.gatherer.is_active
-        if idle and (self._left is None or self._left.called):
+        done = self._left is None or self._left.called
+        if idle and done and self._polls.running:
             self._polls.stop()
 
     def _serve(self) -> None:
--- a/src/gentianhitch/decisions/targets/evidence.py
+++ b/src/gentianhitch/decisions/targets/evidence.py
@@ -24,7 +24,7 @@
 
 MAX_ROUTES = 256
 REFERENCE_AGE_S = 0.25
-RECENT_S = 5.0
+RECENT_S = 2.0
 MIN_ANSWERS = 3
 MIN_LATENCY_S = 1e-5
 INITIAL_SPREAD = 0.7
@@ -133,10 +133,6 @@
             if now - track.updated <= RECENT_S
         ]
 
-    def targets(self) -> list[str]:
-        """Return every target that was ever seen and not forgotten."""
-        return list(self._tracks_by_group.get(WHOLE, {}))
-
     def clear(self, target: str) -> None:
         """Forget the evidence against ``target``."""
         for tracks_by_target in self._tracks_by_group.values():
--- a/src/gentianhitch/decisions/targets/reports.py
+++ b/src/gentianhitch/decisions/targets/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import attrs
 
@@ -12,7 +12,7 @@
 from gentianhitch.instances.identity import InstanceId
 
 REPORT_AGE_S = 3.0
-SHOWS_GRAY = 2.0
+SHOWS_GRAY = 1.0
 """Score from which one instance's evidence shows a scope as gray."""
 
 MAX_PART = 8.0
@@ -49,46 +49,48 @@
         self._received_by_name[sender.name] = Received(now, sender.incarnation, report)
         return True
 
-    def heard(self, now: float) -> list[EvidenceReport]:
+    def heard(self, now: float) -> dict[str, EvidenceReport]:
         """Return the recent reports and forget the others."""
         self._received_by_name = {
             name: received
             for name, received in self._received_by_name.items()
             if now - received.at <= REPORT_AGE_S
         }
-        return [received.report for received in self._received_by_name.values()]
+        return {
+            name: received.report for name, received in self._received_by_name.items()
+        }
+
+    def hears_most(self, near: Collection[str], now: float) -> bool:
+        """Tell whether at least half of the instances of the service report."""
+        heard = self.heard(now)
+        return sum(name in heard for name in near) * 2 >= len(near)
 
-    def gray(self, expected: int, now: float) -> dict[Scope, float]:
+    def gray(self, near: Collection[str], now: float) -> dict[Scope, float]:
         """Return the pooled score of each scope that most instances show as gray.
 
-        ``expected`` instances use the service; hearing fewer than half of them
-        shows nothing.
+        ``near`` names the instances to which callers of the service are steered;
+        those not heard count as seeing the scope well.
         """
         reports = self.heard(now)
-        if len(reports) * 2 < expected:
-            return {}
-        scores_by_scope: dict[Scope, list[float]] = {}
-        for report in reports:
+        unheard = frozenset(near) - reports.keys()
+        scores_by_scope: dict[Scope, dict[str, float]] = {}
+        for name, report in reports.items():
             for score in report.scores:
-                scores_by_scope.setdefault(scope_of(score), []).append(score.score)
-        gray = {
-            scope: sum(min(score, MAX_PART) for score in scores)
-            for scope, scores in scores_by_scope.items()
-            if _most_show(scope, scores, reports)
-        }
-        return _without_parts_of_whole(
-            {
-                scope: pooled
-                for scope, pooled in gray.items()
-                if _is_enough(scope, pooled)
-            }
-        )
+                scores_by_scope.setdefault(scope_of(score), {})[name] = score.score
+        gray = {}
+        for scope, scores_by_name in scores_by_scope.items():
+            pooled = sum(min(score, MAX_PART) for score in scores_by_name.values())
+            if _is_enough(scope, pooled) and _most_show(
+                scope, scores_by_name, reports, unheard
+            ):
+                gray[scope] = pooled
+        return _without_parts_of_whole(gray)
 
     def absent(self, now: float) -> frozenset[str]:
         """Return the targets that any instance found leaving or cold."""
         return frozenset(
             target
-            for report in self.heard(now)
+            for report in self.heard(now).values()
             for target in (*report.leaving, *report.cold)
         )
 
@@ -96,7 +98,7 @@
         """Return the targets that more than one instance found leaving."""
         reports = self.heard(now)
         needed = min(2, len(reports))
-        found = [target for report in reports for target in report.leaving]
+        found = [target for report in reports.values() for target in report.leaving]
         return tuple(sorted({t for t in found if found.count(t) >= needed}))
 
 
@@ -111,12 +113,16 @@
 
 
 def _most_show(
-    scope: Scope, scores: list[float], reports: list[EvidenceReport]
+    scope: Scope,
+    scores_by_name: dict[str, float],
+    reports: dict[str, EvidenceReport],
+    unheard: frozenset[str],
 ) -> bool:
-    showing = sum(score >= SHOWS_GRAY for score in scores)
-    seeing = sum(scope.target in report.seen for report in reports)
-    least = max(min(2, len(reports)), MIN_SHOWING_PART * len(reports))
-    return showing * 2 > seeing and showing >= least
+    showing = {name for name, score in scores_by_name.items() if score >= SHOWS_GRAY}
+    seeing = {name for name, report in reports.items() if scope.target in report.seen}
+    known = len(reports) + len(unheard)
+    least = max(min(2, known), MIN_SHOWING_PART * known)
+    return len(showing) * 2 > len(showing | seeing | unheard) and len(showing) >= least
 
 
 def _is_enough(scope: Scope, pooled: float) -> bool:
@@ -124,8 +130,7 @@
 
 
 def _without_parts_of_whole(gray: dict[Scope, float]) -> dict[Scope, float]:
-    whole: Iterable[Scope] = [scope for scope in gray if scope.whole]
-    targets = {scope.target for scope in whole}
+    targets = {scope.target for scope in gray if scope.whole}
     return {
         scope: pooled
         for scope, pooled in gray.items()
--- a/tests/builders_path.py
+++ b/tests/builders_path.py
@@ -6,6 +6,7 @@
 import re
 
 import attrs
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.task import Clock
@@ -81,10 +82,19 @@
 class FakeLimiter:
     verdicts: list = attrs.Factory(list)
     taken: list = attrs.Factory(list)
+    waiting: Deferred = attrs.Factory(Deferred)
 
-    def take(self, workspace, now):
+    def take(self, workspace, max_wait_s):
         self.taken.append(workspace)
-        return self.verdicts.pop(0) if self.verdicts else Verdict.ADMITTED
+        self.waiting = Deferred()
+        self.answer()
+        return self.waiting
+
+    def answer(self):
+        """Give the next verdict; WAIT keeps the request waiting."""
+        verdict = self.verdicts.pop(0) if self.verdicts else Verdict.ADMITTED
+        if verdict is not Verdict.WAIT:
+            self.waiting.callback(verdict)
 
     def retry_after_s(self, workspace, now):
         return 1.5
@@ -192,6 +202,10 @@
         self.dials = []
         self.advance(1000.0)
 
+    def callLater(self, delay, callable, *args, **kwargs):  # noqa: N802
+        assert delay >= 0, f"a real reactor refuses a delay of {delay} s"
+        return super().callLater(delay, callable, *args, **kwargs)
+
     def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
         self.dials.append(Dial(host, port, factory))
 
