--- a/src/gentianhitch/decisions/limits/driver.py
+++ b/src/gentianhitch/decisions/limits/driver.py
@@ -57,7 +57,7 @@
     def take(self, workspace: str, max_wait_s: float = MAX_WAIT_S) -> Deferred[Verdict]:
         """Take a token, waiting ``max_wait_s`` at most; never gives WAIT."""
         now = self._now()
-        answer: Deferred[Verdict] = Deferred()
+        answer: Deferred[Verdict] = Deferred(self._abandon)
         verdict = self.limiter.take(workspace, now)
         if verdict is not Verdict.WAIT:
             answer.callback(verdict)
@@ -82,6 +82,13 @@
                 self._polls.start(POLL_S, now=False)
         return self._left
 
+    def _abandon(self, answer: Deferred[Verdict]) -> None:
+        for item in self._waiting:
+            if item[3] is answer:
+                self.limiter.gatherer.leave(item[0])
+                self._waiting.remove(item)
+                return
+
     def _receive(self, sender: InstanceId, body: Any) -> None:
         self.limiter.receive(sender, body, self._now())
         self._serve()
--- /dev/null
+++ b/tests/limits/test_driver.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+from random import Random
+
+from twisted.internet.task import Clock
+
+from gentianhitch.decisions.interfaces import Verdict
+from gentianhitch.decisions.limits.counters import Cause
+from gentianhitch.decisions.limits.driver import LimitsDriver
+from gentianhitch.decisions.limits.limiter import LocalLimiter
+from gentianhitch.soak.limits_agreement import ModelAgreement
+from gentianhitch.soak.limits_agreement import ModelHistory
+from gentianhitch.soak.network import Network
+from tests.builders_limits import member
+from tests.builders_limits import state
+
+
+class Pair:
+    """Two instances, of which the first holds everything."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.network = Network(self.clock, Random(1))
+        self.history = ModelHistory()
+        holder = member(0)
+        self.history.publish(state(1, {holder.id.name: holder}, rate=10.0, burst=4.0))
+        self.drivers = [self._start(number) for number in range(2)]
+        self.advance(2.0)
+
+    def _start(self, number: int) -> LimitsDriver:
+        own = member(number)
+        endpoint = self.network.attach(own.id, own.peers)
+        agreement = ModelAgreement(self.history)
+        agreement.hear(1, 1e9)
+        limiter = LocalLimiter(own.id, own.peers, agreement, endpoint, 0.0)
+        driver = LimitsDriver(limiter, endpoint, self.clock, self.clock.seconds)
+        driver.start()
+        return driver
+
+    def advance(self, seconds: float) -> None:
+        self.clock.pump([0.005] * round(seconds / 0.005))
+
+
+class TestTake:
+    def test_admits_from_the_own_share_at_once(self) -> None:
+        answer = Pair().drivers[0].take("yard")
+        assert answer.result is Verdict.ADMITTED
+
+    def test_waits_for_a_loan(self) -> None:
+        pair = Pair()
+        answer = pair.drivers[1].take("yard")
+        assert not answer.called
+        pair.advance(0.03)
+        assert answer.result is Verdict.ADMITTED
+
+    def test_refuses_when_the_search_is_in_vain(self) -> None:
+        pair = Pair()
+        pair.network.cut(None, None)
+        answer = pair.drivers[1].take("yard")
+        pair.advance(0.015)
+        assert not answer.called
+        pair.advance(0.1)
+        assert answer.result is Verdict.REFUSED
+        refused = pair.drivers[1].limiter.counters.refused_by_cause
+        assert sum(refused.values()) == 1
+
+    def test_waits_no_longer_than_the_caller_allows(self) -> None:
+        pair = Pair()
+        pair.network.cut(None, None)
+        answer = pair.drivers[1].take("yard", max_wait_s=0.01)
+        pair.advance(0.015)
+        assert answer.result is Verdict.REFUSED
+
+    def test_abandoned_wait_takes_no_token(self) -> None:
+        pair = Pair()
+        answer = pair.drivers[1].take("yard")
+        answer.addErrback(lambda _: None)
+        answer.cancel()
+        pair.advance(0.2)
+        assert not pair.drivers[1].limiter.counters.admitted_by_workspace
+
+    def test_refuses_at_once_when_not_fresh(self) -> None:
+        pair = Pair()
+        limiter = pair.drivers[0].limiter
+        limiter.holdings._agreement.heard = -1e9
+        assert pair.drivers[0].take("yard").result is Verdict.REFUSED
+        assert limiter.counters.refused_by_cause["yard", Cause.NOT_FRESH] == 1
+
+    def test_counts_unknown_workspaces_together(self) -> None:
+        driver = Pair().drivers[0]
+        assert driver.take("no such workspace").result is Verdict.REFUSED
+        refused = driver.limiter.counters.refused_by_cause
+        assert refused["", Cause.UNKNOWN_WORKSPACE] == 1
+
+    def test_stop_refuses_what_waits(self) -> None:
+        pair = Pair()
+        answer = pair.drivers[1].take("yard")
+        pair.drivers[1].stop()
+        assert answer.result is Verdict.REFUSED
+
+
+class TestBeginLeaving:
+    def test_is_done_when_the_heir_has_acknowledged(self) -> None:
+        pair = Pair()
+        pair.advance(0.1)
+        assert pair.drivers[1].take("yard") is not None
+        pair.advance(0.1)
+        left = pair.drivers[0].begin_leaving()
+        assert not left.called
+        pair.advance(1.0)
+        assert left.result is True
+        assert member(0).id in pair.drivers[1].limiter.holdings.rights_by_origin
+        pair.drivers[0].stop()
+        pair.network.detach(member(0).peers)
+        pair.advance(1.0)
+        assert pair.drivers[1].take("yard").result is Verdict.ADMITTED
+
+    def test_ends_after_a_time_when_nobody_answers(self) -> None:
+        pair = Pair()
+        pair.network.cut(None, None)
+        left = pair.drivers[0].begin_leaving()
+        pair.advance(5.2)
+        assert left.result is False
--- /dev/null
+++ b/tests/limits/test_shares.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianhitch.decisions.limits.shares import NOTHING
+from gentianhitch.decisions.limits.shares import Share
+from gentianhitch.decisions.limits.shares import ShareTable
+from gentianhitch.instances.identity import InstanceId
+from tests.builders_limits import member
+from tests.builders_limits import members
+from tests.builders_limits import state
+
+
+class TestHolders:
+    @given(st.integers(1, 60), st.integers(1, 20), st.floats(0.5, 1000.0))
+    def test_shares_add_up_to_the_limit(
+        self, count: int, max_holders: int, burst: float
+    ) -> None:
+        agreed = state(1, members(count), rate=100.0, burst=burst)
+        table = ShareTable(max_holders)
+        shares = [
+            table.share(agreed, "yard", one.id)
+            for one in agreed.members_by_name.values()
+        ]
+        assert abs(sum(share.rate for share in shares) - 100.0) < 1e-9
+        assert abs(sum(share.burst for share in shares) - burst) < 1e-9
+
+    def test_spread_over_failure_domains(self) -> None:
+        holders = ShareTable(8).holders(state(1, members(40)), "yard")
+        domains = [one.failure_domain for one in holders]
+        assert len(holders) == 8
+        assert min(domains.count(domain) for domain in set(domains)) >= 2
+
+    def test_leave_out_leaving_members_while_others_stay(self) -> None:
+        agreed = state(1, members(6))
+        first = ShareTable(1).holders(agreed, "yard")[0]
+        by_name = dict(agreed.members_by_name)
+        by_name[first.id.name] = attrs.evolve(first, leaving=True)
+        assert ShareTable(6).holders(state(2, by_name), "yard").count(first) == 0
+        alone = {first.id.name: attrs.evolve(first, leaving=True)}
+        assert ShareTable(6).holders(state(3, alone), "yard")[0].id == first.id
+
+    def test_one_absent_member_moves_only_its_own_share(self) -> None:
+        table, agreed = ShareTable(8), state(1, members(40))
+        before = table.holders(agreed, "yard")
+        rest = {n: m for n, m in agreed.members_by_name.items() if m != before[0]}
+        after = table.holders(state(2, rest), "yard")
+        assert len(set(before) & set(after)) == 7
+
+    def test_small_burst_has_few_holders(self) -> None:
+        agreed = state(1, members(40), burst=1.0)
+        assert len(ShareTable(8).holders(agreed, "yard")) == 2
+
+    def test_unknown_workspace_has_none(self) -> None:
+        assert ShareTable().holders(state(1, members(3)), "unknown") == ()
+
+
+class TestShare:
+    def test_belongs_to_one_incarnation(self) -> None:
+        agreed = state(1, {member(0).id.name: member(0)})
+        later = InstanceId(member(0).id.name, 2)
+        table = ShareTable()
+        assert table.share(agreed, "yard", member(0).id) == Share(10.0, 20.0)
+        assert table.share(agreed, "yard", later) == NOTHING
+
+    def test_least_takes_rate_and_burst_from_each_state(self) -> None:
+        one = {member(0).id.name: member(0)}
+        states = (state(1, one, rate=5.0), state(2, one, rate=9.0, burst=7.0))
+        assert ShareTable().least(states, "yard", member(0).id) == Share(5.0, 7.0)
+        assert ShareTable().least((), "yard", member(0).id) == NOTHING
