Carry shares through an outage of hours and redirect borrowers to heirs

Cause: an heir that had the share of its own earlier run offered itself as heir each second and dropped the account each time; borrowers that missed a notice kept asking a former heir.

--- a/src/gentianhitch/decisions/limits/borrower.py
+++ b/src/gentianhitch/decisions/limits/borrower.py
@@ -47,6 +47,7 @@
         self.asks = AskBook(holdings, peers)
         self.planner = RatePlanner(self.lenders, self.asks)
         self._holdings = holdings
+        self._peers = peers
         self._transport = transport
         self._counters = counters
 
@@ -116,6 +117,8 @@
             self._transport.send(address, returned)
 
     def _apply_one(self, ask: Ask, item: LoanGranted, now: float) -> None:
+        if item.base.rate <= 0.0:
+            self._peers.forget_holder(ask.origin, ask.lender)
         if not ask.urgent and item.lent.rate < ask.rate:
             self.planner.note_short(ask.workspace, ask.origin, item.lent.rate)
         end = ask.asked + (URGENT_LOAN_S if ask.urgent else LOAN_S)
--- a/src/gentianhitch/decisions/limits/lender.py
+++ b/src/gentianhitch/decisions/limits/lender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gentianhitch.addresses import Address
 from gentianhitch.decisions.limits.account import Account
 from gentianhitch.decisions.limits.budget import Budget
 from gentianhitch.decisions.limits.constants import HEADROOM
@@ -13,6 +14,7 @@
 from gentianhitch.decisions.limits.messages import LoanRequest
 from gentianhitch.decisions.limits.messages import LoanReturn
 from gentianhitch.decisions.limits.messages import LoanWanted
+from gentianhitch.decisions.limits.messages import ShareNotice
 from gentianhitch.decisions.limits.peers import PeerBook
 from gentianhitch.decisions.limits.shares import NOTHING
 from gentianhitch.instances.identity import InstanceId
@@ -42,6 +44,7 @@
         able = self._holdings.is_fresh(now) and not self.closed
         granted = []
         for wanted in request.items:
+            self._redirect(wanted.origin, request.reply_to)
             item = self._grant(borrower, wanted, request.sequence, now, able=able)
             if item is not None:
                 granted.append(item)
@@ -90,6 +93,11 @@
             borrower, wanted, keep, now, returned=wanted.returned if kept else 0.0
         )
 
+    def _redirect(self, origin: InstanceId, borrower: Address) -> None:
+        holder = self._peers.known_holder(origin)
+        if origin not in self._holdings.rights_by_origin and holder is not None:
+            self._transport.send(borrower, ShareNotice(holder, (origin,)))
+
     def _kept_since(self, sequence: int, account: Account, workspace: str) -> bool:
         # Under a state that gave less to this origin, what returned tokens stand
         # for may have been earned elsewhere.
--- a/src/gentianhitch/decisions/limits/limiter.py
+++ b/src/gentianhitch/decisions/limits/limiter.py
@@ -76,9 +76,7 @@
             HeirOffer: self.succession.accept,
             Transfer: self.rounds.receive_transfer,
             TransferAck: lambda sender, ack, _: self.transfers.acknowledge(sender, ack),
-            ShareNotice: lambda sender, notice, _: self.peers.learn_notice(
-                sender, notice
-            ),
+            ShareNotice: lambda _, notice, __: self.peers.learn_notice(notice),
         }
 
     def take(
--- a/src/gentianhitch/decisions/limits/peers.py
+++ b/src/gentianhitch/decisions/limits/peers.py
@@ -56,11 +56,19 @@
         for origin in origins:
             self._holders_by_origin[origin] = address
 
-    def learn_notice(self, sender: InstanceId, notice: ShareNotice) -> None:
-        """Remember what an instance says about the shares that it holds."""
-        self.learn(sender, notice.address)
+    def learn_notice(self, notice: ShareNotice) -> None:
+        """Remember what an instance says about where shares are held."""
         self.learn_holder(notice.origins, notice.address)
 
+    def known_holder(self, origin: InstanceId) -> Address | None:
+        """Return where the share of ``origin`` was last heard to be."""
+        return self._holders_by_origin.get(origin)
+
+    def forget_holder(self, origin: InstanceId, address: Address) -> None:
+        """Stop looking for the share of ``origin`` at an address that lacks it."""
+        if self._holders_by_origin.get(origin) == address:
+            del self._holders_by_origin[origin]
+
     def holder(self, origin: InstanceId, listed: Address) -> Address:
         """Return where the share of ``origin`` is held; ``listed`` by default."""
         return self._holders_by_origin.get(origin, listed)
--- a/src/gentianhitch/decisions/limits/succession.py
+++ b/src/gentianhitch/decisions/limits/succession.py
@@ -57,6 +57,8 @@
 
     def accept(self, sender: InstanceId, offer: HeirOffer, now: float) -> None:
         """Hand over to an instance that has offered itself."""
+        if sender == self._holdings.own_id:
+            return
         self._peers.learn(sender, offer.address)
         heir = Peer(sender, offer.address)
         for origin in list(self._holdings.rights_by_origin):
@@ -82,6 +84,8 @@
             members_by_name[origin.name].peers
             for origin in self._holdings.inherited()
             if origin.name in members_by_name
+            # A later run of the origin holds it already.
+            and origin.name != self._holdings.own_id.name
         ]
 
     def _candidates(self) -> list[Address]:
