--- a/src/gentianhitch/benchmarks/simulated_fleet.py
+++ b/src/gentianhitch/benchmarks/simulated_fleet.py
@@ -22,6 +22,7 @@
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.interfaces import Attempt
 from gentianhitch.decisions.interfaces import Outcome
+from gentianhitch.decisions.targets.catalog import slots_of
 from gentianhitch.decisions.targets.detector import TICK_S
 from gentianhitch.decisions.targets.detector import Detector
 from gentianhitch.decisions.targets.placement import steered
@@ -64,6 +65,7 @@
     shed: int = 0
     refused: int = 0
     answered: int = 0
+    first_hurt_by_instance: dict[str, float] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -109,7 +111,7 @@
         }
         everyone = list(self._state.members_by_name.values())
         self.instances = [self._instance(member, make_judge) for member in everyone]
-        near = steered(service, everyone, len(declared.services))
+        near = steered(service, everyone, slots_of(declared, service))
         self.steered = [i for i in self.instances if i.member in near]
         slots = sum(t.declared.slots for t in self.targets_by_name.values())
         self.rate = load * slots / MEAN_SERVICE_S
@@ -213,6 +215,9 @@
         now = self.clock.seconds()
         answer = target.ask(Asked(now, instance.member.id.name, route, workspace))
         self.tally.hurt += answer.hurt
+        if answer.hurt:
+            name = instance.member.id.name
+            self.tally.first_hurt_by_instance.setdefault(name, now)
         self.tally.shed += answer.outcome is Outcome.SHED
         latency_s = answer.latency_s
         if declared.failure_domain != instance.member.failure_domain:
--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -12,6 +12,7 @@
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.interfaces import Agreement
 from gentianhitch.decisions.interfaces import Attempt
+from gentianhitch.decisions.targets.catalog import slots_of
 from gentianhitch.decisions.targets.hints import TargetHints
 from gentianhitch.decisions.targets.messages import EjectionGrants
 from gentianhitch.decisions.targets.messages import EvidenceReport
@@ -143,7 +144,7 @@
         members = tuple(states[-1].members_by_name.values())
         self._settings_by_service = {}
         for service in document.services:
-            near = steered(service.name, members, len(document.services))
+            near = steered(service.name, members, slots_of(document, service.name))
             self._settings_by_service[service.name] = setting_of(
                 service.name, states, near
             )
--- a/src/gentianhitch/decisions/targets/placement.py
+++ b/src/gentianhitch/decisions/targets/placement.py
@@ -13,6 +13,7 @@
 
 MIN_STEERED = 5
 MAX_STEERED = 16
+SLOTS_PER_STEERED = 12
 STEWARDS = 5
 
 
@@ -31,14 +32,14 @@
     return tuple(member for member, _ in zip(in_turn, range(count), strict=False))
 
 
-def steered(
-    service: str, members: Iterable[Member], services: int
-) -> tuple[Member, ...]:
-    """Name the instances to which callers of ``service`` are steered."""
-    everyone = list(members)
-    count = len(everyone) // max(services, 1)
-    count = min(max(count, MIN_STEERED), MAX_STEERED)
-    return spread(f"steered/{service}", everyone, count)
+def steered(service: str, members: Iterable[Member], slots: int) -> tuple[Member, ...]:
+    """Name the instances to which callers of ``service`` are steered.
+
+    ``slots`` are those of all its targets: the fewer instances share them, the
+    fewer requests wait or are shed while a slot is free.
+    """
+    count = min(max(slots // SLOTS_PER_STEERED, MIN_STEERED), MAX_STEERED)
+    return spread(f"steered/{service}", members, count)
 
 
 def stewards(service: str, members: Iterable[Member]) -> tuple[Member, ...]:
