Show each freshness rule red on the naive way

Cause: a rule that no test can break is not proved. The naive ways are kept in tests/naive_freshness.py and run through the same schedules as the product.

Before (naive, each asserted in the test): evidence dated from its receipt, restarted members counted at once, plain expiry, going on regardless: instance a is fresh on sequence 1 at 3.0 s while 2 is in force at another since 2.3 s. The newest list alone asked: a minority of two puts its own list in force. Nonces that repeat: a reply to the former incarnation dates evidence 5 s too young. After (product): none of these.

--- a/src/gentianhitch/soak/fleet.py
+++ b/src/gentianhitch/soak/fleet.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import attrs
-import msgspec
 from twisted.internet.defer import Deferred
 
 from gentianhitch.addresses import Address
@@ -42,6 +41,8 @@
 OUTAGE_S = 20.0
 LONGEST_PAUSE_S = 180.0
 LIST_LAG_S = 3.0
+MAX_DELAY_S = 0.2
+SLOW_DELAY_S = 4.0
 
 
 def decode_document(data: bytes) -> Document:
@@ -69,7 +70,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
-        faults = Faults(0.05, 0.05, 0.001, 0.2)
+        faults = Faults(0.05, 0.05, 0.001, MAX_DELAY_S)
         self.network = Network(SoakClock(), self.random, faults)
         self.store = MemoryStore(self.network.clock)
         for number in range(self.size):
@@ -156,6 +157,28 @@
             Address(f"127.0.0.{number_of(target) + 1}", 4000),
         )
 
+    def partition(self) -> None:
+        """Cut the instances into two sides, one of them also from the platform."""
+        names = self.names
+        self.random.shuffle(names)
+        size = self.random.randint(1, self.size - 1)
+        for name in names[:size]:
+            self.cut_platform(name, one_way=self.random.random() < 0.5)
+            for other in names[size:]:
+                self.cut_one_way(name, other)
+                self.cut_one_way(other, name)
+
+    def slow_down(self) -> None:
+        """Let messages take up to seconds."""
+        self.network.faults.max_delay_s = SLOW_DELAY_S
+
+    def replace_while_spreading(self) -> None:
+        """Promote, and restart instances while the change spreads."""
+        self.promote()
+        for _ in range(self.random.randint(1, self.size)):
+            self.advance(self.random.uniform(STEP_S, 0.8))
+            self.start(self.random.choice(self.names))
+
     def cut_platform(self, name: str, *, one_way: bool) -> None:
         """Cut an instance from the platform; one way only its answers are lost."""
         process = self.processes_by_name.get(name)
@@ -166,6 +189,7 @@
     def heal(self) -> None:
         """End every cut, pause and outage, and start who does not run."""
         self.network.heal_all()
+        self.network.faults.max_delay_s = MAX_DELAY_S
         self.invariants.note_healed()
         self.store.outage = False
         self.store.lost_replies = 0
@@ -266,6 +290,10 @@
     "pause": (6, lambda m, r: m.pause(r.choice(m.names))),
     "resume": (8, lambda m, r: m.resume(r.choice(m.names))),
     "cut": (12, lambda m, r: m.cut_one_way(r.choice(m.names), r.choice(m.names))),
+    "partition": (8, lambda m, r: m.partition()),
+    "slow_down": (3, lambda m, r: m.slow_down()),
+    "replace_while_spreading": (5, lambda m, r: m.replace_while_spreading()),
+    "heal": (4, lambda m, r: m.heal()),
     "isolate": (4, lambda m, r: m.isolate(r.choice(m.names))),
     "cut_platform": (
         6,
@@ -275,8 +303,8 @@
     "lost_replies": (3, lambda m, r: setattr(m.store, "lost_replies", 2)),
     "drop_from_list": (2, lambda m, r: m.drop_from_list(r.choice(m.names))),
     "long_pause": (1, lambda m, r: m.advance(r.uniform(10.0, LONGEST_PAUSE_S))),
-    "settle": (4, lambda m, r: m.settle()),
-    "outage": (2, lambda m, r: m.outage()),
+    "settle": (2, lambda m, r: m.settle()),
+    "outage": (1, lambda m, r: m.outage()),
 }
 
 
@@ -317,8 +345,3 @@
         dict(model.counts_by_action),
         dict(model.invariants.checks_by_name),
     )
-
-
-def encode_report(report: FleetReport) -> str:
-    """Return the report as one line of JSON."""
-    return msgspec.json.encode(report).decode()
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -1,10 +1,17 @@
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
+import attrs
+
 from gentianhitch.addresses import Address
+from gentianhitch.decisions.agreed_list import AgreedList
+from gentianhitch.decisions.exchange import Exchange
+from gentianhitch.decisions.freshness import Freshness
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
+from gentianhitch.instances.messages import ExchangeReply
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Service
@@ -95,3 +102,90 @@
             for process in self.processes
             if process.fleet.is_fresh(self.now)
         }
+
+
+@attrs.frozen
+class Reply:
+    asker: str
+    replier: InstanceId
+    body: ExchangeReply
+
+
+class Peers:
+    """Decisions of a few instances, whose exchanges the test times itself.
+
+    All hold sequence 1, in force, and have just heard each other at 0.
+    """
+
+    def __init__(
+        self,
+        letters: str,
+        freshness: Callable[[Member], Freshness] = Freshness,
+        exchange: Callable[[Freshness], Exchange] = Exchange,
+    ) -> None:
+        self._make = lambda member: freshness(member)
+        self._make_exchange = exchange
+        self._letters = letters
+        self._incarnations_by_letter = dict.fromkeys(letters, 1)
+        self.freshness_by_letter: dict[str, Freshness] = {}
+        self.exchange_by_letter: dict[str, Exchange] = {}
+        self._lists_by_sequence = {1: self.make_list(letters)}
+        for letter in letters:
+            self._start(letter)
+            self.learn(letter, 1, now=0.0)
+        self.exchange_all(letters, now=0.0)
+
+    def _start(self, letter: str) -> None:
+        self.freshness_by_letter[letter] = self._make(self.member(letter))
+        exchange = self._make_exchange(self.freshness_by_letter[letter])
+        self.exchange_by_letter[letter] = exchange
+
+    def member(self, letter: str) -> Member:
+        number = ord(letter) - ord("a")
+        id_ = InstanceId(letter, self._incarnations_by_letter[letter])
+        return attrs.evolve(make_member(number), id=id_)
+
+    def make_list(self, letters: str) -> AgreedList:
+        whole = letters == self._letters
+        members = tuple(self.member(letter) for letter in letters)
+        return AgreedList(members, None if whole else "first")
+
+    def restart(self, letter: str, now: float) -> None:
+        self._incarnations_by_letter[letter] += 1
+        self._start(letter)
+
+    def learn(
+        self, letters: str, sequence: int, now: float, names: str | None = None
+    ) -> None:
+        first = self._lists_by_sequence[1]
+        agreed = self.make_list(names) if names else first
+        previous = first if names else None
+        for letter in letters:
+            freshness = self.freshness_by_letter[letter]
+            freshness.learn(sequence, agreed, previous, now)
+            if sequence == 1:
+                freshness.hear_in_force(1)
+
+    def ask(self, asker: str, replier: str, now: float, first: bool = False) -> Reply:
+        exchange = self.exchange_by_letter[asker]
+        if first:
+            exchange = self._make_exchange(self.freshness_by_letter[asker])
+        request = exchange.request(self.member(replier), now)
+        body = self.exchange_by_letter[replier].answer(request, now)
+        assert body is not None
+        return Reply(asker, self.member(replier).id, body)
+
+    def bring(self, reply: Reply, now: float) -> None:
+        self.exchange_by_letter[reply.asker].hear(reply.body, reply.replier, now)
+
+    def exchange_all(self, letters: str, now: float) -> None:
+        for asker in letters:
+            for replier in letters:
+                if asker != replier:
+                    self.bring(self.ask(asker, replier, now), now)
+
+    def is_fresh(self, letter: str, now: float) -> bool:
+        return self.freshness_by_letter[letter].is_fresh(now)
+
+    def in_force(self, letter: str, now: float) -> int:
+        return self.freshness_by_letter[letter].active_from(now)
--- /dev/null
+++ b/tests/unit/test_freshness.py
@@ -0,0 +1,178 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from gentianhitch.decisions.agreed_list import AgreedList
+from gentianhitch.decisions.agreed_list import decode_list
+from gentianhitch.decisions.agreed_list import encode_list
+from gentianhitch.decisions.evidence import AGE_UNIT_S
+from gentianhitch.decisions.evidence import NO_AGE
+from gentianhitch.decisions.evidence import age_byte
+from gentianhitch.decisions.exchange import Exchange
+from gentianhitch.decisions.freshness import DRIFT_MARGIN_S
+from gentianhitch.decisions.freshness import WINDOW_S
+from gentianhitch.decisions.freshness import Freshness
+from gentianhitch.instances.identity import Member
+from tests.builders_fleet import Peers
+from tests.builders_fleet import make_member
+from tests.naive_freshness import AsksOnlyTheNewList
+from tests.naive_freshness import CountsRestarted
+from tests.naive_freshness import DatesFromReceipt
+from tests.naive_freshness import ExpiresOnly
+from tests.naive_freshness import GoesOnRegardless
+from tests.naive_freshness import RepeatsNonces
+
+FORCE_S = WINDOW_S + DRIFT_MARGIN_S
+
+MakeFreshness = Callable[[Member], Freshness]
+MakeExchange = Callable[[Freshness], Exchange]
+
+
+class TestFreshOnlyOnWhatIsNotSuperseded:
+    """In each, sequence 2 is in force at some instance when ``a`` is asked."""
+
+    @pytest.mark.parametrize(
+        ("exchange", "fresh"), [(Exchange, False), (DatesFromReceipt, True)]
+    )
+    def test_late_replies(self, exchange: MakeExchange, fresh: bool) -> None:
+        peers = Peers("abc", exchange=exchange)
+        late = [peers.ask("a", "b", now=0.0), peers.ask("a", "c", now=0.0)]
+        peers.learn("bc", 2, now=0.1)
+        peers.exchange_all("bc", now=0.2)
+        assert peers.in_force("b", now=0.2 + FORCE_S) == 2
+        for reply in late:
+            peers.bring(reply, now=3.0)
+        assert peers.is_fresh("a", now=3.0) is fresh
+
+    @pytest.mark.parametrize(
+        ("freshness", "fresh"), [(Freshness, False), (CountsRestarted, True)]
+    )
+    def test_restarted_member(self, freshness: MakeFreshness, fresh: bool) -> None:
+        peers = Peers("abc", freshness=freshness)
+        peers.learn("bc", 2, now=0.1)
+        peers.exchange_all("bc", now=0.2)
+        peers.restart("b", now=0.5)
+        peers.learn("b", 1, now=0.6)
+        for now in (0.7, 1.5, 2.3, 3.0):
+            peers.exchange_all("ab", now=now)
+        assert peers.in_force("c", now=3.0) == 2
+        assert peers.is_fresh("a", now=3.0) is fresh
+
+    @pytest.mark.parametrize(
+        ("freshness", "fresh"),
+        [(Freshness, False), (ExpiresOnly, True), (GoesOnRegardless, True)],
+    )
+    def test_minority_side(self, freshness: MakeFreshness, fresh: bool) -> None:
+        peers = Peers("abcde", freshness=freshness)
+        peers.learn("cde", 2, now=0.1)
+        for now in (0.2, 1.0, 2.0, 3.0):
+            peers.exchange_all("ab", now=now)
+            peers.exchange_all("cde", now=now)
+        assert peers.in_force("c", now=3.0) == 2
+        assert peers.is_fresh("c", now=3.0)
+        assert peers.is_fresh("a", now=3.0) is fresh
+
+    @pytest.mark.parametrize(
+        ("freshness", "unsafe"), [(Freshness, False), (AsksOnlyTheNewList, True)]
+    )
+    def test_list_change_by_a_minority(
+        self, freshness: MakeFreshness, unsafe: bool
+    ) -> None:
+        peers = Peers("abcde", freshness=freshness)
+        peers.learn("ab", 2, now=0.1, names="ab")
+        for now in (0.2, 1.0, 2.0, 3.0):
+            peers.exchange_all("ab", now=now)
+            peers.exchange_all("cde", now=now)
+        assert peers.is_fresh("c", now=3.0)
+        assert (peers.in_force("a", now=3.0) == 2) is unsafe
+
+    @pytest.mark.parametrize(
+        ("exchange", "taken"), [(Exchange, False), (RepeatsNonces, True)]
+    )
+    def test_reply_to_an_earlier_incarnation(
+        self, exchange: MakeExchange, taken: bool
+    ) -> None:
+        peers = Peers("abc", exchange=exchange)
+        late = peers.ask("a", "b", now=0.0, first=True)
+        peers.restart("a", now=5.0)
+        peers.learn("a", 1, now=5.1)
+        peers.ask("a", "b", now=5.2)
+        peers.bring(late, now=5.3)
+        seat = peers.freshness_by_letter["a"].seats_by_name["b"]
+        assert (seat.agreed_at > 5.0) is taken
+
+
+class TestFreshness:
+    def test_majority_is_enough_without_the_platform(self) -> None:
+        peers = Peers("abcde")
+        for now in (1.0, 2.0, 3.0):
+            peers.exchange_all("abc", now=now)
+        assert peers.is_fresh("a", now=3.0)
+        assert not peers.is_fresh("a", now=3.0 + WINDOW_S)
+        assert not peers.is_fresh("d", now=3.0)
+
+    def test_platform_read_counts_from_its_start(self) -> None:
+        peers = Peers("abc")
+        freshness = peers.freshness_by_letter["a"]
+        freshness.read_platform(1, started_at=5.0, now=6.0)
+        assert freshness.is_fresh(6.9)
+        assert not freshness.is_fresh(7.0)
+
+    def test_stale_read_changes_nothing(self) -> None:
+        peers = Peers("abc")
+        peers.learn("a", 2, now=0.1)
+        freshness = peers.freshness_by_letter["a"]
+        freshness.read_platform(1, started_at=4.9, now=5.0)
+        assert freshness.sequence == 2
+        assert not freshness.is_fresh(5.0)
+        assert not freshness.learn(1, peers.make_list("abc"), None, 5.1)
+
+    def test_pause_ends_freshness(self) -> None:
+        peers = Peers("abc")
+        peers.exchange_all("abc", now=1.0)
+        assert peers.is_fresh("a", now=1.5)
+        assert not peers.is_fresh("a", now=181.0)
+
+    def test_superseded_incarnation_stops(self) -> None:
+        peers = Peers("abc")
+        old = peers.freshness_by_letter["a"]
+        peers.restart("a", now=1.0)
+        peers.learn("a", 1, now=1.0)
+        peers.exchange_all("abc", now=1.1)
+        old.meet(peers.freshness_by_letter["a"].own, 1.2)
+        old.read_platform(1, started_at=1.2, now=1.2)
+        assert old.superseded
+        assert not old.is_fresh(1.2)
+
+    def test_restarted_one_by_one_in_an_outage(self) -> None:
+        peers = Peers("abcde")
+        now = 1.0
+        for letter in "abcde":
+            peers.restart(letter, now=now)
+            peers.learn(letter, 1, now=now)
+            for _ in range(4):
+                now += 0.4
+                peers.exchange_all("abcde", now=now)
+            assert {x for x in "abcde" if peers.is_fresh(x, now)} == set("abcde")
+
+    def test_state_in_force_must_be_held(self) -> None:
+        peers = Peers("abc")
+        freshness = peers.freshness_by_letter["a"]
+        freshness.read_platform(1, started_at=1.0, now=1.0)
+        assert freshness.is_fresh(1.1)
+        freshness.hear_in_force(2)
+        assert not freshness.is_fresh(1.1)
+
+
+class TestEvidence:
+    def test_ages_round_up(self) -> None:
+        for age_ms in (0, 1, 9, 10, 11, 999, 2539):
+            byte = age_byte(0.0, age_ms / 1000)
+            assert byte * AGE_UNIT_S >= age_ms / 1000 - 1e-9
+        assert age_byte(0.0, 2.54) == NO_AGE
+
+    def test_lists_survive_their_encoding(self) -> None:
+        agreed = AgreedList(tuple(make_member(n) for n in range(3)), "previous")
+        assert decode_list(encode_list(agreed)) == agreed
