--- a/src/gentianhitch/decisions/limits/counters.py
+++ b/src/gentianhitch/decisions/limits/counters.py
@@ -26,3 +26,14 @@
     waited_by_workspace: Counter[str] = attrs.Factory(Counter)
     refused_by_cause: Counter[tuple[str, Cause]] = attrs.Factory(Counter)
     events_by_name: Counter[str] = attrs.Factory(Counter)
+
+    def by_name(self) -> dict[str, int]:
+        """Return every count under one dotted name."""
+        counts = {f"limits.{name}": n for name, n in self.events_by_name.items()}
+        for workspace, n in self.admitted_by_workspace.items():
+            counts[f"limits.admitted.{workspace}"] = n
+        for workspace, n in self.waited_by_workspace.items():
+            counts[f"limits.waited.{workspace}"] = n
+        for (workspace, cause), n in self.refused_by_cause.items():
+            counts[f"limits.refused.{cause.value}.{workspace or 'unknown'}"] = n
+        return counts
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -43,6 +44,7 @@
 from gentianhitch.lifecycle import LifecycleActions
 from gentianhitch.lifecycle import create_lifecycle
 from gentianhitch.metrics import Metrics
+from gentianhitch.operators.answers import InstanceReport
 from gentianhitch.operators.document_codec import decode_document
 from gentianhitch.operators.resource import OperatorsResource
 from gentianhitch.platform.client import HttpPlatform
@@ -184,6 +186,7 @@
             self.platform,
             self._settings.environment,
             self._settings.operator_key_hashes,
+            self._report,
         )
 
         @app.route(DIRECTORY_PATH)  # type: ignore[untyped-decorator]
@@ -196,6 +199,25 @@
 
         return app.resource()
 
+    def _report(self) -> InstanceReport:
+        now = self.clock.seconds()
+        state = self._newest_state()
+        counts = Counter(self.metrics.counts_by_name)
+        counts.update(self.fleet.counts_by_name)
+        counts.update(self.detector.counts)
+        counts.update(self.limiter.counters.by_name())
+        return InstanceReport(
+            instance=self._id.name,
+            incarnation=self._id.incarnation,
+            state=self.state,
+            fresh=self.fleet.is_fresh(now),
+            sequence=state.sequence if state else 0,
+            members=tuple(sorted(self.fleet.members)),
+            live=tuple(m.id.name for m in self.fleet.live_members(now)),
+            counts_by_name=dict(sorted(counts.items())),
+            histograms=tuple(self.metrics.summaries()),
+        )
+
     def _newest_state(self) -> AgreedState | None:
         states = self.fleet.active(self.clock.seconds())
         return states[-1] if states else None
--- a/src/gentianhitch/operators/answers.py
+++ b/src/gentianhitch/operators/answers.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gentianhitch.metrics import HistogramSummary
 from gentianhitch.operators.checking import Fault
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.documents import Change
@@ -79,3 +80,22 @@
     message: str
     exit_code: int
     faults: tuple[Fault, ...] = ()
+
+
+@attrs.frozen
+class InstanceReport:
+    """What one entry instance knows and has counted since it started.
+
+    ``sequence`` is the newest known one; ``members`` are in the agreed list and
+    ``live`` those that the directory may name.
+    """
+
+    instance: str
+    incarnation: int
+    state: str
+    fresh: bool
+    sequence: int
+    members: tuple[str, ...]
+    live: tuple[str, ...]
+    counts_by_name: dict[str, int]
+    histograms: tuple[HistogramSummary, ...]
--- a/src/gentianhitch/operators/commands.py
+++ b/src/gentianhitch/operators/commands.py
@@ -135,6 +135,17 @@
     return _show("/status", answers.StatusAnswer, entry, operator_key_file, operator)
 
 
+def instance(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
+    """Show state, counters and histograms of one entry instance, as JSON.
+
+    :param entry: address IP:PORT of that instance
+    :param operator_key_file: file that holds the operator key
+    :param operator: name shown to other operators
+    """
+    kind = answers.InstanceReport
+    return _show("/instance", kind, entry, operator_key_file, operator)
+
+
 def document(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
     """Print the document in production, to edit and put to trial again.
 
@@ -219,6 +230,7 @@
     "trial": trial,
     "promote": promote,
     "status": status,
+    "instance": instance,
     "document": document,
     "keys": KEY_COMMANDS,
 }
--- a/src/gentianhitch/operators/resource.py
+++ b/src/gentianhitch/operators/resource.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+from collections.abc import Callable
 from typing import Any
 from typing import TypeVar
 
@@ -47,6 +48,7 @@
     platform: Platform
     environment: str
     operator_key_hashes: tuple[str, ...]
+    report: Callable[[], answers.InstanceReport] | None = None
 
     app = Klein()
 
@@ -70,6 +72,13 @@
         )
         return _answer(request, answer)
 
+    @app.route("/instance", methods=["GET"])
+    def instance(self, request: Request) -> bytes:
+        """Report what this instance knows and has counted."""
+        self._authorise(request)
+        assert self.report is not None, "an entry instance gives its report"
+        return _answer(request, self.report())
+
     @app.route("/document", methods=["GET"])
     async def document(self, request: Request) -> bytes:
         """Return the document in production."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -144,13 +144,17 @@
         self.entry_names.remove(name)
         return self.programs_by_name.pop(name).stop(sent)
 
-    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run one operators' command against the first entry instance."""
+    def command(
+        self, *arguments: str, at: str | None = None
+    ) -> subprocess.CompletedProcess[str]:
+        """Run one operators' command against an entry instance, else the first."""
+        name = at or self.entry_names[0]
+        entry = str(self.programs_by_name[name].ready["callers"])
         return subprocess.run(
             [
                 *(sys.executable, "-m", "gentianhitch"),
                 *arguments,
-                *("--entry", self.entries[0]),
+                *("--entry", entry),
                 *("--operator-key-file", str(self.operator_key_file)),
             ],
             capture_output=True,
--- a/tests/end_to_end/test_rolling_restart.py
+++ b/tests/end_to_end/test_rolling_restart.py
@@ -34,9 +34,16 @@
     return path
 
 
+def refusals(deployment: Deployment, name: str) -> dict[str, int]:
+    done = deployment.command("instance", at=name)
+    counts = json.loads(done.stdout)["counts_by_name"]
+    return {key: n for key, n in counts.items() if "refus" in key or "retries" in key}
+
+
 def restart(deployment: Deployment, name: str, failure_domain: str, key: str) -> None:
     ready = deployment.programs_by_name[name].ready
     deployment.list_instance(name, failure_domain, "leaving")
+    print(name, refusals(deployment, name))
     assert deployment.stop_entry(name) == 0
     deployment.start_entry(
         name, failure_domain, callers=ready["callers"], peers=ready["peers"]
@@ -70,6 +77,8 @@
             for number, domain in enumerate(demo.FAILURE_DOMAINS, start=1):
                 restart(deployment, f"entry-{number}", domain, key)
             still_loaded = load.poll() is None
+            for name in deployment.entry_names:
+                print(name, refusals(deployment, name))
             assert load.wait(TIMEOUT_S) == 0
             assert still_loaded, "the load ended before the restarts"
         outcomes = [series.outcomes for series in read_run(output).series]
