Make every refusal of an operator's change final

Cause: a promotion answered "lost the race" because its trial was replaced, while an earlier attempt was still on its way to the store; and a command whose first attempt had lost its reply reported the last attempt's "nothing changed". Ruled out: moving the head by an empty change before the refusal, because another call of the same promotion would read the newer head and go on; the promotion is given up by an id in the head, which each attempt checks on the head that its compare-and-swap expects. Before: production held the loser's document after the late write (test_lost_race_is_final_although_an_earlier_write_is_late), and `assert 1 == <ExitCode.OUTCOME_UNKNOWN: 4>` (test_commands.py). After: both green.

--- a/src/gentianhitch/json_codec.py
+++ b/src/gentianhitch/json_codec.py
@@ -12,7 +12,7 @@
 T = TypeVar("T")
 
 DecodeError = (msgspec.MsgspecError, ValueError)
-"""What ``decode`` and ``convert`` raise."""
+"""What decoding raises."""
 
 
 def encode(value: object) -> bytes:
@@ -25,9 +25,9 @@
     return msgspec.json.decode(data, type=kind, dec_hook=_decode_hook)
 
 
-def convert(value: Any, kind: type[T]) -> T:
-    """Convert plain JSON values to ``kind``."""
-    return msgspec.convert(value, kind, dec_hook=_decode_hook)
+def decoder(kind: Any) -> msgspec.json.Decoder[Any]:
+    """Return a decoder for many values of one kind."""
+    return msgspec.json.Decoder(kind, dec_hook=_decode_hook)
 
 
 def _encode_hook(value: object) -> object:
--- a/src/gentianhitch/operators/commands.py
+++ b/src/gentianhitch/operators/commands.py
@@ -237,13 +237,26 @@
     client: EntryClient, method: str, path: str, call: object, kind: type[T]
 ) -> T:
     """Send a change again while its outcome is unknown; its id makes that safe."""
-    for _ in range(CHANGE_ATTEMPTS - 1):
+    unknown: EntryCallError | None = None
+    for _ in range(CHANGE_ATTEMPTS):
         try:
             return await client.change(method, path, call, kind)
         except EntryCallError as error:
-            if error.exit_code != ExitCode.OUTCOME_UNKNOWN:
-                raise
-    return await client.change(method, path, call, kind)
+            unknown = _still_unknown(error, unknown)
+    assert unknown is not None
+    raise unknown
+
+
+def _still_unknown(
+    error: EntryCallError, earlier: EntryCallError | None
+) -> EntryCallError:
+    """Return the error to report last; raise one that settles the outcome."""
+    if error.exit_code == ExitCode.OUTCOME_UNKNOWN:
+        return error
+    # "Nothing was changed" holds for this attempt, not for an earlier one.
+    if error.exit_code == ExitCode.FAILED and earlier is not None:
+        return earlier
+    raise error
 
 
 def _show(
--- a/src/gentianhitch/operators/document_codec.py
+++ b/src/gentianhitch/operators/document_codec.py
@@ -13,11 +13,13 @@
 from gentianhitch.operators.document import Workspace
 
 ENVIRONMENT = "environment"
-KINDS_BY_SECTION: dict[str, type] = {
-    "workspaces": Workspace,
-    "services": Service,
-    "backend_servers": BackendServer,
-    "routes": Route,
+SECTIONS = ("workspaces", "services", "backend_servers", "routes")
+DECODERS_BY_NAME = {
+    b"environment": json_codec.decoder(str),
+    b"workspaces": json_codec.decoder(Workspace),
+    b"services": json_codec.decoder(Service),
+    b"backend_servers": json_codec.decoder(BackendServer),
+    b"routes": json_codec.decoder(Route),
 }
 
 
@@ -28,7 +30,7 @@
 def encode_document(document: Document) -> bytes:
     """Encode a document; equal documents give equal bytes."""
     lines = [_line(ENVIRONMENT, document.environment)]
-    for section in KINDS_BY_SECTION:
+    for section in SECTIONS:
         lines += [_line(section, record) for record in getattr(document, section)]
     return b"".join(lines)
 
@@ -37,23 +39,19 @@
     """Decode a document; raise MalformedDocumentError."""
     try:
         return _decode(data)
-    except (*json_codec.DecodeError, KeyError, TypeError) as error:
+    except (*json_codec.DecodeError, KeyError) as error:
         raise MalformedDocumentError(f"malformed document: {error!r}") from error
 
 
 def _decode(data: bytes) -> Document:
-    environment = ""
-    records_by_section: dict[str, list[Any]] = {name: [] for name in KINDS_BY_SECTION}
+    records_by_name: dict[bytes, list[Any]] = {name: [] for name in DECODERS_BY_NAME}
     for line in data.splitlines():
-        section, record = json_codec.decode(line, tuple[str, Any])
-        if section == ENVIRONMENT:
-            environment = record
-            continue
-        kind = KINDS_BY_SECTION[section]
-        records_by_section[section].append(json_codec.convert(record, kind))
-    sections = {name: tuple(records) for name, records in records_by_section.items()}
+        name, _, value = line.partition(b" ")
+        records_by_name[name].append(DECODERS_BY_NAME[name].decode(value))
+    (environment,) = records_by_name[ENVIRONMENT.encode()]
+    sections = {name: tuple(records_by_name[name.encode()]) for name in SECTIONS}
     return Document(environment=environment, **sections)
 
 
-def _line(section: str, record: object) -> bytes:
-    return json_codec.encode([section, record]) + b"\n"
+def _line(name: str, record: object) -> bytes:
+    return b"%b %b\n" % (name.encode(), json_codec.encode(record))
--- a/src/gentianhitch/operators/documents.py
+++ b/src/gentianhitch/operators/documents.py
@@ -123,6 +123,8 @@
     """
 
     def edit(head: heads.Head) -> heads.Head:
+        if _void_id(change_id) in head.recent_write_ids:
+            raise LostRaceError(f"change {change_id} was given up")
         require_base(head, base_revision)
         reference = heads.DocumentReference(
             base_revision + 1, digest, changed_by, change_id
@@ -136,6 +138,24 @@
     return change
 
 
+async def give_up_change(
+    platform: Platform, environment: str, change_id: str
+) -> Change | None:
+    """Make sure that a change never happens; return it when it already has.
+
+    Without this, an earlier attempt could still take effect after a refusal.
+    """
+    void_id = _void_id(change_id)
+    stored = await guarded(
+        heads.change_head(platform, environment, void_id, lambda head: head)
+    )
+    return find_change(stored.head, change_id)
+
+
+def _void_id(change_id: str) -> str:
+    return f"void-{change_id}"
+
+
 def require_base(head: heads.Head, base_revision: int) -> None:
     """Raise LostRaceError unless the document is still at ``base_revision``."""
     revision = revision_of(head)
--- a/src/gentianhitch/operators/trial.py
+++ b/src/gentianhitch/operators/trial.py
@@ -100,9 +100,12 @@
     if trial is None:
         raise WrongChangeError("no document was put to trial")
     if trial.id != trial_id:
+        accepted = await documents.give_up_change(platform, environment, trial_id)
+        if accepted is not None:
+            return accepted
         raise LostRaceError(
-            f"lost the race to {trial.tried_by}, whose trial {trial.id} replaced"
-            f" {trial_id}"
+            f"lost the race to {trial.tried_by}: the current trial is {trial.id},"
+            f" not {trial_id}"
         )
     return await documents.move_document(
         platform, environment, trial.id, trial.base_revision, trial.digest, by
--- a/tests/operators/test_resource.py
+++ b/tests/operators/test_resource.py
@@ -6,8 +6,6 @@
 import pytest
 from loguru import logger
 from twisted.internet import reactor
-from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from gentianhitch.addresses import Address
 from gentianhitch.errors import ExitCode
@@ -17,30 +15,16 @@
 from gentianhitch.operators.entry_client import EntryCallError
 from gentianhitch.operators.entry_client import EntryClient
 from gentianhitch.operators.keys import KeyChange
-from gentianhitch.operators.resource import OperatorsResource
 from gentianhitch.operators.trial import TrialAnswer
-from gentianhitch.platform.memory import MemoryPlatform
-from tests.builders_platform import ENVIRONMENT
+from tests.builders_operators import OPERATOR_KEY
+from tests.builders_operators import serve_operators
 from tests.builders_platform import make_document
 from tests.builders_platform import make_platform
 from tests.running import run_on_reactor
 
-OPERATOR_KEY = "operator-key-of-the-test"
 REFUSING = Address("127.0.0.1", 1)
 
 
-def serve_operators(platform: MemoryPlatform) -> EntryClient:
-    resource = OperatorsResource(
-        platform, ENVIRONMENT, (keys.hash_key("another"), keys.hash_key(OPERATOR_KEY))
-    )
-    root, system = Resource(), Resource()
-    root.putChild(b".gentianhitch", system)
-    system.putChild(b"operators", resource.resource())
-    port = reactor.listenTCP(0, Site(root), interface="127.0.0.1")
-    address = Address("127.0.0.1", port.getHost().port)
-    return EntryClient(reactor, address, OPERATOR_KEY, "ana")
-
-
 async def promote_first(client: EntryClient) -> Change:
     call = answers.TrialCall("t1", make_document())
     await client.change("PUT", "/trial", call, TrialAnswer)
--- a/tests/operators/test_trial.py
+++ b/tests/operators/test_trial.py
@@ -111,6 +111,20 @@
         assert (repeated.replaced, repeated.changed_by) == (True, "cvita")
         assert run(heads.read_head(platform, ENVIRONMENT)).head.sequence == 2
 
+    def test_lost_race_is_final_although_an_earlier_write_is_late(self) -> None:
+        store = make_store()
+        platform, rival = make_platform(store), make_platform(store)
+        try_document(platform, "t1", make_document())
+        platform.late_s = 5.0
+        with pytest.raises(OperatorsOutcomeUnknownError):
+            promote_trial(platform, "t1")
+        platform.late_s = 0.0
+        try_document(rival, "t2", make_document(), by="bruno")
+        with pytest.raises(LostRaceError, match="to bruno"):
+            promote_trial(platform, "t1")
+        store.clock.advance(10)
+        assert production(platform) is None
+
     def test_outage_changes_nothing(self) -> None:
         platform = make_platform()
         try_document(platform, "t1", make_document())
