--- a/src/gentianhitch/decisions/freshness.py
+++ b/src/gentianhitch/decisions/freshness.py
@@ -101,6 +101,8 @@
 
     def update_standing(self, seat: Seat, standing: Standing) -> None:
         """Take in what a member says of itself; older versions are dropped."""
+        if standing.incarnation != seat.holder.id.incarnation:
+            return
         if standing.version > seat.standing.version:
             seat.standing = standing
             self.changes += 1
@@ -309,3 +311,4 @@
         pending = self.pending()
         for seat in self.seats_by_name.values():
             seat.reach(seat.known, pending, now)
+            seat.catch_up(self.sequence)
