--- a/src/gentianhitch/decisions/targets/hints.py
+++ b/src/gentianhitch/decisions/targets/hints.py
@@ -67,5 +67,9 @@
         hints = self._hints_by_target.get(target)
         return hints is not None and now < hints.cold_until
 
+    def is_away(self, target: str, now: float) -> bool:
+        """Tell whether a target leaves or starts cold."""
+        return self.is_leaving(target, now) or self.is_cold(target, now)
+
     def _of(self, target: str) -> Hints:
         return self._hints_by_target.setdefault(target, Hints())
--- a/src/gentianhitch/decisions/targets/messages.py
+++ b/src/gentianhitch/decisions/targets/messages.py
@@ -75,3 +75,4 @@
     serial: int
     ejections: tuple[Ejection, ...]
     leaving: tuple[str, ...]
+    cold: tuple[str, ...]
--- a/src/gentianhitch/decisions/targets/reports.py
+++ b/src/gentianhitch/decisions/targets/reports.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
+from itertools import chain
 
 import attrs
 
@@ -18,8 +20,8 @@
 MAX_PART = 8.0
 """The most that one instance adds to the pooled score."""
 
-POOLED_GRAY = 16.0
-POOLED_GRAY_NARROW = 20.0
+POOLED_GRAY = 12.0
+POOLED_GRAY_NARROW = 14.0
 MIN_SHOWING_PART = 0.25
 """Part of the instances heard that must show a scope as gray at least."""
 
@@ -96,10 +98,16 @@
 
     def leaving(self, now: float) -> tuple[str, ...]:
         """Return the targets that more than one instance found leaving."""
-        reports = self.heard(now)
-        needed = min(2, len(reports))
-        found = [target for report in reports.values() for target in report.leaving]
-        return tuple(sorted({t for t in found if found.count(t) >= needed}))
+        return self._found([r.leaving for r in self.heard(now).values()])
+
+    def cold(self, now: float) -> tuple[str, ...]:
+        """Return the targets that more than one instance found cold."""
+        return self._found([r.cold for r in self.heard(now).values()])
+
+    def _found(self, targets_by_report: list[tuple[str, ...]]) -> tuple[str, ...]:
+        needed = min(2, len(targets_by_report))
+        found = Counter(chain.from_iterable(targets_by_report))
+        return tuple(sorted(t for t, reports in found.items() if reports >= needed))
 
 
 def scope_of(score: ScopeScore) -> Scope:
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -87,6 +87,8 @@
     def on_grants(self, leader: InstanceId, grants: EjectionGrants, now: float) -> None:
         """Apply a leader's grants."""
         self.ejections.on_grants(leader, grants, now)
+        for target in grants.cold:
+            self._hints.hear_cold(target, now)
         self.refresh(now)
 
     def refresh(self, now: float) -> None:
@@ -123,7 +125,7 @@
             self._suspect
             or self._weights_by_scope
             or self._leaving
-            or any(self._hints.is_leaving(t, now) for t in targets)
+            or any(self._hints.is_away(t, now) for t in targets)
         )
 
     def _rate(self, scope: Scope, now: float) -> None:
--- a/src/gentianhitch/decisions/targets/steward.py
+++ b/src/gentianhitch/decisions/targets/steward.py
@@ -66,7 +66,7 @@
         self._votes_by_candidate: dict[InstanceId, tuple[Member, int]] = {}
         self._gray: dict[Scope, float] = {}
         self._leading_since: float | None = None
-        self._leaving: tuple[str, ...] = ()
+        self._told: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         self._serial = 0
 
     def on_report(
@@ -89,9 +89,9 @@
     ) -> None:
         if not self._pool.hears_most(setting.near, now):
             return
-        leaving = self._pool.leaving(now)
-        if leaving != self._leaving:
-            self._leaving = leaving
+        told = (self._pool.leaving(now), self._pool.cold(now))
+        if told != self._told:
+            self._told = told
             self._grant_to_all(now)
         else:
             self._grant_to(sender, number, now)
@@ -244,9 +244,7 @@
         )
         self._send(
             member,
-            EjectionGrants(
-                self._service, number, self._serial, ejections, self._leaving
-            ),
+            EjectionGrants(self._service, number, self._serial, ejections, *self._told),
         )
 
 
