--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
 from typing import Any
 
 import defopt
 
 from gentianhitch.benchmarks.command import bench
+from gentianhitch.entry import entry
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.load.command import load
 from gentianhitch.load.command import report
+from gentianhitch.operators import commands as operators_commands
+from gentianhitch.soak.command import soak
 
-COMMANDS: dict[str, Callable[..., Any]] = {
+COMMANDS: dict[str, Any] = {
+    **operators_commands.COMMANDS,
     "bench": bench,
+    "entry": entry,
     "load": load,
     "report": report,
+    "soak": soak,
 }
 
 
--- a/src/gentianhitch/decisions/exchange.py
+++ b/src/gentianhitch/decisions/exchange.py
@@ -20,6 +20,7 @@
 from gentianhitch.instances.messages import Standing
 
 MAX_READ_AGE_S = 3_600.0
+NONCE_BITS = 20
 
 
 @attrs.frozen
@@ -38,9 +39,12 @@
 
     freshness: Freshness
     standing: Standing = Standing()
-    _next_nonce: int = 1
+    _next_nonce: int = attrs.field(init=False)
     _asked_by_nonce: dict[int, _Asked] = attrs.Factory(dict)
 
+    def __attrs_post_init__(self) -> None:
+        self._next_nonce = first_nonce(self.freshness.own.id)
+
     def request(self, target: Member | None, now: float) -> ExchangeRequest:
         """Return a request; ``target`` is None where only an address is known."""
         self._drop_expired(now)
@@ -117,7 +121,7 @@
         freshness = self.freshness
         seat.established = seat.established or reply.established
         seat.acknowledged_at = min(seat.acknowledged_at, now)
-        self._date(seat, sent_at, reply.sequence)
+        seat.date(sent_at, reply.sequence, freshness.sequence)
         seat.reach(reply.sequence, freshness.pending(), now)
         freshness.update_standing(seat, reply.standing)
 
@@ -141,15 +145,10 @@
             if reply.ages[index] != NO_AGE and seat.holder.id.incarnation == counted:
                 seat.established = seat.established or counted != listed
                 moment = asked.sent_at - reply.ages[index] * AGE_UNIT_S
-                self._date(seat, moment, reply.sequence)
+                seat.date(moment, reply.sequence, self.freshness.sequence)
                 known = reply.sequence - reply.behind_by_index.get(index, 0)
                 seat.reach(known, pending, now)
 
-    def _date(self, seat: Seat, moment: float, sequence: int) -> None:
-        seat.alive_at = max(seat.alive_at, moment)
-        if sequence <= self.freshness.sequence:
-            seat.agreed_at = max(seat.agreed_at, moment)
-
     def _ages(self, agreed: AgreedList, now: float) -> bytes:
         freshness = self.freshness
         ages = bytearray()
@@ -201,5 +200,13 @@
             del self._asked_by_nonce[nonce]
 
 
+def first_nonce(own: InstanceId) -> int:
+    """Return where nonces begin, so that no two incarnations use the same ones.
+
+    A late reply to an earlier incarnation would otherwise be dated wrongly.
+    """
+    return (own.incarnation << NONCE_BITS) + 1
+
+
 def _key(members: tuple[Member, ...]) -> int:
     return key_of([member.id for member in members])
--- a/src/gentianhitch/decisions/limits/constants.py
+++ b/src/gentianhitch/decisions/limits/constants.py
@@ -8,6 +8,9 @@
 MIN_HOLDER_BURST = 0.5
 """Smallest burst of one holder; a workspace with a small burst has few holders."""
 
+MIN_LOAN_BURST = 1.0
+"""Smallest burst of a loan of rate; below it only tokens are lent."""
+
 LOAN_S = 2.0
 """Lease of a loan of rate, from the moment the borrower asked."""
 
@@ -32,8 +35,8 @@
 PASS_PAUSE_S = 0.015
 """Time between two passes over the lenders, in which recalled loans return."""
 
-PASSES = 3
-"""Passes over all lenders before a shortage counts as exhausted."""
+MIN_PASSES = 2
+"""Passes after which the next one waits until the missing tokens are earned."""
 
 EXHAUSTED_S = 0.05
 """Time during which requests are refused at once after a vain search."""
--- a/src/gentianhitch/platform/memory.py
+++ b/src/gentianhitch/platform/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import Counter
 from collections.abc import Callable
 from typing import TypeVar
@@ -23,6 +24,10 @@
 T = TypeVar("T")
 
 
+def _ignore(key: str) -> None:
+    pass
+
+
 @attrs.define
 class _LeaseState:
     ends_at: float
@@ -35,7 +40,8 @@
 
     ``outage`` refuses every call, ``delay_s`` slows every call, and
     ``lost_replies`` is the number of coming replies that are lost after their
-    call took effect. ``listed`` is what the lagging list shows.
+    call took effect. ``listed`` is what the lagging list shows. ``before_put`` is
+    called with each key that is about to be written, to place a race.
     """
 
     clock: Clock
@@ -43,6 +49,7 @@
     delay_s: float = 0.0
     lost_replies: int = 0
     listed: tuple[ListedInstance, ...] = ()
+    before_put: Callable[[str], None] = _ignore
     calls_by_kind: Counter[str] = attrs.Factory(Counter)
     revision: int = 0
     entries_by_key: dict[str, Entry] = attrs.Factory(dict)
@@ -91,12 +98,14 @@
     """One client of a ``MemoryStore``, with one-way cuts of its own.
 
     While ``requests_lost`` a call never arrives; while ``replies_lost`` it takes
-    effect and its answer is lost.
+    effect and its answer is lost. With ``late_s`` a write is given up at once and
+    takes effect that much later.
     """
 
     shared: MemoryStore
     requests_lost: bool = False
     replies_lost: bool = False
+    late_s: float = 0.0
 
     async def get(self, key: str) -> Entry | None:
         """Read one key; None when it is absent."""
@@ -113,6 +122,7 @@
         """Write if the key is still at ``expected_revision``."""
 
         def apply() -> Entry:
+            self.shared.before_put(key)
             self.shared.require(key, expected_revision)
             return self.shared.write(key, value, lease)
 
@@ -174,6 +184,9 @@
         return await self._call(kind, apply, UnavailableError)
 
     async def _write(self, kind: str, apply: Callable[[], T]) -> T:
+        if self.late_s:
+            self.shared.clock.callLater(self.late_s, _apply_late, apply)
+            raise OutcomeUnknownError(f"no answer to {kind} in time")
         return await self._call(kind, apply, OutcomeUnknownError)
 
     async def _call(
@@ -217,6 +230,11 @@
         return waiting
 
 
+def _apply_late(apply: Callable[[], object]) -> None:
+    with contextlib.suppress(PlatformError):
+        apply()
+
+
 def _fire(waiting: Deferred[None]) -> None:
     if not waiting.called:
         waiting.callback(None)
