--- a/src/gentianhitch/benchmarks/detection.py
+++ b/src/gentianhitch/benchmarks/detection.py
@@ -22,11 +22,16 @@
 SOFT_GOAL_S = 5.0
 WARM_UP_S = 12.0
 PATIENCE_S = 20.0
+FAULT_S = 4.0
+RETURN_PATIENCE_S = 60.0
 STEP_S = 0.05
 LOW_LOAD = 0.05
 HIGH_LOAD = 0.8
 CUT_OFF_INSTANCES = 2
 NEVER = -1.0
+SERVICE = "stock"
+SEED = 1
+FLEET = "fleet"
 
 HARD = (
     Fault("slow x10", factor=10.0),
@@ -142,6 +147,22 @@
     return list(delays_by_instance.values())
 
 
+def measure_return(case: Case, seed: int) -> float:
+    """Return how long a target that recovers waits for its full load."""
+    fleet = SimulatedFleet(case.deployment, case.service, case.load, seed)
+    end = WARM_UP_S + FAULT_S
+    fleet.run_until(WARM_UP_S)
+    name = f"{case.service}-1"
+    fault = attrs.evolve(case.fault, start=WARM_UP_S, end=end)
+    fleet.targets_by_name[name].fault = fault
+    now = end
+    fleet.run_until(now)
+    while now < end + RETURN_PATIENCE_S and fleet.is_held_back(name):
+        now += STEP_S
+        fleet.run_until(now)
+    return round(now - end, 2)
+
+
 def _ejected_targets(fleet: SimulatedFleet) -> set[str]:
     return {
         target
@@ -152,19 +173,25 @@
 
 def run() -> BenchResult:
     """Measure every fault by the fleet's way and by plain ways."""
-    rows = []
-    ok = True
-    worst = 0.0
-    for deployment in (DENMARK, CROATIA):
-        for load in (LOW_LOAD, HIGH_LOAD):
-            for case in cases(deployment, "stock", load):
-                measured = measure(case, seed=1)
-                rows.append(measured.row(case, "fleet"))
-                met = NEVER < measured.detection_s <= case.goal_s
-                ok = ok and met and not measured.false_ejections
-                if case.goal_s == HARD_GOAL_S:
-                    worst = max(worst, measured.detection_s)
-                for way in PLAIN_WAYS:
-                    plain = measure(case, seed=1, make_judge=way)
-                    rows.append(plain.row(case, way.__name__))
-    return BenchResult("detection", worst, HARD_GOAL_S, "s", ok, tuple(rows))
+    rows = [
+        row
+        for deployment in (DENMARK, CROATIA)
+        for load in (LOW_LOAD, HIGH_LOAD)
+        for case in cases(deployment, SERVICE, load)
+        for row in _rows(case)
+    ]
+    ours = [row for row in rows if row["way"] == FLEET]
+    hard = [row["detection_s"] for row in ours if row["goal_s"] == HARD_GOAL_S]
+    ok = all(
+        NEVER < row["detection_s"] <= row["goal_s"] and not row["false_ejections"]
+        for row in ours
+    )
+    return BenchResult("detection", max(hard), HARD_GOAL_S, "s", ok, tuple(rows))
+
+
+def _rows(case: Case) -> list[dict[str, Any]]:
+    row = measure(case, SEED).row(case, FLEET)
+    if case.fault in HARD:
+        row["return_s"] = measure_return(case, SEED)
+    plain = [measure(case, SEED, way).row(case, way.__name__) for way in PLAIN_WAYS]
+    return [row, *plain]
--- a/src/gentianhitch/benchmarks/simulated_fleet.py
+++ b/src/gentianhitch/benchmarks/simulated_fleet.py
@@ -133,6 +133,16 @@
             for workspace in self._workspaces
         )
 
+    def is_held_back(self, target: str) -> bool:
+        """Tell whether any instance gives ``target`` less than its full load."""
+        now = self.clock.seconds()
+        return any(
+            scope.target == target
+            for instance in self.steered
+            if instance.detector is not None
+            for scope in instance.detector.view(self.service).ejections.weights(now)
+        )
+
     def avoided_by(self, instance: Instance, target: str) -> bool:
         """Tell whether an instance gives ``target`` last preference or nothing."""
         now = self.clock.seconds()
--- a/src/gentianhitch/decisions/targets/catalog.py
+++ b/src/gentianhitch/decisions/targets/catalog.py
@@ -32,13 +32,20 @@
         self._states: tuple[AgreedState, ...] = ()
         self._entries_by_service: dict[str, ServiceEntry] = {}
 
-    def update(self, states: tuple[AgreedState, ...]) -> None:
-        """Take the active states, oldest first."""
+    def update(self, states: tuple[AgreedState, ...]) -> bool:
+        """Take the active states, oldest first; tell whether they changed."""
         known = [state.sequence for state in self._states]
         if known == [state.sequence for state in states]:
-            return
+            return False
         self._states = states
         self._entries_by_service.clear()
+        return True
+
+    def target_names(self) -> frozenset[str]:
+        """Return the names of all targets of the newest document."""
+        document = self._states[-1].document if self._states else None
+        servers = document.backend_servers if document else ()
+        return frozenset(target.name for target in servers)
 
     def service(self, name: str) -> ServiceEntry | None:
         """Return the entry of a service; None when the document lacks it."""
--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -32,6 +32,7 @@
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.transport import Transport
 from gentianhitch.operators.document import BackendServer
+from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Route
 
 MakeSteward = Callable[[str, InstanceId, Send, Counter[str], float], Steward]
@@ -115,7 +116,6 @@
         for service, setting in self._settings_by_service.items():
             view = self._views_by_service.get(service)
             if view is not None:
-                view.evidence.keep_only(setting.slots_by_target)
                 for target in setting.slots_by_target:
                     view.note_overdue(target, outstanding.running(target), now)
                 view.refresh(now)
@@ -141,15 +141,26 @@
         if document is None:
             self._settings_by_service = {}
             return
-        members = tuple(states[-1].members_by_name.values())
-        self._settings_by_service = {}
-        for service in document.services:
-            near = steered(service.name, members, slots_of(document, service.name))
-            self._settings_by_service[service.name] = setting_of(
-                service.name, states, near
-            )
+        self._settings_by_service = {
+            service.name: self._derive(service.name, document)
+            for service in document.services
+        }
+        self._forget(document)
         self._appoint(now)
 
+    def _derive(self, service: str, document: Document) -> Setting:
+        members = self._states[-1].members_by_name.values()
+        near = steered(service, members, slots_of(document, service))
+        return setting_of(service, self._states, near)
+
+    def _forget(self, document: Document) -> None:
+        self.hints.keep_only({target.name for target in document.backend_servers})
+        for name, view in self._views_by_service.items():
+            setting = self._settings_by_service.get(name)
+            view.keep_only(setting.slots_by_target if setting else ())
+        for name in self._stewards_by_service.keys() - self._settings_by_service:
+            del self._stewards_by_service[name]
+
     def _appoint(self, now: float) -> None:
         for service, setting in self._settings_by_service.items():
             if self._me in setting.everyone():
--- a/src/gentianhitch/decisions/targets/hints.py
+++ b/src/gentianhitch/decisions/targets/hints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import attrs
 
 from gentianhitch.decisions.interfaces import Attempt
@@ -71,5 +73,10 @@
         """Tell whether a target leaves or starts cold."""
         return self.is_leaving(target, now) or self.is_cold(target, now)
 
+    def keep_only(self, targets: Container[str]) -> None:
+        """Forget every target that is not in ``targets``."""
+        for target in [name for name in self._hints_by_target if name not in targets]:
+            del self._hints_by_target[target]
+
     def _of(self, target: str) -> Hints:
         return self._hints_by_target.setdefault(target, Hints())
--- a/src/gentianhitch/decisions/targets/leadership.py
+++ b/src/gentianhitch/decisions/targets/leadership.py
@@ -17,6 +17,7 @@
 
 PASSED_OVER_S = 15.0
 HEARD_S = 1.5
+FORGET_S = 60.0
 
 
 @attrs.define
@@ -72,7 +73,15 @@
             if candidate != me
         )
 
+    def _forget_old(self, now: float) -> None:
+        self._candidates_by_id = {
+            name: known
+            for name, known in self._candidates_by_id.items()
+            if now - known.heard <= FORGET_S
+        }
+
     def _note(self, candidate: InstanceId, request: VoteRequest, now: float) -> None:
+        self._forget_old(now)
         known = self._candidates_by_id.get(candidate)
         if known is None or now - known.heard > HEARD_S:
             passed_over_until = known.passed_over_until if known else 0.0
@@ -124,6 +133,11 @@
 
     def voted(self, voter: InstanceId, number: int) -> None:
         """Count a vote that answers request ``number``."""
+        self._until_by_voter = {
+            name: until
+            for name, until in self._until_by_voter.items()
+            if until > min(self._asked_by_number.values(), default=0.0)
+        }
         asked = self._asked_by_number.get(number)
         if asked is not None:
             known = self._until_by_voter.get(voter, 0.0)
--- a/src/gentianhitch/decisions/targets/paths.py
+++ b/src/gentianhitch/decisions/targets/paths.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import attrs
 
 from gentianhitch.decisions.interfaces import Attempt
@@ -44,3 +46,9 @@
         """Tell whether the path to ``target`` failed lately."""
         backoff = self._backoffs_by_target.get(target)
         return backoff is not None and now < backoff.until
+
+    def keep_only(self, targets: Container[str]) -> None:
+        """Forget every target that is not in ``targets``."""
+        gone = [name for name in self._backoffs_by_target if name not in targets]
+        for target in gone:
+            del self._backoffs_by_target[target]
--- a/src/gentianhitch/decisions/targets/selector.py
+++ b/src/gentianhitch/decisions/targets/selector.py
@@ -94,7 +94,10 @@
         """Return a service while this instance may act on what it knows."""
         if not self._agreement.is_fresh(now):
             return None
-        self._catalog.update(self._agreement.active(now))
+        if self._catalog.update(self._agreement.active(now)):
+            known = self._catalog.target_names()
+            for name in [n for n in self._allowances_by_target if n not in known]:
+                del self._allowances_by_target[name]
         return self._catalog.service(service)
 
     def connection_limit(self, service: str, target: str, now: float) -> int:
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -91,6 +91,13 @@
             self._hints.hear_cold(target, now)
         self.refresh(now)
 
+    def keep_only(self, targets: Collection[str]) -> None:
+        """Forget every target that is not in ``targets``."""
+        self.evidence.keep_only(targets)
+        self._paths.keep_only(targets)
+        for scopes in (self._poor, self._suspect):
+            scopes -= {scope for scope in scopes if scope.target not in targets}
+
     def refresh(self, now: float) -> None:
         """Let leases end and forget evidence that an ejection has answered."""
         before = self._weights_by_scope
--- a/src/gentianhitch/decisions/targets/steward.py
+++ b/src/gentianhitch/decisions/targets/steward.py
@@ -205,11 +205,12 @@
         return Capacity(setting.slots_by_target, setting.floor_slots, absent)
 
     def _recently_shown(self, now: float) -> dict[InstanceId, Shown]:
-        return {
+        self._shown_by_steward = {
             steward: shown
             for steward, shown in self._shown_by_steward.items()
             if now - shown.at <= CONFIRMED_S
         }
+        return self._shown_by_steward
 
     def _confirmed(self, setting: Setting, now: float) -> list[Scope]:
         """Return what most stewards of every set judge gray, worst first."""
