--- /dev/null
+++ b/tests/targets/test_evidence.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+
+from gentianhitch.decisions.interfaces import Outcome
+from gentianhitch.decisions.targets.evidence import MAX_GROUPS
+from gentianhitch.decisions.targets.evidence import ServiceEvidence
+from gentianhitch.decisions.targets.messages import EvidenceReport
+from gentianhitch.decisions.targets.messages import ScopeScore
+from gentianhitch.decisions.targets.outstanding import Running
+from gentianhitch.decisions.targets.reports import ReportPool
+from gentianhitch.decisions.targets.scopes import Scope
+from gentianhitch.decisions.targets.service_view import POOR_SCORE
+from gentianhitch.instances.identity import InstanceId
+from tests.builders_targets import READ
+from tests.builders_targets import attempt
+
+TARGETS = [f"t{index}" for index in range(5)]
+
+
+class TestServiceEvidence:
+    def setup_method(self) -> None:
+        self.evidence = ServiceEvidence()
+        self.random = Random(1)
+        self.now = 0.0
+
+    def serve(self, seconds: float, slow: str = "", factor: float = 1.0) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            for target in TARGETS:
+                self.now += 0.02
+                latency_s = 0.02 * self.random.lognormvariate(0.0, 0.5)
+                latency_s *= factor if target in (slow, "") or slow == "all" else 1
+                ended = attempt(target, latency_s=latency_s)
+                self.evidence.record(ended, self.now, cold=False, noted=0)
+
+    def score(self, target: str) -> float:
+        return self.evidence.score(Scope(target), self.now)
+
+    def test_slow_target_stands_out_from_the_others(self) -> None:
+        self.serve(10.0)
+        self.serve(2.0, slow="t1", factor=3.0)
+        assert self.score("t1") > POOR_SCORE
+        assert all(
+            self.score(target) < POOR_SCORE for target in TARGETS if target != "t1"
+        )
+
+    def test_service_that_is_slow_as_a_whole_has_no_gray_target(self) -> None:
+        self.serve(10.0)
+        self.serve(20.0, slow="all", factor=3.0)
+        assert all(self.score(target) < POOR_SCORE for target in TARGETS)
+
+    def test_sheds_are_no_evidence(self) -> None:
+        self.serve(5.0)
+        for _ in range(50):
+            shed = attempt("t1", Outcome.SHED)
+            self.evidence.record(shed, self.now, cold=False, noted=0)
+        assert self.score("t1") < POOR_SCORE
+
+    def test_silent_request_counts_before_it_ends(self) -> None:
+        self.serve(5.0)
+        running = Running(self.now, READ, "w")
+        later = self.now + 0.2
+        assert self.evidence.note_overdue("t1", running, later)
+        running.noted += 1
+        assert not self.evidence.note_overdue("t1", running, self.now + 0.1)
+        assert self.evidence.score(Scope("t1"), later) > 0
+
+    def test_memory_is_bounded(self) -> None:
+        for index in range(MAX_GROUPS * 2):
+            of_workspace = attrs.evolve(attempt("t0"), workspace=f"w{index}")
+            self.evidence.record(of_workspace, 0.0, cold=False, noted=0)
+        assert len(self.evidence._tracks_by_group) == MAX_GROUPS
+        assert Scope("t0").group in self.evidence._tracks_by_group
+
+
+class TestReportPool:
+    NEAR = frozenset(f"i{index}" for index in range(10))
+
+    def pool(self, showing: int, seeing: int) -> ReportPool:
+        pool = ReportPool()
+        for index in range(10):
+            scores = (ScopeScore("t0", "", "", 8.0),) if index < showing else ()
+            seen = ("t0",) if index < seeing else ()
+            report = EvidenceReport("stock", 1, seen, scores, (), ())
+            pool.add(InstanceId(f"i{index}", 1), report, 0.0)
+        return pool
+
+    def test_minority_never_shows_a_target_gray(self) -> None:
+        assert self.pool(5, 10).gray(self.NEAR, 1.0) == {}
+        assert Scope("t0") in self.pool(6, 10).gray(self.NEAR, 1.0)
+
+    def test_instances_without_recent_evidence_do_not_count(self) -> None:
+        assert Scope("t0") in self.pool(4, 6).gray(self.NEAR, 1.0)
+
+    def test_unheard_instances_count_as_seeing_it_well(self) -> None:
+        pool = self.pool(4, 6)
+        assert pool.gray(self.NEAR | {"i10", "i11"}, 1.0) == {}
+
+    def test_old_and_doubled_reports_change_nothing(self) -> None:
+        pool = self.pool(6, 10)
+        late = EvidenceReport("stock", 0, ("t0",), (), (), ())
+        assert not pool.add(InstanceId("i0", 1), late, 1.0)
+        assert pool.gray(self.NEAR, 10.0) == {}
