--- a/src/gentianhitch/decisions/targets/selector.py
+++ b/src/gentianhitch/decisions/targets/selector.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from collections.abc import Iterator
 from random import Random
 
 import attrs
@@ -21,6 +22,8 @@
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Route
 
+CHOICES = 2
+
 OWN_SLOT_BIAS = 0.5
 """Load divisor of a target at which this instance owns no slot."""
 
@@ -66,19 +69,11 @@
         entry = self.entry(service, now)
         if entry is None:
             return None
-        candidates_by_standing: defaultdict[Standing, list[Candidate]] = defaultdict(
-            list
-        )
-        for target in entry.targets_by_name.values():
-            if target.name in exclude or not self._has_slot(entry, target, now):
-                continue
-            standing = self._judge.standing(target.name, route, workspace, now)
-            if standing is not Standing.UNUSABLE:
-                candidates_by_standing[standing].append(self._candidate(entry, target))
-        if not candidates_by_standing:
+        candidates = self._candidates(entry, route, workspace, now, exclude)
+        if not candidates:
             return None
-        best = candidates_by_standing[min(candidates_by_standing)]
-        target = self._lighter_of_two(best).target
+        lighter = min(candidates, key=lambda candidate: (candidate.load, candidate.far))
+        target = lighter.target
         self.outstanding.start(target.name, Running(now, route, workspace))
         return target
 
@@ -121,11 +116,34 @@
         load = running / (own + OWN_SLOT_BIAS)
         return Candidate(target, load, target.failure_domain != self._failure_domain)
 
-    def _lighter_of_two(self, candidates: list[Candidate]) -> Candidate:
-        if len(candidates) == 1:
-            return candidates[0]
-        pair = self._random.sample(candidates, 2)
-        return min(pair, key=lambda candidate: (candidate.load, candidate.far))
+    def _candidates(
+        self,
+        entry: ServiceEntry,
+        route: Route,
+        workspace: str | None,
+        now: float,
+        exclude: frozenset[str],
+    ) -> list[Candidate]:
+        """Draw two good targets with a free slot; without any, two poor ones."""
+        good: list[Candidate] = []
+        poor: list[Candidate] = []
+        for target in self._shuffled(list(entry.targets_by_name.values())):
+            if target.name in exclude or not self._has_slot(entry, target, now):
+                continue
+            standing = self._judge.standing(target.name, route, workspace, now)
+            if standing is Standing.GOOD:
+                good.append(self._candidate(entry, target))
+                if len(good) == CHOICES:
+                    break
+            elif standing is Standing.POOR and len(poor) < CHOICES:
+                poor.append(self._candidate(entry, target))
+        return good or poor
+
+    def _shuffled(self, targets: list[BackendServer]) -> Iterator[BackendServer]:
+        for index in range(len(targets)):
+            other = index + int(self._random.random() * (len(targets) - index))
+            targets[index], targets[other] = targets[other], targets[index]
+            yield targets[index]
 
     def _adapt(self, attempt: Attempt, now: float) -> None:
         allowance = self._allowances_by_target[attempt.target]
--- a/src/gentianhitch/decisions/targets/track.py
+++ b/src/gentianhitch/decisions/targets/track.py
@@ -92,7 +92,9 @@
         self.slow = self.bad = 0.0
 
     def _decay(self, now: float) -> None:
-        elapsed = max(now - self.updated, 0.0)
+        elapsed = now - self.updated
+        if elapsed <= 0.0:
+            return
         factor = math.exp(-elapsed / DECAY_S)
         self.rate *= math.exp(-elapsed / RATE_S)
         self.slow *= factor
