--- a/src/gentianhitch/decisions/targets/steward.py
+++ b/src/gentianhitch/decisions/targets/steward.py
@@ -66,7 +66,7 @@
         self._votes_by_candidate: dict[InstanceId, tuple[Member, int]] = {}
         self._gray: dict[Scope, float] = {}
         self._leading_since: float | None = None
-        self._leaving: tuple[str, ...] = ()
+        self._told: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         self._serial = 0
 
     def on_report(
@@ -89,9 +89,9 @@
     ) -> None:
         if not self._pool.hears_most(setting.near, now):
             return
-        leaving = self._pool.leaving(now)
-        if leaving != self._leaving:
-            self._leaving = leaving
+        told = (self._pool.leaving(now), self._pool.cold(now))
+        if told != self._told:
+            self._told = told
             self._grant_to_all(now)
         else:
             self._grant_to(sender, number, now)
@@ -205,11 +205,12 @@
         return Capacity(setting.slots_by_target, setting.floor_slots, absent)
 
     def _recently_shown(self, now: float) -> dict[InstanceId, Shown]:
-        return {
+        self._shown_by_steward = {
             steward: shown
             for steward, shown in self._shown_by_steward.items()
             if now - shown.at <= CONFIRMED_S
         }
+        return self._shown_by_steward
 
     def _confirmed(self, setting: Setting, now: float) -> list[Scope]:
         """Return what most stewards of every set judge gray, worst first."""
@@ -244,9 +245,7 @@
         )
         self._send(
             member,
-            EjectionGrants(
-                self._service, number, self._serial, ejections, self._leaving
-            ),
+            EjectionGrants(self._service, number, self._serial, ejections, *self._told),
         )
 
 
