--- a/src/gentianhitch/decisions/limits/limiter.py
+++ b/src/gentianhitch/decisions/limits/limiter.py
@@ -76,9 +76,7 @@
             HeirOffer: self.succession.accept,
             Transfer: self.rounds.receive_transfer,
             TransferAck: lambda sender, ack, _: self.transfers.acknowledge(sender, ack),
-            ShareNotice: lambda sender, notice, _: self.peers.learn_notice(
-                sender, notice
-            ),
+            ShareNotice: lambda _, notice, __: self.peers.learn_notice(notice),
         }
 
     def take(
@@ -129,7 +127,7 @@
 
     def poll(self, now: float) -> None:
         """Go on with requests that wait for tokens."""
-        self.borrower.expire_asks(now)
+        self.borrower.asks.expire(now)
         self.gatherer.poll(now)
 
     def give_up(self, workspace: str) -> None:
@@ -182,4 +180,4 @@
         if now - self._planned_by_workspace.get(budget.workspace, -PLAN_S) >= PLAN_S:
             self._planned_by_workspace[budget.workspace] = now
             demand = budget.demand.rate(now)
-            self.borrower.send(self.borrower.plan(budget, demand, now))
+            self.borrower.send(self.borrower.planner.plan(budget, demand, now))
