--- a/src/gentianhitch/instances/states.py
+++ b/src/gentianhitch/instances/states.py
@@ -8,6 +8,8 @@
 from typing import TypeVar
 
 import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import DeferredList
 
 from gentianhitch.decisions.agreed_list import AgreedList
 from gentianhitch.decisions.agreed_list import decode_list
@@ -23,6 +25,7 @@
 T = TypeVar("T")
 
 RECENT_VALUES = 16
+MAX_PIECES_AT_ONCE = 32
 
 
 @attrs.frozen
@@ -66,6 +69,7 @@
             previous = await self._list(agreed.previous_digest, fetch_kept)
         document = None
         if head.document is not None:
+            await _fetch_below(head.document.digest, fetch_kept)
             document = await self._document(head.document.digest, fetch_kept)
         state = AgreedState(head.sequence, agreed.members_by_name, document)
         return LoadedState(head, state, agreed, previous, frozenset(used))
@@ -88,6 +92,22 @@
         return document
 
 
+async def _fetch_below(digest: str, fetch: FetchPiece) -> None:
+    """Fetch the pieces of a tree, some at a time; ``join`` asks again for missing."""
+    children = pieces.child_digests(await fetch(digest))
+    for start in range(0, len(children), MAX_PIECES_AT_ONCE):
+        batch = children[start : start + MAX_PIECES_AT_ONCE]
+        fetching = [Deferred.fromCoroutine(_value(fetch, each)) for each in batch]
+        results = await DeferredList(fetching, consumeErrors=True)
+        for each, (done, value) in zip(batch, results, strict=True):
+            if done and pieces.child_digests(value):
+                await _fetch_below(each, fetch)
+
+
+async def _value(fetch: FetchPiece, digest: str) -> bytes:
+    return await fetch(digest)
+
+
 def _remember(values: OrderedDict[str, T], digest: str, value: T) -> None:
     values[digest] = value
     if len(values) > RECENT_VALUES:
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -1,9 +1,15 @@
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
 from random import Random
+from typing import Any
+from typing import TypeVar
 
 import attrs
+from twisted.internet.defer import Deferred
 
 from gentianhitch.addresses import Address
 from gentianhitch.decisions.agreed_list import AgreedList
@@ -12,17 +18,23 @@
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.messages import ExchangeReply
+from gentianhitch.operators import pieces
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Service
+from gentianhitch.operators.head import DocumentReference
+from gentianhitch.operators.head import change_head
 from gentianhitch.platform.interface import ListedInstance
 from gentianhitch.platform.interface import ListedState
+from gentianhitch.platform.memory import MemoryPlatform
 from gentianhitch.platform.memory import MemoryStore
 from gentianhitch.soak.network import Faults
 from gentianhitch.soak.network import Network
 from gentianhitch.soak.network import SoakClock
 from gentianhitch.soak.process import Process
 
+T = TypeVar("T")
+
 
 def make_address(number: int, port: int = 4000) -> Address:
     return Address(f"127.0.{number // 250}.{number % 250 + 1}", port)
@@ -89,6 +101,46 @@
         for _ in range(round(seconds / self.STEP_S)):
             self.network.clock.advance(self.STEP_S)
 
+    def start_number(self, number: int, incarnation: int = 1) -> Process:
+        process = self.start(make_member(number, incarnation))
+        self.processes.append(process)
+        return process
+
+    def replace(self, number: int) -> None:
+        old = self.processes.pop(0)
+        old.kill()
+        self.start_number(number, old.member.id.incarnation + 1)
+
+    def cut(self, some: Iterable[int], others: Iterable[int]) -> None:
+        for one, other in itertools.product(some, others):
+            addresses = make_address(one), make_address(other)
+            self.network.cut(*addresses)
+            self.network.cut(*reversed(addresses))
+
+    def promote(self, revision: int, data: bytes = b"document") -> int:
+        return self.run(self._promote(revision, data))
+
+    async def _promote(self, revision: int, data: bytes) -> int:
+        platform = MemoryPlatform(self.store)
+        digest = await pieces.store(platform, "trial", data)
+        change_id = f"promotion-{revision}"
+        reference = DocumentReference(revision, digest, "operator", change_id)
+        changed = await change_head(
+            platform,
+            "trial",
+            change_id,
+            lambda head: attrs.evolve(head, document=reference),
+        )
+        return changed.head.sequence
+
+    def run(self, call: Coroutine[Deferred[Any], Any, T]) -> T:
+        results: list[T] = []
+        Deferred.fromCoroutine(call).addCallback(results.append)
+        return results[0]
+
+    def sequences(self) -> set[int]:
+        return {process.fleet.freshness.sequence for process in self.processes}
+
     @property
     def now(self) -> float:
         return self.network.clock.seconds()
