--- a/src/gentianhitch/benchmarks/agreeing_fleet.py
+++ b/src/gentianhitch/benchmarks/agreeing_fleet.py
@@ -12,18 +12,18 @@
 from gentianhitch.decisions.agreed_list import encode_list
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
-from gentianhitch.operators.document import Document
-from gentianhitch.operators.head import DocumentReference
 from gentianhitch.operators.head import Head
 from gentianhitch.operators.head import change_head
 from gentianhitch.operators.pieces import store
-from gentianhitch.platform.interface import ListedInstance
-from gentianhitch.platform.interface import ListedState
 from gentianhitch.platform.memory import MemoryPlatform
 from gentianhitch.platform.memory import MemoryStore
 from gentianhitch.soak.network import Faults
 from gentianhitch.soak.network import Network
 from gentianhitch.soak.network import SoakClock
+from gentianhitch.soak.operating import ENVIRONMENT
+from gentianhitch.soak.operating import decode_named_document
+from gentianhitch.soak.operating import listed
+from gentianhitch.soak.operating import promote
 from gentianhitch.soak.process import Process
 
 FAILURE_DOMAINS = 3
@@ -34,11 +34,6 @@
 WRITES = ("put", "delete", "grant_lease", "renew_lease")
 
 
-def decode_document(data: bytes) -> Document:
-    """Make a document that only has a name."""
-    return Document(data.decode(), (), (), (), ())
-
-
 @attrs.frozen
 class Calls:
     """Calls at the platform; a waiting watch is one."""
@@ -67,7 +62,7 @@
         self.network = Network(SoakClock(), Random(self.size), faults)
         self.store = MemoryStore(self.network.clock)
         members = [self._member(number) for number in range(self.size)]
-        self.store.listed = tuple(_listed(member) for member in members)
+        self.store.listed = tuple(listed(member) for member in members)
         Deferred.fromCoroutine(self._write_list(tuple(members)))
         self.processes = [self._start(member) for member in members]
         self.advance(FORM_S)
@@ -103,30 +98,22 @@
     def promote(self, revision: int) -> int:
         """Change the document; return the sequence that holds it."""
         sequences: list[int] = []
-        changing = Deferred.fromCoroutine(self._promote(revision))
+        changing = Deferred.fromCoroutine(
+            promote(
+                MemoryPlatform(self.store), revision, f"document {revision}".encode()
+            )
+        )
         changing.addCallback(sequences.append)
         return sequences[0]
 
     async def _write_list(self, members: tuple[Member, ...]) -> None:
         platform = MemoryPlatform(self.store)
-        digest = await store(platform, "trial", encode_list(AgreedList(members)))
+        digest = await store(platform, ENVIRONMENT, encode_list(AgreedList(members)))
 
         def edit(head: Head) -> Head:
             return attrs.evolve(head, members_digest=digest)
 
-        await change_head(platform, "trial", "first-list", edit)
-
-    async def _promote(self, revision: int) -> int:
-        platform = MemoryPlatform(self.store)
-        digest = await store(platform, "trial", f"document {revision}".encode())
-        change_id = f"promotion-{revision}"
-        reference = DocumentReference(revision, digest, "operator", change_id)
-
-        def edit(head: Head) -> Head:
-            return attrs.evolve(head, document=reference)
-
-        changed = await change_head(platform, "trial", change_id, edit)
-        return changed.head.sequence
+        await change_head(platform, ENVIRONMENT, "first-list", edit)
 
     def _member(self, number: int) -> Member:
         self._starts += 1
@@ -138,14 +125,4 @@
         )
 
     def _start(self, member: Member) -> Process:
-        return Process.start(member, self.network, self.store, decode_document)
-
-
-def _listed(member: Member) -> ListedInstance:
-    return ListedInstance(
-        member.id.name,
-        member.failure_domain,
-        member.callers,
-        member.peers,
-        ListedState.LIVE,
-    )
+        return Process.start(member, self.network, self.store, decode_named_document)
--- a/src/gentianhitch/decisions/exchange.py
+++ b/src/gentianhitch/decisions/exchange.py
@@ -126,7 +126,7 @@
         freshness.update_standing(seat, reply.standing)
 
     def _hear_vector(self, reply: ExchangeReply, asked: _Asked, now: float) -> None:
-        agreed = self.freshness.lists_by_key.get(reply.list_key)
+        agreed = self.freshness.chain.lists_by_key.get(reply.list_key)
         if agreed is None or len(agreed.names) != len(reply.ages):
             self.freshness.counts_by_name["exchange.unknown_list"] += 1
             return
--- a/src/gentianhitch/decisions/freshness.py
+++ b/src/gentianhitch/decisions/freshness.py
@@ -19,6 +19,7 @@
 from gentianhitch.decisions.evidence import common_moment
 from gentianhitch.decisions.evidence import nth_largest
 from gentianhitch.decisions.evidence import quorum_of
+from gentianhitch.decisions.list_chain import ListChain
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.messages import Standing
 
@@ -26,7 +27,6 @@
 DRIFT_MARGIN_S = 0.1
 """Waited beyond the window, for clocks that run at slightly different rates."""
 
-LISTS_KEPT = 64
 FORGET_AFTER_S = 60.0
 
 
@@ -51,9 +51,7 @@
     changes: int = 0
     counts_by_name: Counter[str] = attrs.Factory(Counter)
     seats_by_name: dict[str, Seat] = attrs.Factory(dict)
-    lists_by_sequence: dict[int, AgreedList] = attrs.Factory(dict)
-    lists_by_key: dict[int, AgreedList] = attrs.Factory(dict)
-    previous_by_sequence: dict[int, AgreedList | None] = attrs.Factory(dict)
+    chain: ListChain = attrs.Factory(ListChain)
     majority_at_by_sequence: dict[int, float] = attrs.Factory(dict)
     _read_at: float = NEVER
     _read_sequence: int = 0
@@ -61,7 +59,7 @@
     @property
     def current(self) -> AgreedList | None:
         """Return the newest known list."""
-        return self.lists_by_sequence.get(self.sequence)
+        return self.chain.lists_by_sequence.get(self.sequence)
 
     def learn(
         self, sequence: int, agreed: AgreedList, previous: AgreedList | None, now: float
@@ -71,13 +69,11 @@
         ``previous`` is the list that ``agreed`` follows, None if it follows none.
         One older than the newest is held too, if it may still be acted upon.
         """
-        if sequence < self.in_force or sequence in self.lists_by_sequence:
+        if sequence < self.in_force or sequence in self.chain.lists_by_sequence:
             self.counts_by_name["freshness.not_newer"] += 1
             return False
         self.sequence = max(self.sequence, sequence)
-        self.lists_by_sequence[sequence] = agreed
-        self.previous_by_sequence[sequence] = previous
-        self._keep_list(agreed)
+        self.chain.add(sequence, agreed, previous)
         for member in agreed.members:
             self.meet(member, now)
         self._reach_all(now)
@@ -139,7 +135,10 @@
     def is_settled(self, now: float) -> bool:
         """Tell whether the newest list is in force."""
         self._advance(now)
-        in_force, current = self.lists_by_sequence.get(self.in_force), self.current
+        in_force, current = (
+            self.chain.lists_by_sequence.get(self.in_force),
+            self.current,
+        )
         return None not in (in_force, current) and in_force == current
 
     def is_counted(self) -> bool:
@@ -150,9 +149,7 @@
 
     def forget_absent(self, now: float) -> None:
         """Drop seats outside every kept list that have been silent for long."""
-        kept = {self.own.id.name}
-        for agreed in (*self.lists_by_sequence.values(), *self._previous_lists()):
-            kept.update(agreed.names)
+        kept = self.chain.names() | {self.own.id.name}
         for name, seat in list(self.seats_by_name.items()):
             silent_s = now - max(seat.since, seat.heard_at, seat.alive_at)
             if name not in kept and silent_s > FORGET_AFTER_S:
@@ -175,38 +172,14 @@
 
     def pending(self) -> list[int]:
         """Return the known sequences not yet in force, oldest first."""
-        return sorted(s for s in self.lists_by_sequence if s > self.in_force)
+        return self.chain.after(self.in_force)
 
     def lists_before_force(self, sequence: int) -> list[AgreedList]:
-        """Return every list whose majority must know ``sequence``.
-
-        Those are its own, and each that may still be acted upon, back to the
-        newest one in force or one that follows none.
-        """
-        known = [s for s in self.lists_by_sequence if self.in_force <= s <= sequence]
-        lists_by_key: dict[int, AgreedList] = {}
-        for each in sorted(known, reverse=True):
-            agreed = self.lists_by_sequence[each]
-            if agreed.key not in lists_by_key and self._ends_chain(lists_by_key):
-                break
-            lists_by_key.setdefault(agreed.key, agreed)
-            previous = self.previous_by_sequence.get(each)
-            if previous is not None and not self._is_in_force_list(agreed):
-                lists_by_key.setdefault(previous.key, previous)
-        return list(lists_by_key.values())
-
-    def _previous_lists(self) -> list[AgreedList]:
-        return [each for each in self.previous_by_sequence.values() if each]
-
-    def _ends_chain(self, lists_by_key: dict[int, AgreedList]) -> bool:
-        return any(agreed.previous_digest is None for agreed in lists_by_key.values())
-
-    def _is_in_force_list(self, agreed: AgreedList) -> bool:
-        in_force = self.lists_by_sequence.get(self.in_force)
-        return in_force is not None and in_force.key == agreed.key
+        """Return every list whose majority must know ``sequence``."""
+        return self.chain.before_force(sequence, self.in_force)
 
     def _may_be_fresh(self) -> bool:
-        return self.in_force in self.lists_by_sequence and not self.superseded
+        return self.in_force in self.chain.lists_by_sequence and not self.superseded
 
     def _own_counts_in(self, agreed: AgreedList) -> bool:
         listed = agreed.members_by_name.get(self.own.id.name)
@@ -289,22 +262,13 @@
         if sequence <= self.in_force:
             return
         self.in_force = sequence
-        oldest = min(sequence, self.sequence)
-        for old in [s for s in self.lists_by_sequence if s < oldest]:
-            del self.lists_by_sequence[old]
-            del self.previous_by_sequence[old]
+        self.chain.drop_before(min(sequence, self.sequence))
         for at in [s for s in self.majority_at_by_sequence if s <= sequence]:
             del self.majority_at_by_sequence[at]
         for seat in self.seats_by_name.values():
             for old in [s for s in seat.reached_at_by_sequence if s <= sequence]:
                 del seat.reached_at_by_sequence[old]
 
-    def _keep_list(self, agreed: AgreedList) -> None:
-        self.lists_by_key.pop(agreed.key, None)
-        self.lists_by_key[agreed.key] = agreed
-        while len(self.lists_by_key) > LISTS_KEPT:
-            del self.lists_by_key[next(iter(self.lists_by_key))]
-
     def _reach_all(self, now: float) -> None:
         own = self.meet(self.own, now)
         own.known = self.sequence
--- a/src/gentianhitch/instances/fleet.py
+++ b/src/gentianhitch/instances/fleet.py
@@ -8,7 +8,6 @@
 from random import Random
 
 from loguru import logger
-from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
@@ -18,7 +17,6 @@
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.membership import ListWriter
 from gentianhitch.decisions.platform_reads import ReadSchedule
-from gentianhitch.errors import GentianhitchError
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.messages import Announcement
@@ -28,34 +26,18 @@
 from gentianhitch.instances.messages import StandingChanged
 from gentianhitch.instances.partners import Partners
 from gentianhitch.instances.platform_reader import PlatformReader
-from gentianhitch.instances.relay import Relay
-from gentianhitch.instances.relay import RelayError
+from gentianhitch.instances.state_keeper import StateKeeper
 from gentianhitch.instances.states import DecodeDocument
-from gentianhitch.instances.states import LoadedState
-from gentianhitch.instances.states import StateLoader
 from gentianhitch.instances.transport import Transport
-from gentianhitch.operators import pieces
-from gentianhitch.operators.head import Head
-from gentianhitch.operators.head import MalformedHeadError
-from gentianhitch.operators.head import decode_head
 from gentianhitch.platform.interface import Platform
 
 ROUND_S = 0.4
 PLATFORM_TICK_S = 0.1
 FORGET_INTERVAL_S = 10.0
 MAX_TOLD_DIRECTLY = 64
-PULL_ATTEMPTS = 3
 LIVE_WITHIN_S = 3.0
 
 
-class FleetError(GentianhitchError):
-    """Base class of errors about the agreement between instances."""
-
-
-class NotLoadedError(FleetError):
-    """A head names pieces that nobody could bring."""
-
-
 class Fleet:
     """Agree with the other instances, and show what was agreed on.
 
@@ -88,15 +70,22 @@
         self._random = random
         self._seeds = frozenset(seeds)
         self._partners = Partners(self.freshness, random, self._seeds)
-        self._relay = Relay(own, transport, clock, self.counts_by_name)
-        self._loader = StateLoader(self._relay, decode_document)
-        self._loaded_by_sequence: dict[int, LoadedState] = {}
-        self._active: tuple[int, int, tuple[AgreedState, ...]] = (0, 0, ())
+        self._states = StateKeeper(
+            own=own,
+            environment=environment,
+            transport=transport,
+            platform=platform,
+            clock=clock,
+            freshness=self.freshness,
+            partners=self._partners,
+            decode_document=decode_document,
+            on_newest=self._tell_newest,
+            counts_by_name=self.counts_by_name,
+        )
         self._callbacks: list[Callable[[], None]] = []
         self._seen: tuple[object, ...] = ()
         self._was_fresh = False
         self._stopped = False
-        self._fetching: set[InstanceId] = set()
         self._forgot_at = clock.seconds()
         self._reader = PlatformReader(
             environment=environment,
@@ -105,9 +94,9 @@
             freshness=self.freshness,
             schedule=ReadSchedule(self.freshness),
             writer=ListWriter(self.freshness),
-            take_head=self.take_head,
+            take_head=self._states.take_head,
             on_list=self._take_contacts,
-            members_digest=self._members_digest,
+            members_digest=self._states.members_digest,
             counts_by_name=self.counts_by_name,
         )
         self._loops = [
@@ -117,7 +106,7 @@
 
     def start(self) -> None:
         """Begin to talk to peers and the platform."""
-        self._relay.start()
+        self._states.start()
         self._transport.subscribe(ExchangeRequest, self._answer)
         self._transport.subscribe(ExchangeReply, self._hear)
         self._transport.subscribe(Announcement, self._hear_announcement)
@@ -150,15 +139,7 @@
 
     def active(self, now: float) -> tuple[AgreedState, ...]:
         """Return the states not superseded by one in force, oldest first."""
-        oldest, newest = self.freshness.active_from(now), self.freshness.sequence
-        if self._active[:2] != (oldest, newest) or not self._active[2]:
-            states = tuple(
-                loaded.state
-                for sequence, loaded in sorted(self._loaded_by_sequence.items())
-                if sequence >= oldest
-            )
-            self._active = (oldest, newest, states)
-        return self._active[2]
+        return self._states.active(now)
 
     @property
     def is_superseded(self) -> bool:
@@ -203,7 +184,7 @@
 
     async def take_head(self, value: bytes) -> bool:
         """Load a head that the platform answered; False if that failed."""
-        return await self._load_all((value,), None)
+        return await self._states.take_head(value)
 
     def _change_standing(self, *, leaving: bool, gray: bool) -> None:
         standing = Standing(
@@ -238,109 +219,29 @@
     def _hear(self, sender: InstanceId, reply: ExchangeReply) -> None:
         self._exchange.hear(reply, sender, self._clock.seconds())
         freshness = self.freshness
-        lacks_base = freshness.in_force not in freshness.lists_by_sequence
+        lacks_base = freshness.in_force not in freshness.chain.lists_by_sequence
         if reply.sequence > freshness.sequence or (lacks_base and reply.sequence):
-            self._pull(sender)
+            self._states.pull(sender)
         self._notice()
 
     def _hear_announcement(self, sender: InstanceId, hint: Announcement) -> None:
         self.freshness.meet(hint.member, self._clock.seconds())
         if hint.sequence > self.freshness.sequence:
-            self._pull(sender)
+            self._states.pull(sender)
 
     def _hear_standing(self, sender: InstanceId, change: StandingChanged) -> None:
         now = self._clock.seconds()
         self._exchange.hear_standing(change.member, change.standing, now)
         self._notice()
 
-    def _pull(self, peer: InstanceId) -> None:
-        seat = self.freshness.seats_by_name.get(peer.name)
-        if seat is None or seat.holder.id != peer or peer in self._fetching:
-            return
-        self._fetching.add(peer)
-        pulling = Deferred.fromCoroutine(self._pull_from(seat.holder))
-        pulling.addErrback(_log_failure)
-
-    async def _pull_from(self, peer: Member) -> None:
-        try:
-            for _ in range(PULL_ATTEMPTS):
-                if await self._pull_once(peer):
-                    return
-        finally:
-            self._fetching.discard(peer.id)
-
-    async def _pull_once(self, peer: Member) -> bool:
-        freshness = self.freshness
-        held = freshness.in_force in freshness.lists_by_sequence
-        after = freshness.sequence if held else 0
-        try:
-            values = await self._relay.fetch_heads(peer.peers, after)
-        except RelayError:
-            self.counts_by_name["fleet.failed_pulls"] += 1
-            return False
-        return await self._load_all(values, peer)
-
-    async def _load_all(self, values: tuple[bytes, ...], peer: Member | None) -> bool:
-        for value in values:
-            try:
-                head = decode_head(value)
-                if self._is_of_use(head):
-                    await self._load(head, value, peer)
-            except (MalformedHeadError, NotLoadedError, GentianhitchError):
-                self.counts_by_name["fleet.failed_loads"] += 1
-                return False
-        return True
-
-    def _is_of_use(self, head: Head) -> bool:
-        known = head.sequence in self._loaded_by_sequence
-        return head.sequence > 0 and not known
-
-    async def _load(self, head: Head, value: bytes, peer: Member | None) -> None:
-        async def fetch(digest: str) -> bytes:
-            return await self._fetch_piece(digest, peer)
-
-        loaded = await self._loader.load(head, fetch)
-        now = self._clock.seconds()
-        if head.sequence in self._loaded_by_sequence:
-            return
-        newest = head.sequence > self.freshness.sequence
-        # Held before freshness speaks of it, so that ``active`` has it.
-        self._loaded_by_sequence[head.sequence] = loaded
-        self._relay.add(head.sequence, value, loaded.digests)
-        self.freshness.learn(head.sequence, loaded.agreed, loaded.previous, now)
-        self._drop_old(now)
-        if newest:
-            for member in self._partners.some():
-                hint = Announcement(head.sequence, self.own)
-                self._transport.send(member.peers, hint)
-            # Peers learn of it by this round, and it shows who knows it too.
-            self._round()
+    def _tell_newest(self) -> None:
+        """Spread a newer state at once, and ask who knows it too."""
+        for member in self._partners.some():
+            hint = Announcement(self.freshness.sequence, self.own)
+            self._transport.send(member.peers, hint)
+        self._round()
         self._notice()
 
-    async def _fetch_piece(self, digest: str, peer: Member | None) -> bytes:
-        """Fetch a piece from who named it, then other peers, then the platform."""
-        peers = [] if peer is None else [peer, *self._partners.some(2)]
-        for each in peers:
-            try:
-                return await self._relay.fetch_piece(each.peers, digest)
-            except (RelayError, pieces.PieceError):
-                self.counts_by_name["fleet.failed_pieces"] += 1
-        key = pieces.piece_key(self._environment, digest)
-        entry = await self._platform.get(key)
-        if entry is None:
-            raise NotLoadedError(f"piece {digest[:12]} is not in the platform")
-        return entry.value
-
-    def _drop_old(self, now: float) -> None:
-        kept = set(self.freshness.lists_by_sequence)
-        for sequence in [s for s in self._loaded_by_sequence if s not in kept]:
-            del self._loaded_by_sequence[sequence]
-        self._relay.keep(kept)
-
-    def _members_digest(self) -> str | None:
-        loaded = self._loaded_by_sequence.get(self.freshness.sequence)
-        return loaded.head.members_digest if loaded else None
-
     def _take_contacts(self) -> None:
         listed = self._reader.writer.listed_by_name.values()
         self._partners.contacts = self._seeds | {each.peers for each in listed}
--- a/src/gentianhitch/soak/process.py
+++ b/src/gentianhitch/soak/process.py
@@ -21,6 +21,7 @@
 from gentianhitch.platform.memory import MemoryStore
 from gentianhitch.soak.network import Endpoint
 from gentianhitch.soak.network import Network
+from gentianhitch.soak.operating import ENVIRONMENT
 
 
 @implementer(IDelayedCall)
@@ -133,7 +134,7 @@
         platform = MemoryPlatform(store)
         fleet = Fleet(
             member,
-            "trial",
+            ENVIRONMENT,
             endpoint,
             platform,
             clock,
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -18,19 +18,17 @@
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.instances.messages import ExchangeReply
-from gentianhitch.operators import pieces
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Service
-from gentianhitch.operators.head import DocumentReference
-from gentianhitch.operators.head import change_head
-from gentianhitch.platform.interface import ListedInstance
-from gentianhitch.platform.interface import ListedState
 from gentianhitch.platform.memory import MemoryPlatform
 from gentianhitch.platform.memory import MemoryStore
 from gentianhitch.soak.network import Faults
 from gentianhitch.soak.network import Network
 from gentianhitch.soak.network import SoakClock
+from gentianhitch.soak.operating import decode_named_document
+from gentianhitch.soak.operating import listed
+from gentianhitch.soak.operating import promote
 from gentianhitch.soak.process import Process
 
 T = TypeVar("T")
@@ -53,16 +51,6 @@
     return Network(SoakClock(), Random(seed), Faults(**faults))
 
 
-def make_listed(member: Member) -> ListedInstance:
-    return ListedInstance(
-        member.id.name,
-        member.failure_domain,
-        member.callers,
-        member.peers,
-        ListedState.LIVE,
-    )
-
-
 def make_document(targets: int = 6, slots: int = 6, connections: int = 330) -> Document:
     servers = tuple(
         BackendServer(
@@ -78,10 +66,6 @@
     return Document("trial", (), (Service("stock", 4, 1000),), servers, ())
 
 
-def decode_no_document(data: bytes) -> Document:
-    return Document(data.decode(), (), (), (), ())
-
-
 class FleetWorld:
     """Instances, a network and a platform on one paused clock."""
 
@@ -91,11 +75,11 @@
         self.network = make_network(seed, **faults)
         self.store = MemoryStore(self.network.clock)
         members = [make_member(number) for number in range(size)]
-        self.store.listed = tuple(make_listed(member) for member in members)
+        self.store.listed = tuple(listed(member) for member in members)
         self.processes = [self.start(member) for member in members]
 
     def start(self, member: Member) -> Process:
-        return Process.start(member, self.network, self.store, decode_no_document)
+        return Process.start(member, self.network, self.store, decode_named_document)
 
     def advance(self, seconds: float) -> None:
         for _ in range(round(seconds / self.STEP_S)):
@@ -118,20 +102,7 @@
             self.network.cut(*reversed(addresses))
 
     def promote(self, revision: int, data: bytes = b"document") -> int:
-        return self.run(self._promote(revision, data))
-
-    async def _promote(self, revision: int, data: bytes) -> int:
-        platform = MemoryPlatform(self.store)
-        digest = await pieces.store(platform, "trial", data)
-        change_id = f"promotion-{revision}"
-        reference = DocumentReference(revision, digest, "operator", change_id)
-        changed = await change_head(
-            platform,
-            "trial",
-            change_id,
-            lambda head: attrs.evolve(head, document=reference),
-        )
-        return changed.head.sequence
+        return self.run(promote(MemoryPlatform(self.store), revision, data))
 
     def run(self, call: Coroutine[Deferred[Any], Any, T]) -> T:
         results: list[T] = []
--- a/tests/naive_freshness.py
+++ b/tests/naive_freshness.py
@@ -60,5 +60,5 @@
     """Lets the majority of the newest list alone put it in force."""
 
     def lists_before_force(self, sequence: int) -> list[AgreedList]:
-        agreed = self.lists_by_sequence.get(sequence)
+        agreed = self.chain.lists_by_sequence.get(sequence)
         return [agreed] if agreed else []
--- a/tests/state_machines/test_fleet_machine.py
+++ b/tests/state_machines/test_fleet_machine.py
@@ -7,8 +7,8 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import run_state_machine_as_test
 
-from gentianhitch.soak.fleet import FleetModel
 from gentianhitch.soak.fleet import run
+from gentianhitch.soak.fleet_model import FleetModel
 
 NAMES = st.sampled_from([f"entry-{number}" for number in range(5)])
 
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -4,8 +4,8 @@
 
 from gentianhitch.decisions.freshness import WINDOW_S
 from gentianhitch.soak.network import ANY
+from gentianhitch.soak.operating import listed
 from tests.builders_fleet import FleetWorld
-from tests.builders_fleet import make_listed
 
 FORM_S = 8.0
 LATE_S = 0.5
@@ -118,7 +118,7 @@
 
     def test_new_instance_joins(self, world: FleetWorld) -> None:
         process = world.start_number(5)
-        world.store.listed += (make_listed(process.member),)
+        world.store.listed += (listed(process.member),)
         world.advance(12.0)
         assert set(world.processes[0].fleet.members) == world.names()
         assert world.fresh_names() == world.names()
@@ -153,7 +153,7 @@
 
     def test_stale_relay_changes_nothing(self, world: FleetWorld) -> None:
         process = world.processes[0]
-        old = dict(process.fleet._relay.values_by_sequence)
+        old = dict(process.fleet._states._relay.values_by_sequence)
         sequence = world.promote(1)
         world.advance(6.0)
         for value in old.values():
