--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -1,9 +1,15 @@
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
 from random import Random
+from typing import Any
+from typing import TypeVar
 
 import attrs
+from twisted.internet.defer import Deferred
 
 from gentianhitch.addresses import Address
 from gentianhitch.decisions.agreed_list import AgreedList
@@ -15,14 +21,18 @@
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Service
-from gentianhitch.platform.interface import ListedInstance
-from gentianhitch.platform.interface import ListedState
+from gentianhitch.platform.memory import MemoryPlatform
 from gentianhitch.platform.memory import MemoryStore
 from gentianhitch.soak.network import Faults
 from gentianhitch.soak.network import Network
 from gentianhitch.soak.network import SoakClock
+from gentianhitch.soak.operating import decode_named_document
+from gentianhitch.soak.operating import listed
+from gentianhitch.soak.operating import promote
 from gentianhitch.soak.process import Process
 
+T = TypeVar("T")
+
 
 def make_address(number: int, port: int = 4000) -> Address:
     return Address(f"127.0.{number // 250}.{number % 250 + 1}", port)
@@ -41,16 +51,6 @@
     return Network(SoakClock(), Random(seed), Faults(**faults))
 
 
-def make_listed(member: Member) -> ListedInstance:
-    return ListedInstance(
-        member.id.name,
-        member.failure_domain,
-        member.callers,
-        member.peers,
-        ListedState.LIVE,
-    )
-
-
 def make_document(targets: int = 6, slots: int = 6, connections: int = 330) -> Document:
     servers = tuple(
         BackendServer(
@@ -66,10 +66,6 @@
     return Document("trial", (), (Service("stock", 4, 1000),), servers, ())
 
 
-def decode_no_document(data: bytes) -> Document:
-    return Document(data.decode(), (), (), (), ())
-
-
 class FleetWorld:
     """Instances, a network and a platform on one paused clock."""
 
@@ -79,16 +75,43 @@
         self.network = make_network(seed, **faults)
         self.store = MemoryStore(self.network.clock)
         members = [make_member(number) for number in range(size)]
-        self.store.listed = tuple(make_listed(member) for member in members)
+        self.store.listed = tuple(listed(member) for member in members)
         self.processes = [self.start(member) for member in members]
 
     def start(self, member: Member) -> Process:
-        return Process.start(member, self.network, self.store, decode_no_document)
+        return Process.start(member, self.network, self.store, decode_named_document)
 
     def advance(self, seconds: float) -> None:
         for _ in range(round(seconds / self.STEP_S)):
             self.network.clock.advance(self.STEP_S)
 
+    def start_number(self, number: int, incarnation: int = 1) -> Process:
+        process = self.start(make_member(number, incarnation))
+        self.processes.append(process)
+        return process
+
+    def replace(self, number: int) -> None:
+        old = self.processes.pop(0)
+        old.kill()
+        self.start_number(number, old.member.id.incarnation + 1)
+
+    def cut(self, some: Iterable[int], others: Iterable[int]) -> None:
+        for one, other in itertools.product(some, others):
+            addresses = make_address(one), make_address(other)
+            self.network.cut(*addresses)
+            self.network.cut(*reversed(addresses))
+
+    def promote(self, revision: int, data: bytes = b"document") -> int:
+        return self.run(promote(MemoryPlatform(self.store), revision, data))
+
+    def run(self, call: Coroutine[Deferred[Any], Any, T]) -> T:
+        results: list[T] = []
+        Deferred.fromCoroutine(call).addCallback(results.append)
+        return results[0]
+
+    def sequences(self) -> set[int]:
+        return {process.fleet.freshness.sequence for process in self.processes}
+
     @property
     def now(self) -> float:
         return self.network.clock.seconds()
