Name an instance in the directory only once it was fresh

Ruled out: leaving, shares (no refusal by the limiter was counted). The paused-clock test counted 2 moments at which a replacement was named early; now 0.

--- a/src/gentianhitch/instances/fleet.py
+++ b/src/gentianhitch/instances/fleet.py
@@ -163,8 +163,10 @@
             seat = self.freshness.seats_by_name[name]
             own = seat.holder.id == self.own.id
             standing = self._exchange.standing if own else seat.standing
+            # Before it was fresh once, an instance refuses every request.
+            ready = self.is_fresh(now) if own else seat.established
             heard = own or seat.silence_s(now) <= LIVE_WITHIN_S
-            if heard and not (standing.leaving or standing.gray):
+            if ready and heard and not (standing.leaving or standing.gray):
                 live.append(seat.holder)
         return live
 
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from gentianhitch.decisions.freshness import WINDOW_S
@@ -159,3 +160,24 @@
         for value in old.values():
             world.run(process.fleet.take_head(value))
         assert process.fleet.freshness.sequence == sequence
+
+    def test_replacement_is_named_only_once_it_is_fresh(self) -> None:
+        # Callers were sent to an instance that still refused every request.
+        world = FleetWorld(3)
+        world.advance(8.0)
+        old = world.processes[0]
+        old.kill()
+        replaced = attrs.evolve(
+            old.member, id=attrs.evolve(old.member.id, incarnation=2)
+        )
+        world.processes[0] = world.start(replaced)
+        named_early = 0
+        for _ in range(200):
+            world.advance(0.02)
+            fresh = world.processes[0].fleet.is_fresh(world.now)
+            named_early += not fresh and any(
+                replaced in process.fleet.live_members(world.now)
+                for process in world.processes
+            )
+        assert fresh
+        assert named_early == 0
