Measure what an instance spends on control

Every instance of a fleet of 5 to 40 runs in one process over real sockets, so that the program starts no other.

--- a/src/gentianhitch/benchmarks/command.py
+++ b/src/gentianhitch/benchmarks/command.py
@@ -13,6 +13,7 @@
 
 MODULES_BY_NAME: dict[str, str] = {
     "added-time": "added_time",
+    "control": "control",
     "path": "path",
     "platform": "platform_calls",
     "spread": "spread",
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -48,6 +48,7 @@
 from gentianhitch.operators.document_codec import decode_document
 from gentianhitch.operators.resource import OperatorsResource
 from gentianhitch.platform.client import HttpPlatform
+from gentianhitch.platform.interface import Platform
 from gentianhitch.settings import Settings
 from gentianhitch.settings import load_settings
 
@@ -75,8 +76,13 @@
 class EntryInstance:
     """Own every part of one instance and the order in which they start and stop."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(
+        self, reactor: Any, settings: Settings, platform: Platform | None = None
+    ) -> None:
         self._reactor = reactor
+        self.platform: Platform = platform or HttpPlatform(
+            reactor, settings.platform, settings.instance
+        )
         self._settings = settings
         self.clock = MonotonicClock(reactor)
         self.metrics = Metrics(settings.statsd)
@@ -104,9 +110,6 @@
         self.member = Member(
             self._id, settings.failure_domain, callers, self.transport.address
         )
-        self.platform = HttpPlatform(
-            self._reactor, settings.platform, settings.instance
-        )
         self.fleet = Fleet(
             self.member,
             settings.environment,
@@ -203,6 +206,7 @@
         now = self.clock.seconds()
         state = self._newest_state()
         counts = Counter(self.metrics.counts_by_name)
+        counts.update(self.transport.counts_by_name)
         counts.update(self.fleet.counts_by_name)
         counts.update(self.detector.counts)
         counts.update(self.limiter.counters.by_name())
@@ -274,14 +278,20 @@
         await self.path.when_idle()
 
     def _exit(self) -> None:
+        self.close()
+        self._reactor.callLater(0, self._reactor.stop)
+
+    def close(self) -> None:
+        """Close every listener and connection and stop every timer."""
         for loop in self._loops:
             loop.stop()
+        self._loops.clear()
         if hasattr(self, "path"):
             self.path.close()
             self.limits.stop()
             self.fleet.stop()
             self.transport.close()
-        self._reactor.callLater(0, self._reactor.stop)
+            self._port.stopListening()
 
 
 class _LateFactory:
--- a/src/gentianhitch/instances/zeromq.py
+++ b/src/gentianhitch/instances/zeromq.py
@@ -30,6 +30,7 @@
 HEARTBEAT_TIMEOUT_MS = 3_000
 RECONNECT_MS = 100
 MAX_RECONNECT_MS = 2_000
+FRAME_HEAD_BYTES = 2
 
 _MAGIC = b"gentianhitch/1"
 
@@ -46,6 +47,10 @@
     return xxhash.xxh64_digest(sender + body)
 
 
+def _size(frames: list[bytes]) -> int:
+    return sum(len(frame) + FRAME_HEAD_BYTES for frame in frames)
+
+
 @implementer(IReadDescriptor)
 class ZeroMqTransport:
     """Implement ``Transport``: one PULL socket, one PUSH socket for each peer.
@@ -105,6 +110,7 @@
             self._count("peers.sends_dropped")
         else:
             self._count("peers.sent")
+            self.counts_by_name["peers.bytes_sent"] += _size(frames)
 
     def subscribe(self, kind: type[T], handler: Handler[T]) -> None:
         """Call ``handler`` with the sender and each message of ``kind``."""
@@ -159,6 +165,7 @@
             self._count("peers.malformed")
             return
         self._count("peers.received")
+        self.counts_by_name["peers.bytes_received"] += _size(frames)
         for handler in self._handlers_by_kind[type(body)]:
             try:
                 handler(sender, body)
