Show what a trial changes and wait until a change is in force

Cause: an operator who tries a document sees only its id, and after "accepted" doesn't know when a withdrawn key is refused everywhere. Ruled out: an exit code of its own for "not yet in force", because the change is accepted and "failed" means that nothing was changed; a status call that fails while waiting counts as "not yet". Before: `promote` ended at the compare-and-swap. Conclusion: the id stays the last line of `trial`, where scripts find it: with the differences after it scripts/demo promoted the wrong word.

--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -184,6 +184,7 @@
             self.platform,
             self._settings.environment,
             self._settings.operator_key_hashes,
+            lambda: self.fleet.freshness.in_force,
         )
 
         @app.route(DIRECTORY_PATH)  # type: ignore[untyped-decorator]
--- a/src/gentianhitch/operators/answers.py
+++ b/src/gentianhitch/operators/answers.py
@@ -64,10 +64,15 @@
 
 @attrs.frozen
 class StatusAnswer:
-    """What an environment has agreed on."""
+    """What an environment has agreed on.
+
+    ``in_force`` is the newest sequence that the answering instance knows to be in
+    force everywhere.
+    """
 
     environment: str
     sequence: int
+    in_force: int
     document: Change | None
     trial: Trial | None
 
--- a/src/gentianhitch/operators/checking.py
+++ b/src/gentianhitch/operators/checking.py
@@ -17,6 +17,7 @@
 from gentianhitch.operators.document import Route
 from gentianhitch.operators.document import Service
 from gentianhitch.operators.document import Workspace
+from gentianhitch.operators.document import records
 
 KEY_HASH = re.compile(r"[0-9a-f]{64}")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
@@ -78,15 +79,9 @@
 def _faults(document: Document) -> Iterator[Fault]:
     context = _Context.of(document)
     yield from _duplicates(document)
-    records = (
-        *document.workspaces,
-        *document.services,
-        *document.backend_servers,
-        *document.routes,
-    )
-    for record in records:
+    for record in records(document):
         for message in _check(record, context):
-            yield Fault(_place(record), message)
+            yield Fault(place(record), message)
 
 
 def _duplicates(document: Document) -> Iterator[Fault]:
@@ -102,7 +97,7 @@
     seen: set[object] = set()
     for record in records:
         if key(record) in seen:
-            yield Fault(_place(record), "is declared twice")
+            yield Fault(place(record), "is declared twice")
         seen.add(key(record))
 
 
@@ -112,7 +107,7 @@
         owner = owner_by_address.setdefault(server.address, server.name)
         if owner != server.name:
             message = f"has the address {server.address} of {owner!r}"
-            yield Fault(_place(server), message)
+            yield Fault(place(server), message)
 
 
 def _shared_keys(workspaces: Iterable[Workspace]) -> Iterator[Fault]:
@@ -122,30 +117,31 @@
             owner = owner_by_hash.setdefault(key_hash, workspace.name)
             if owner != workspace.name:
                 message = f"has a key of workspace {owner!r}"
-                yield Fault(_place(workspace), message)
+                yield Fault(place(workspace), message)
 
 
 @singledispatch
-def _place(record: object) -> str:
+def place(record: object) -> str:
+    """Name a record as faults and differences do."""
     raise NotImplementedError(type(record))
 
 
-@_place.register
+@place.register
 def _(record: Workspace) -> str:
     return f"workspace {record.name!r}"
 
 
-@_place.register
+@place.register
 def _(record: Service) -> str:
     return f"service {record.name!r}"
 
 
-@_place.register
+@place.register
 def _(record: BackendServer) -> str:
     return f"backend server {record.name!r}"
 
 
-@_place.register
+@place.register
 def _(record: Route) -> str:
     return f"route '{record.method} {record.path}'"
 
--- a/src/gentianhitch/operators/commands.py
+++ b/src/gentianhitch/operators/commands.py
@@ -2,67 +2,26 @@
 
 from __future__ import annotations
 
-import getpass
-import re
 import uuid
-from collections.abc import Callable
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
-from typing import TypeVar
-
-import attrs
-import msgspec
-from twisted.internet.defer import Deferred
 
 from gentianhitch import checked
-from gentianhitch import json_codec
-from gentianhitch.addresses import Address
 from gentianhitch.errors import ExitCode
-from gentianhitch.errors import UsageError
 from gentianhitch.operators import answers
-from gentianhitch.operators import keys as key_changes
+from gentianhitch.operators.calling import Connection
+from gentianhitch.operators.calling import send_change
+from gentianhitch.operators.calling import show
+from gentianhitch.operators.calling import wait_in_force
 from gentianhitch.operators.checking import FaultyDocumentError
 from gentianhitch.operators.checking import check_document
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.documents import Change
-from gentianhitch.operators.entry_client import EntryCallError
 from gentianhitch.operators.entry_client import EntryClient
-from gentianhitch.operators.keys import KeyChange
+from gentianhitch.operators.key_commands import KEY_COMMANDS
 from gentianhitch.operators.trial import TrialAnswer
-from gentianhitch.reactor_run import run_until_done
-
-T = TypeVar("T")
-
-CHANGE_ATTEMPTS = 3
-
-Work = Callable[[EntryClient], Coroutine[Any, Any, T]]
-
-
-class OperatorKeyFileError(UsageError):
-    """The file of the operator key could not be read."""
-
-
-@attrs.frozen
-class Connection:
-    """Where and as whom a command calls."""
-
-    entry: str
-    operator_key_file: Path
-    operator: str
 
-    def run(self, work: Work[T]) -> T:
-        """Run ``work`` with a client of the entry instance."""
-        address = _parse_address(self.entry)
-        key = _read_key(self.operator_key_file)
-        operator = self.operator or getpass.getuser()
-
-        def start(reactor: Any) -> Deferred[T]:
-            client = EntryClient(reactor, address, key, operator)
-            return Deferred.fromCoroutine(work(client))
-
-        result: T = run_until_done(start)
-        return result
+MAX_DIFFERENCES = 50
 
 
 def check(document_file: Path) -> int:
@@ -93,16 +52,26 @@
     document = read_document_file(document_file)
     call = answers.TrialCall(uuid.uuid4().hex, document)
     answer = Connection(entry, operator_key_file, operator).run(
-        lambda client: _change(client, "PUT", "/trial", call, TrialAnswer)
+        lambda client: send_change(client, "PUT", "/trial", call, TrialAnswer)
     )
     if answer.replaced is not None:
         print(f"replaced trial {answer.replaced.id} of {answer.replaced.tried_by}")
+    for difference in answer.differences[:MAX_DIFFERENCES]:
+        print(f"  {difference}")
+    if len(answer.differences) > MAX_DIFFERENCES:
+        print(f"  and {len(answer.differences) - MAX_DIFFERENCES} more")
+    # The id comes last, where scripts find it.
     print(f"trial {answer.trial.id} on revision {answer.trial.base_revision}")
     return ExitCode.OK
 
 
 def promote(
-    trial_id: str, *, entry: str, operator_key_file: Path, operator: str = ""
+    trial_id: str,
+    *,
+    entry: str,
+    operator_key_file: Path,
+    operator: str = "",
+    wait_s: float = 0,
 ) -> int:
     """Move exactly the tried document to production.
 
@@ -110,11 +79,16 @@
     :param entry: address IP:PORT of any entry instance
     :param operator_key_file: file that holds the operator key
     :param operator: name shown to other operators
+    :param wait_s: wait at most so many seconds until it is in force everywhere
     """
     call = answers.PromoteCall(trial_id)
-    change = Connection(entry, operator_key_file, operator).run(
-        lambda client: _change(client, "POST", "/promote", call, Change)
-    )
+
+    async def work(client: EntryClient) -> Change:
+        change = await send_change(client, "POST", "/promote", call, Change)
+        await wait_in_force(client, change, wait_s)
+        return change
+
+    change = Connection(entry, operator_key_file, operator).run(work)
     if change.replaced:
         print(
             f"accepted, and replaced since by revision {change.revision} of"
@@ -132,7 +106,7 @@
     :param operator_key_file: file that holds the operator key
     :param operator: name shown to other operators
     """
-    return _show("/status", answers.StatusAnswer, entry, operator_key_file, operator)
+    return show("/status", answers.StatusAnswer, entry, operator_key_file, operator)
 
 
 def document(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
@@ -142,78 +116,9 @@
     :param operator_key_file: file that holds the operator key
     :param operator: name shown to other operators
     """
-    return _show("/document", Document, entry, operator_key_file, operator)
-
-
-def list_keys(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
-    """List the key ids of every workspace, as JSON.
-
-    :param entry: address IP:PORT of any entry instance
-    :param operator_key_file: file that holds the operator key
-    :param operator: name shown to other operators
-    """
-    return _show("/keys", answers.KeysAnswer, entry, operator_key_file, operator)
+    return show("/document", Document, entry, operator_key_file, operator)
 
 
-def give_key(
-    workspace: str, *, entry: str, operator_key_file: Path, operator: str = ""
-) -> int:
-    """Give a workspace a new key and show it this once.
-
-    :param workspace: name of the workspace
-    :param entry: address IP:PORT of any entry instance
-    :param operator_key_file: file that holds the operator key
-    :param operator: name shown to other operators
-    """
-    # Only the hash travels, so that no instance ever holds the key.
-    key = key_changes.generate_key()
-    key_hash = key_changes.hash_key(key)
-    call = answers.GiveKeyCall(uuid.uuid4().hex, workspace, key_hash)
-    try:
-        changed = Connection(entry, operator_key_file, operator).run(
-            lambda client: _change(client, "POST", "/keys/give", call, KeyChange)
-        )
-    except EntryCallError as error:
-        if error.exit_code != ExitCode.OUTCOME_UNKNOWN:
-            raise
-        hint = (
-            f"key {key_changes.key_id(key_hash)} may have been given; see 'keys list'"
-        )
-        raise EntryCallError(f"{error}; {hint}", error.exit_code) from error
-    print(f"key id {changed.key_id}, revision {changed.change.revision}; the key:")
-    print(key)
-    return ExitCode.OK
-
-
-def withdraw_key(
-    workspace: str,
-    key_id: str,
-    *,
-    entry: str,
-    operator_key_file: Path,
-    operator: str = "",
-) -> int:
-    """Withdraw a key from a workspace.
-
-    :param workspace: name of the workspace
-    :param key_id: the key's id, or any longer start of its hash
-    :param entry: address IP:PORT of any entry instance
-    :param operator_key_file: file that holds the operator key
-    :param operator: name shown to other operators
-    """
-    call = answers.WithdrawKeyCall(uuid.uuid4().hex, workspace, key_id)
-    changed = Connection(entry, operator_key_file, operator).run(
-        lambda client: _change(client, "POST", "/keys/withdraw", call, KeyChange)
-    )
-    print(f"key id {changed.key_id} withdrawn, revision {changed.change.revision}")
-    return ExitCode.OK
-
-
-KEY_COMMANDS: dict[str, Callable[..., int]] = {
-    "give": give_key,
-    "withdraw": withdraw_key,
-    "list": list_keys,
-}
 COMMANDS: dict[str, Any] = {
     "check": check,
     "trial": trial,
@@ -231,56 +136,3 @@
     if faults:
         raise FaultyDocumentError(faults)
     return read
-
-
-async def _change(
-    client: EntryClient, method: str, path: str, call: object, kind: type[T]
-) -> T:
-    """Send a change again while its outcome is unknown; its id makes that safe."""
-    unknown: EntryCallError | None = None
-    for _ in range(CHANGE_ATTEMPTS):
-        try:
-            return await client.change(method, path, call, kind)
-        except EntryCallError as error:
-            unknown = _still_unknown(error, unknown)
-    assert unknown is not None
-    raise unknown
-
-
-def _still_unknown(
-    error: EntryCallError, earlier: EntryCallError | None
-) -> EntryCallError:
-    """Return the error to report last; raise one that settles the outcome."""
-    if error.exit_code == ExitCode.OUTCOME_UNKNOWN:
-        return error
-    # "Nothing was changed" holds for this attempt, not for an earlier one.
-    if error.exit_code == ExitCode.FAILED and earlier is not None:
-        return earlier
-    raise error
-
-
-def _show(
-    path: str, kind: type[Any], entry: str, operator_key_file: Path, operator: str
-) -> int:
-    answer = Connection(entry, operator_key_file, operator).run(
-        lambda client: client.get(path, kind)
-    )
-    print(msgspec.json.format(json_codec.encode(answer), indent=2).decode())
-    return ExitCode.OK
-
-
-def _parse_address(text: str) -> Address:
-    try:
-        return Address.parse(text)
-    except ValueError as error:
-        raise UsageError(f"--entry: {error}") from error
-
-
-def _read_key(path: Path) -> str:
-    try:
-        key = path.read_text(encoding="utf-8").strip()
-    except (OSError, UnicodeDecodeError) as error:
-        raise OperatorKeyFileError(f"cannot read {str(path)!r}: {error}") from error
-    if not re.fullmatch(r"[\x21-\x7e]+", key):
-        raise OperatorKeyFileError(f"{str(path)!r} does not hold one key on one line")
-    return key
--- a/src/gentianhitch/operators/document.py
+++ b/src/gentianhitch/operators/document.py
@@ -69,3 +69,16 @@
     services: tuple[Service, ...]
     backend_servers: tuple[BackendServer, ...]
     routes: tuple[Route, ...]
+
+
+Record = Workspace | Service | BackendServer | Route
+
+
+def records(document: Document) -> tuple[Record, ...]:
+    """Return all records of a document."""
+    return (
+        *document.workspaces,
+        *document.services,
+        *document.backend_servers,
+        *document.routes,
+    )
--- a/src/gentianhitch/operators/resource.py
+++ b/src/gentianhitch/operators/resource.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+from collections.abc import Callable
 from typing import Any
 from typing import TypeVar
 
@@ -40,6 +41,10 @@
 INTERNAL_STATUS = 500
 
 
+def _nothing_in_force() -> int:
+    return 0
+
+
 @attrs.define(eq=False)
 class OperatorsResource:
     """Answer operators' calls; ``app.resource()`` is mounted below the prefix."""
@@ -47,6 +52,7 @@
     platform: Platform
     environment: str
     operator_key_hashes: tuple[str, ...]
+    in_force: Callable[[], int] = _nothing_in_force
 
     app = Klein()
 
@@ -66,7 +72,7 @@
             documents.current_change(head, head.document) if head.document else None
         )
         answer = answers.StatusAnswer(
-            self.environment, head.sequence, change, current.trial
+            self.environment, head.sequence, self.in_force(), change, current.trial
         )
         return _answer(request, answer)
 
--- a/src/gentianhitch/operators/trial.py
+++ b/src/gentianhitch/operators/trial.py
@@ -10,6 +10,8 @@
 from gentianhitch.operators.checking import Fault
 from gentianhitch.operators.checking import FaultyDocumentError
 from gentianhitch.operators.checking import require_sound
+from gentianhitch.operators.differences import Difference
+from gentianhitch.operators.differences import compare
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Workspace
 from gentianhitch.operators.errors import LostRaceError
@@ -46,10 +48,11 @@
 
 @attrs.frozen
 class TrialAnswer:
-    """A stored trial and the one that it replaces."""
+    """A stored trial, the one that it replaces, and what it changes."""
 
     trial: Trial
     replaced: Trial | None
+    differences: tuple[Difference, ...] = ()
 
 
 def trial_key(environment: str) -> str:
@@ -85,7 +88,9 @@
     require_sound(document)
     digest = await documents.write_document(platform, environment, document)
     trial = Trial(trial_id, digest, production.revision, by)
-    return await _store(platform, environment, trial)
+    answer = await _store(platform, environment, trial)
+    differences = compare(production.document, document)
+    return attrs.evolve(answer, differences=differences)
 
 
 async def promote(
--- a/tests/builders_operators.py
+++ b/tests/builders_operators.py
@@ -16,10 +16,9 @@
 OPERATOR_KEY = "operator-key-of-the-test"
 
 
-def serve_operators(platform: MemoryPlatform) -> EntryClient:
-    resource = OperatorsResource(
-        platform, ENVIRONMENT, (keys.hash_key("another"), keys.hash_key(OPERATOR_KEY))
-    )
+def serve_operators(platform: MemoryPlatform, in_force: int = 0) -> EntryClient:
+    key_hashes = (keys.hash_key("another"), keys.hash_key(OPERATOR_KEY))
+    resource = OperatorsResource(platform, ENVIRONMENT, key_hashes, lambda: in_force)
     root, system = Resource(), Resource()
     root.putChild(b".gentianhitch", system)
     system.putChild(b"operators", resource.resource())
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -10,7 +10,7 @@
 from gentianhitch import cli
 from gentianhitch import json_codec
 from gentianhitch.errors import ExitCode
-from gentianhitch.operators import commands
+from gentianhitch.operators import calling
 from gentianhitch.operators import keys
 from gentianhitch.platform.memory import MemoryPlatform
 from tests.builders_operators import OPERATOR_KEY
@@ -29,10 +29,11 @@
     folder: Path
     platform: MemoryPlatform
     capsys: pytest.CaptureFixture[str]
+    in_force: int = 0
 
     def run(self, *arguments: str) -> tuple[int, str]:
         """Return the exit code and what was printed."""
-        client = serve_operators(self.platform)
+        client = serve_operators(self.platform, self.in_force)
         key_file = self.folder / "operator.key"
         key_file.write_text(OPERATOR_KEY + "\n")
         options = ["--entry", str(client.entry), "--operator-key-file", str(key_file)]
@@ -44,7 +45,7 @@
     def promote_first(self) -> str:
         path = self.folder / "document.jsonc"
         path.write_bytes(json_codec.encode(make_document()))
-        trial_id = self.run("trial", str(path))[1].split()[1]
+        trial_id = self.run("trial", str(path))[1].splitlines()[-1].split()[1]
         assert self.run("promote", trial_id) == (
             ExitCode.OK,
             "accepted: revision 1, sequence 1\n",
@@ -62,7 +63,7 @@
         return await start(reactor)
 
     monkeypatch.setattr(
-        commands, "run_until_done", lambda start: run_on_reactor(wait(start))
+        calling, "run_until_done", lambda start: run_on_reactor(wait(start))
     )
     return CommandLine(tmp_path, make_platform(), capsys)
 
@@ -90,6 +91,22 @@
         assert command_line.run("keys", "withdraw", "nord", key_id)[0] == ExitCode.OK
         assert key_id not in command_line.run("keys", "list")[1]
 
+    def test_trial_tells_what_it_changes(self, command_line: CommandLine) -> None:
+        path = command_line.folder / "document.jsonc"
+        path.write_bytes(json_codec.encode(make_document()))
+        printed = command_line.run("trial", str(path))[1]
+        assert "  workspace 'nord' is added\n" in printed
+
+    @pytest.mark.parametrize(("in_force", "said"), [(1, "is in"), (0, "is not yet in")])
+    def test_promote_waits_until_in_force(
+        self, command_line: CommandLine, in_force: int, said: str
+    ) -> None:
+        trial_id = command_line.promote_first()
+        command_line.in_force = in_force
+        code, printed = command_line.run("promote", trial_id, "--wait-s", "0.3")
+        assert code == ExitCode.OK
+        assert f"sequence 1 {said} force" in printed
+
     def test_unknown_outcome_is_said_after_the_last_attempt(
         self, command_line: CommandLine
     ) -> None:
