--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -189,6 +189,7 @@
             self.platform,
             self._settings.environment,
             self._settings.operator_key_hashes,
+            lambda: self.fleet.freshness.in_force,
             self._report,
         )
 
