Bound what the limits keep and do in each round

Cause: records of borrowers, pauses and plans were kept for ever, and each round planned and opened accounts for every workspace in memory. Ruled out: dropping a borrower's record before its request is noted; that lost the lending from the lender's account and four tests showed it at once.

--- a/src/gentianhitch/decisions/limits/account.py
+++ b/src/gentianhitch/decisions/limits/account.py
@@ -8,6 +8,7 @@
 
 from gentianhitch.decisions.limits.bucket import TokenBucket
 from gentianhitch.decisions.limits.constants import CLOCK_MARGIN
+from gentianhitch.decisions.limits.constants import IDLE_S
 from gentianhitch.decisions.limits.constants import LOAN_S
 from gentianhitch.decisions.limits.constants import MIN_LOAN_BURST
 from gentianhitch.decisions.limits.constants import RECALL_S
@@ -131,9 +132,9 @@
         record = self.records_by_borrower.setdefault(borrower, BorrowerRecord())
         if wanted.number <= record.last_number:
             return None
-        self._take_back(record, wanted, returned, now)
         record.wanted_rate = wanted.rate
         record.asked = now
+        self._take_back(record, wanted, returned, now)
         lent = self._fair_part(record, wanted.rate, own_rate, now)
         held_rate = wanted.held.rate if wanted.holding else 0.0
         tokens = self._tokens_for(max(0.0, lent.rate - held_rate))
@@ -210,6 +211,7 @@
         }
         for record in self.records_by_borrower.values():
             record.lendings = [one for one in record.lendings if one.end > now]
+        self._forget_borrowers(now)
         held = [one.outstanding() for one in self.records_by_borrower.values()]
         held += [lending.lent for lending in self._urgent.values()]
         self._lent = Share(
@@ -217,3 +219,10 @@
         )
         ends = [lending.end for lending in self._lendings()]
         self._next_end = min(ends, default=math.inf)
+
+    def _forget_borrowers(self, now: float) -> None:
+        self.records_by_borrower = {
+            borrower: record
+            for borrower, record in self.records_by_borrower.items()
+            if record.lendings or now - record.asked < IDLE_S
+        }
--- a/src/gentianhitch/decisions/limits/budget.py
+++ b/src/gentianhitch/decisions/limits/budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from gentianhitch.decisions.interfaces import AgreedState
@@ -29,6 +31,7 @@
     accounts_by_origin: dict[InstanceId, Account] = attrs.Factory(dict)
     loans_by_origin: dict[InstanceId, Loan] = attrs.Factory(dict)
     token_loans: list[Loan] = attrs.Factory(list)
+    planned: float = -math.inf
     version: int = 0
     newest: int = 0
 
--- a/src/gentianhitch/decisions/limits/gathering.py
+++ b/src/gentianhitch/decisions/limits/gathering.py
@@ -114,6 +114,14 @@
                 budget = self._holdings.budget(workspace, now)
                 self._advance(budget, gathering, now)
 
+    def forget_pauses(self, now: float) -> None:
+        """Drop pauses that no longer bear on the next one."""
+        self._pauses_by_workspace = {
+            workspace: pause
+            for workspace, pause in self._pauses_by_workspace.items()
+            if now - pause.until < MAX_EXHAUSTED_S
+        }
+
     def _advance(self, budget: Budget, gathering: Gathering, now: float) -> None:
         missing = self._missing(budget, gathering, now)
         if missing <= 1.0 - WHOLE_TOKEN:
--- a/src/gentianhitch/decisions/limits/holdings.py
+++ b/src/gentianhitch/decisions/limits/holdings.py
@@ -42,6 +42,7 @@
         self.rights_by_origin = {own_id: Right(now)}
         self._agreement = agreement
         self._budgets_by_workspace: dict[str, Budget] = {}
+        self._opened: tuple[int, frozenset[InstanceId]] | None = None
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether this instance may spend at ``now``; follow the states."""
@@ -108,6 +109,14 @@
 
     def reopen(self, now: float) -> None:
         """Open the accounts of rights that were gained since the last round."""
+        started = frozenset(
+            origin
+            for origin, right in self.rights_by_origin.items()
+            if now >= right.start
+        )
+        if self._opened == (self.log.version, started):
+            return
+        self._opened = (self.log.version, started)
         for budget in self.budgets():
             budget.catch_up(self.log, self.shares, now)
             self._open_accounts(budget, now, unused=False)
--- a/src/gentianhitch/decisions/limits/limiter.py
+++ b/src/gentianhitch/decisions/limits/limiter.py
@@ -64,7 +64,6 @@
             self.holdings, self.peers, self.transfers, transport, own_address
         )
         self.rounds = Rounds(self)
-        self._planned_by_workspace: dict[str, float] = {}
         self._handlers_by_kind: dict[type, Callable[[InstanceId, Any, float], None]] = {
             LoanRequest: self.lender.answer,
             LoanGrant: self._receive_grant,
@@ -177,7 +176,7 @@
 
     def plan_now(self, budget: Budget, now: float) -> None:
         """Ask for rate without waiting for the next round, every PLAN_S at most."""
-        if now - self._planned_by_workspace.get(budget.workspace, -PLAN_S) >= PLAN_S:
-            self._planned_by_workspace[budget.workspace] = now
+        if now - budget.planned >= PLAN_S:
+            budget.planned = now
             demand = budget.demand.rate(now)
             self.borrower.send(self.borrower.planner.plan(budget, demand, now))
--- a/src/gentianhitch/decisions/limits/planning.py
+++ b/src/gentianhitch/decisions/limits/planning.py
@@ -62,6 +62,19 @@
         """Remember that a lender granted only ``rate``."""
         self._short_by_lender[workspace, origin] = Short(rate, now + SHORT_S)
 
+    def is_needed(self, budget: Budget, now: float) -> bool:
+        """Tell whether the budget has loans or needs some."""
+        requests = budget.demand.rate(now) * LOAN_S
+        return bool(budget.loans_by_origin) or requests >= MIN_BORROWED_REQUESTS
+
+    def forget_short(self, now: float) -> None:
+        """Drop what is known of lenders that may be asked for more again."""
+        self._short_by_lender = {
+            key: short
+            for key, short in self._short_by_lender.items()
+            if now < short.until + SHORT_S
+        }
+
     def plan(
         self,
         budget: Budget,
--- a/src/gentianhitch/decisions/limits/rounds.py
+++ b/src/gentianhitch/decisions/limits/rounds.py
@@ -31,6 +31,8 @@
         limiter.holdings.drop_unlisted(but=limiter.holdings.own_id)
         limiter.holdings.reopen(now)
         limiter.holdings.forget_idle(now)
+        limiter.gatherer.forget_pauses(now)
+        limiter.borrower.planner.forget_short(now)
         limiter.borrower.send(self._plan(now))
 
     def receive_transfer(
@@ -47,12 +49,13 @@
             limiter.holdings.reopen(now)
 
     def _plan(self, now: float) -> dict[Address, list[LoanWanted]]:
-        limiter = self._limiter
+        limiter, planner = self._limiter, self._limiter.borrower.planner
         items_by_address: dict[Address, list[LoanWanted]] = defaultdict(list)
         for budget in limiter.holdings.budgets():
             budget.drop_ended(now)
-            demand = budget.demand.rate(now)
-            plan = limiter.borrower.planner.plan(budget, demand, now)
+            if not planner.is_needed(budget, now):
+                continue
+            plan = planner.plan(budget, budget.demand.rate(now), now)
             for address, items in plan.items():
                 items_by_address[address].extend(items)
         return items_by_address
