--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -87,8 +87,17 @@
     def on_grants(self, leader: InstanceId, grants: EjectionGrants, now: float) -> None:
         """Apply a leader's grants."""
         self.ejections.on_grants(leader, grants, now)
+        for target in grants.cold:
+            self._hints.hear_cold(target, now)
         self.refresh(now)
 
+    def keep_only(self, targets: Collection[str]) -> None:
+        """Forget every target that is not in ``targets``."""
+        self.evidence.keep_only(targets)
+        self._paths.keep_only(targets)
+        for scopes in (self._poor, self._suspect):
+            scopes -= {scope for scope in scopes if scope.target not in targets}
+
     def refresh(self, now: float) -> None:
         """Let leases end and forget evidence that an ejection has answered."""
         before = self._weights_by_scope
@@ -123,7 +132,7 @@
             self._suspect
             or self._weights_by_scope
             or self._leaving
-            or any(self._hints.is_leaving(t, now) for t in targets)
+            or any(self._hints.is_away(t, now) for t in targets)
         )
 
     def _rate(self, scope: Scope, now: float) -> None:
--- a/src/gentianhitch/operators/commands.py
+++ b/src/gentianhitch/operators/commands.py
@@ -135,6 +135,17 @@
     return _show("/status", answers.StatusAnswer, entry, operator_key_file, operator)
 
 
+def instance(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
+    """Show state, counters and histograms of one entry instance, as JSON.
+
+    :param entry: address IP:PORT of that instance
+    :param operator_key_file: file that holds the operator key
+    :param operator: name shown to other operators
+    """
+    kind = answers.InstanceReport
+    return _show("/instance", kind, entry, operator_key_file, operator)
+
+
 def document(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
     """Print the document in production, to edit and put to trial again.
 
@@ -219,6 +230,7 @@
     "trial": trial,
     "promote": promote,
     "status": status,
+    "instance": instance,
     "document": document,
     "keys": KEY_COMMANDS,
 }
@@ -237,13 +249,26 @@
     client: EntryClient, method: str, path: str, call: object, kind: type[T]
 ) -> T:
     """Send a change again while its outcome is unknown; its id makes that safe."""
-    for _ in range(CHANGE_ATTEMPTS - 1):
+    unknown: EntryCallError | None = None
+    for _ in range(CHANGE_ATTEMPTS):
         try:
             return await client.change(method, path, call, kind)
         except EntryCallError as error:
-            if error.exit_code != ExitCode.OUTCOME_UNKNOWN:
-                raise
-    return await client.change(method, path, call, kind)
+            unknown = _still_unknown(error, unknown)
+    assert unknown is not None
+    raise unknown
+
+
+def _still_unknown(
+    error: EntryCallError, earlier: EntryCallError | None
+) -> EntryCallError:
+    """Return the error to report last; raise one that settles the outcome."""
+    if error.exit_code == ExitCode.OUTCOME_UNKNOWN:
+        return error
+    # "Nothing was changed" holds for this attempt, not for an earlier one.
+    if error.exit_code == ExitCode.FAILED and earlier is not None:
+        return earlier
+    raise error
 
 
 def _show(
