Name an instance in the directory only while it is fresh

Cause: the directory named a restarted instance as soon as anybody had met it. It refuses requests truthfully until it is fresh, but callers were sent there. Each instance now says whether it serves with its leaving and gray flags; what a peer passes on is taken only for the incarnation that the peer has met.

Before: test_directory_waits_until_a_restarted_instance_is_fresh red (named while not fresh). After: green.

--- a/src/gentianhitch/decisions/exchange.py
+++ b/src/gentianhitch/decisions/exchange.py
@@ -137,13 +137,14 @@
             seat = self.freshness.seats_by_name.get(name)
             if seat is None or name == self.freshness.own.id.name:
                 continue
-            standing = reply.standings_by_index.get(index)
-            if standing is not None:
-                self.freshness.update_standing(seat, standing)
             listed = agreed.members_by_name[name].id.incarnation
-            counted = max(incarnation_by_name.get(name, listed), listed)
-            if reply.ages[index] != NO_AGE and seat.holder.id.incarnation == counted:
-                seat.established = seat.established or counted != listed
+            holder = max(incarnation_by_name.get(name, listed), listed)
+            if seat.holder.id.incarnation != holder:
+                continue
+            standing = reply.standings_by_index.get(index, Standing())
+            self.freshness.update_standing(seat, standing)
+            if reply.ages[index] != NO_AGE:
+                seat.established = seat.established or holder != listed
                 moment = asked.sent_at - reply.ages[index] * AGE_UNIT_S
                 seat.date(moment, reply.sequence, self.freshness.sequence)
                 known = reply.sequence - reply.behind_by_index.get(index, 0)
--- a/src/gentianhitch/instances/fleet.py
+++ b/src/gentianhitch/instances/fleet.py
@@ -154,7 +154,7 @@
         return {n: seats[n].holder for n in current.names} if current else {}
 
     def live_members(self, now: float) -> list[Member]:
-        """Return the members that were heard lately and serve well."""
+        """Return the members heard lately that are fresh, stay and serve well."""
         current = self.freshness.current
         if current is None:
             return []
@@ -164,7 +164,7 @@
             own = seat.holder.id == self.own.id
             standing = self._exchange.standing if own else seat.standing
             heard = own or seat.silence_s(now) <= LIVE_WITHIN_S
-            if heard and not (standing.leaving or standing.gray):
+            if heard and standing.serving and not (standing.leaving or standing.gray):
                 live.append(seat.holder)
         return live
 
@@ -175,20 +175,31 @@
 
     def begin_leaving(self) -> None:
         """Tell the peers that this instance leaves, so that none names it."""
-        self._change_standing(leaving=True, gray=self.standing.gray)
+        self._change_standing(leaving=True)
 
     def report_gray(self, gray: bool) -> None:
         """Tell the peers whether this instance serves badly itself."""
         if gray != self.standing.gray:
-            self._change_standing(leaving=self.standing.leaving, gray=gray)
+            self._change_standing(gray=gray)
 
     async def take_head(self, value: bytes) -> bool:
         """Load a head that the platform answered; False if that failed."""
         return await self._states.take_head(value)
 
-    def _change_standing(self, *, leaving: bool, gray: bool) -> None:
+    def _change_standing(
+        self,
+        *,
+        serving: bool | None = None,
+        leaving: bool | None = None,
+        gray: bool | None = None,
+    ) -> None:
+        old = self.standing
         standing = Standing(
-            self.own.id.incarnation, self.standing.version + 1, leaving, gray
+            incarnation=self.own.id.incarnation,
+            version=old.version + 1,
+            serving=old.serving if serving is None else serving,
+            leaving=old.leaving if leaving is None else leaving,
+            gray=old.gray if gray is None else gray,
         )
         self._exchange.standing = standing
         for member in self._partners.some(MAX_TOLD_DIRECTLY):
@@ -266,6 +277,7 @@
             self.counts_by_name["fleet.freshness_changes"] += 1
             state = "fresh" if fresh else "not fresh"
             logger.info("{} at sequence {}", state, self.freshness.sequence)
+            self._change_standing(serving=fresh)
         for callback in self._callbacks:
             callback()
 
--- a/src/gentianhitch/instances/messages.py
+++ b/src/gentianhitch/instances/messages.py
@@ -21,10 +21,14 @@
 
 @message
 class Standing:
-    """What one incarnation says of itself; the larger version counts."""
+    """What one incarnation says of itself; the larger version counts.
+
+    It is ``serving`` while it is fresh.
+    """
 
     incarnation: int = 0
     version: int = 0
+    serving: bool = False
     leaving: bool = False
     gray: bool = False
 
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -159,3 +159,22 @@
         for value in old.values():
             world.run(process.fleet.take_head(value))
         assert process.fleet.freshness.sequence == sequence
+
+    def test_directory_waits_until_a_restarted_instance_is_fresh(
+        self, world: FleetWorld
+    ) -> None:
+        world.processes[0].fleet.begin_leaving()
+        world.advance(1.0)
+        world.replace(0)
+        restarted = world.processes[-1]
+        seen_fresh = False
+        for _ in range(round(6.0 / world.STEP_S)):
+            world.advance(world.STEP_S)
+            seen_fresh = seen_fresh or restarted.fleet.is_fresh(world.now)
+            for process in world.processes[:-1]:
+                named = restarted.member in process.fleet.live_members(world.now)
+                assert seen_fresh or not named
+        assert all(
+            restarted.member in process.fleet.live_members(world.now)
+            for process in world.processes
+        )
