--- a/src/gentianhitch/decisions/targets/hints.py
+++ b/src/gentianhitch/decisions/targets/hints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import attrs
 
 from gentianhitch.decisions.interfaces import Attempt
@@ -67,5 +69,14 @@
         hints = self._hints_by_target.get(target)
         return hints is not None and now < hints.cold_until
 
+    def is_away(self, target: str, now: float) -> bool:
+        """Tell whether a target leaves or starts cold."""
+        return self.is_leaving(target, now) or self.is_cold(target, now)
+
+    def keep_only(self, targets: Container[str]) -> None:
+        """Forget every target that is not in ``targets``."""
+        for target in [name for name in self._hints_by_target if name not in targets]:
+            del self._hints_by_target[target]
+
     def _of(self, target: str) -> Hints:
         return self._hints_by_target.setdefault(target, Hints())
--- a/src/gentianhitch/instances/fleet.py
+++ b/src/gentianhitch/instances/fleet.py
@@ -163,8 +163,9 @@
             seat = self.freshness.seats_by_name[name]
             own = seat.holder.id == self.own.id
             standing = self._exchange.standing if own else seat.standing
+            serving = self.is_fresh(now) if own else standing.serving
             heard = own or seat.silence_s(now) <= LIVE_WITHIN_S
-            if heard and standing.serving and not (standing.leaving or standing.gray):
+            if heard and serving and not (standing.leaving or standing.gray):
                 live.append(seat.holder)
         return live
 
