--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -161,6 +161,25 @@
             world.run(process.fleet.take_head(value))
         assert process.fleet.freshness.sequence == sequence
 
+    def test_directory_waits_until_a_restarted_instance_is_fresh(
+        self, world: FleetWorld
+    ) -> None:
+        world.processes[0].fleet.begin_leaving()
+        world.advance(1.0)
+        world.replace(0)
+        restarted = world.processes[-1]
+        seen_fresh = False
+        for _ in range(round(6.0 / world.STEP_S)):
+            world.advance(world.STEP_S)
+            seen_fresh = seen_fresh or restarted.fleet.is_fresh(world.now)
+            for process in world.processes[:-1]:
+                named = restarted.member in process.fleet.live_members(world.now)
+                assert seen_fresh or not named
+        assert all(
+            restarted.member in process.fleet.live_members(world.now)
+            for process in world.processes
+        )
+
     def test_replacement_is_named_only_once_it_is_fresh(self) -> None:
         # Callers were sent to an instance that still refused every request.
         world = FleetWorld(3)
