--- a/src/gentianhitch/operators/commands.py
+++ b/src/gentianhitch/operators/commands.py
@@ -117,7 +117,7 @@
     :param operator: name shown to other operators
     """
     kind = answers.InstanceReport
-    return _show("/instance", kind, entry, operator_key_file, operator)
+    return show("/instance", kind, entry, operator_key_file, operator)
 
 
 def document(*, entry: str, operator_key_file: Path, operator: str = "") -> int:
