--- a/src/gentianhitch/benchmarks/control.py
+++ b/src/gentianhitch/benchmarks/control.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import attrs
+from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
@@ -65,6 +66,7 @@
 
 def run() -> BenchResult:
     """Measure every fleet and scale, and extrapolate to the two-year size."""
+    logger.disable("gentianhitch")
     costs: list[Cost] = run_until_done(
         lambda reactor: Deferred.fromCoroutine(_measure_all(reactor))
     )
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -55,6 +55,7 @@
 
     folder: Path
     log_level: str = "INFO"
+    gentianhitch: tuple[str, ...] = (sys.executable, "-m", "gentianhitch")
     operator_key: str = attrs.field(factory=lambda: secrets.token_urlsafe(24))
     programs_by_name: dict[str, Program] = attrs.field(factory=dict)
     entry_names: list[str] = attrs.field(factory=list)
@@ -87,13 +88,16 @@
 
     def start_platform(self) -> None:
         """Start the stand-in platform."""
-        self._start("platform", ["-m", "standins.platform", "--port", "0"])
+        self._start(
+            "platform", [sys.executable, "-m", "standins.platform", "--port", "0"]
+        )
 
     def start_backend_servers(
         self, name: str, count: int, *options: str
     ) -> list[dict[str, Any]]:
         """Start one process with ``count`` stand-in backend servers."""
-        arguments = ["-m", "standins.backend_server", "--port", "0", "--name", name]
+        arguments = [sys.executable, "-m", "standins.backend_server"]
+        arguments += ["--port", "0", "--name", name]
         arguments += ["--count", str(count), *options]
         program = self._start(name, arguments)
         servers: list[dict[str, Any]] = program.ready["servers"]
@@ -117,7 +121,7 @@
         }
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(settings, indent=2))
-        arguments = ["-m", "gentianhitch", "entry", "--settings", str(path)]
+        arguments = [*self.gentianhitch, "entry", "--settings", str(path)]
         program = self._start(name, arguments)
         if name not in self.entry_names:
             self.entry_names.append(name)
@@ -152,7 +156,7 @@
         entry = str(self.programs_by_name[name].ready["callers"])
         return subprocess.run(
             [
-                *(sys.executable, "-m", "gentianhitch"),
+                *self.gentianhitch,
                 *arguments,
                 *("--entry", entry),
                 *("--operator-key-file", str(self.operator_key_file)),
@@ -189,7 +193,7 @@
     def _start(self, name: str, arguments: list[str]) -> Program:
         log = (self.folder / f"{name}.log").open("a")
         process = subprocess.Popen(
-            [sys.executable, *arguments],
+            arguments,
             stdout=subprocess.PIPE,
             stderr=log,
             stdin=subprocess.DEVNULL,
