Watch in the place of watchers that cannot reach the platform

Cause: with all three watchers cut off, the others read only when the newest read of the fleet was 3 s old, and then waited again: a change was in force 4 s after its acceptance at the latest only by luck. Before: test_change_is_in_force_in_time_with_every_watcher_cut_off red. After: green; whoever took over holds a watch until another reads. An instance without a majority reads beside a watch that still waits.

--- a/src/gentianhitch/decisions/platform_reads.py
+++ b/src/gentianhitch/decisions/platform_reads.py
@@ -12,6 +12,7 @@
 WATCH_WAIT_S = 2.0
 STALE_READ_S = 3.0
 RANK_STEP_S = 1.0
+SUBSTITUTE_S = 10.0
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 8.0
 LOST_READ_INTERVAL_S = 0.7
@@ -27,18 +28,22 @@
 
 @attrs.define(eq=False)
 class ReadSchedule:
-    """Say when the next read of the head is due, one at a time.
+    """Say when the next read of the head is due, one of a kind at a time.
 
     Watchers hold a watch open. Others read only when the newest read of the
     whole fleet has grown old, in the order of their rank, so that a few attempt
     it however many there are; in an outage the attempts of rank ``r`` are ``r``
-    times as far apart, which makes their sum grow with the logarithm. An
-    instance that is not fresh reads often, at a rate that the fleet's size bounds.
+    times as far apart, which makes their sum grow with the logarithm. Whoever
+    then succeeds watches in the watchers' place until they read again. An
+    instance that has no majority reads often, at a rate that the fleet's size bounds.
     """
 
     freshness: Freshness
     _attempted_at: float = float("-inf")
     _failures: int = 0
+    _substitute_until: float = float("-inf")
+    _nobody_else_reads: bool = False
+    _taking_over: bool = False
 
     def due(self, now: float) -> ReadKind | None:
         """Return the kind of read that is due, or None."""
@@ -46,9 +51,9 @@
         if since_s < self._retry_s():
             return None
         rank = self._rank()
-        if not self.freshness.is_fresh(now):
+        if not self.freshness.is_fresh_by_majority(now):
             return ReadKind.GET if since_s >= self._lost_interval_s() else None
-        if rank < WATCHERS:
+        if rank < WATCHERS or now < self._substitute_until:
             return ReadKind.WATCH
         threshold_s = STALE_READ_S + (rank - WATCHERS) * RANK_STEP_S
         read_age_s = now - self.freshness.fleet_read_at
@@ -57,20 +62,31 @@
 
     def begin(self, now: float) -> None:
         """Note that a read begins."""
+        self._taking_over = self.freshness.is_fresh_by_majority(now) and self._is_stale(
+            now
+        )
+        self._nobody_else_reads = self.freshness.fleet_read_at <= self._attempted_at
         self._attempted_at = now
 
-    def succeed(self) -> None:
+    def succeed(self, now: float) -> None:
         """Note that the platform answered."""
         self._failures = 0
+        renewed = now < self._substitute_until and self._nobody_else_reads
+        if self._taking_over or renewed:
+            self._substitute_until = now + SUBSTITUTE_S
 
     def fail(self) -> None:
         """Note that the platform did not answer."""
         self._failures += 1
+        self._substitute_until = float("-inf")
 
     def is_watcher(self) -> bool:
         """Tell whether this instance is among the watchers."""
         return self._rank() < WATCHERS
 
+    def _is_stale(self, now: float) -> bool:
+        return now - self.freshness.fleet_read_at > STALE_READ_S
+
     def _retry_s(self) -> float:
         if not self._failures:
             return 0.0
--- a/src/gentianhitch/instances/platform_reader.py
+++ b/src/gentianhitch/instances/platform_reader.py
@@ -53,7 +53,7 @@
 
 @attrs.define(eq=False)
 class PlatformReader:
-    """Drive the platform calls of one instance: one read and one write at a time.
+    """Drive one instance's platform calls: one of each kind at a time.
 
     ``take_head`` loads the value of a head; its result tells whether it worked.
     """
@@ -68,7 +68,7 @@
     on_list: Callable[[], None]
     members_digest: Callable[[], str | None]
     counts_by_name: Counter[str]
-    _reading: bool = False
+    _reading: set[ReadKind] = attrs.Factory(set)
     _listing: bool = False
     _writing: bool = False
     _listed_at: float = float("-inf")
@@ -78,8 +78,8 @@
     def tick(self) -> None:
         """Begin the calls that are due."""
         now = self.clock.seconds()
-        kind = None if self._reading else self.schedule.due(now)
-        if kind is not None:
+        kind = self.schedule.due(now)
+        if kind is not None and kind not in self._reading:
             self._start(self._read(kind))
         if not self._listing and self._list_is_due(now):
             self._start(self._read_list())
@@ -104,17 +104,17 @@
 
     async def _read(self, kind: ReadKind) -> None:
         started_at = self.clock.seconds()
-        self._reading = True
+        self._reading.add(kind)
         self.schedule.begin(started_at)
         try:
             entry = await self._call_read(kind)
         except (PlatformError, DeferredTimeoutError):
             self._fail()
         else:
-            self.schedule.succeed()
+            self.schedule.succeed(self.clock.seconds())
             await self._take(kind, entry, started_at)
         finally:
-            self._reading = False
+            self._reading.discard(kind)
 
     async def _call_read(self, kind: ReadKind) -> Entry | None:
         key = head_key(self.environment)
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -200,3 +200,18 @@
             )
         assert fresh
         assert named_early == 0
+
+    def test_change_is_in_force_in_time_with_every_watcher_cut_off(self) -> None:
+        world = FleetWorld(9)
+        world.advance(FORM_S)
+        watchers = world.processes[0].fleet.freshness.current.watch_order[:3]
+        for process in world.processes:
+            if process.member.id.name in watchers:
+                process.platform.replies_lost = True
+        world.advance(20.0)
+        for revision in range(5):
+            sequence = world.promote(revision)
+            world.advance(4.0)
+            for process in world.processes:
+                assert process.fleet.freshness.active_from(world.now) >= sequence
+            world.advance(3.3)
