Split the exchange: passing answers on and its timers stand alone

The answer of an instance that only vouched was also kept as the first bytes of the answer to repeat; it is captured after that decision now, and test_order_runs_after_all_earlier_pins_vouch repeats the order.

--- a/src/gentianhitch/callers/exchange.py
+++ b/src/gentianhitch/callers/exchange.py
@@ -11,10 +11,8 @@
 from gentianhitch.backend_servers.answers import AnswerPiece
 from gentianhitch.callers.admission import Admitted
 from gentianhitch.callers.attempts import Attempts
+from gentianhitch.callers.deadline import DeadlineTimer
 from gentianhitch.callers.encoding import CONTINUE
-from gentianhitch.callers.encoding import LAST_CHUNK
-from gentianhitch.callers.encoding import encode_answer_head
-from gentianhitch.callers.encoding import encode_chunk
 from gentianhitch.callers.encoding import encode_stored_answer
 from gentianhitch.callers.incoming import Incoming
 from gentianhitch.callers.keyed import KeyedRun
@@ -23,6 +21,7 @@
 from gentianhitch.callers.keyed import Run
 from gentianhitch.callers.keyed import fingerprint
 from gentianhitch.callers.observing import Finished
+from gentianhitch.callers.passing import AnswerPassing
 from gentianhitch.callers.refusals import VOUCHES_HEADER
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.refusals import Refusal
@@ -33,7 +32,6 @@
 from gentianhitch.decisions.interfaces import Verdict
 from gentianhitch.decisions.sending import Stage
 from gentianhitch.decisions.sending import Step
-from gentianhitch.writing import write_at_once
 
 if TYPE_CHECKING:
     from gentianhitch.callers.connection import CallerConnection
@@ -45,9 +43,6 @@
 KEYED_BODY_BYTES = 1024 * 1024
 """A request with an idempotency key is complete before it is sent."""
 
-ATTEMPT_SHARE = 0.5
-"""Part of the remaining time after which a silent target is given up."""
-
 CALLER_GONE_STATUS = 499
 
 
@@ -66,12 +61,13 @@
         self._attempts: Attempts | None = None
         self._keyed: KeyedRun | None = None
         self._relay: Relay | None = None
-        self._answer: AnswerHead | None = None
+        self._passing = AnswerPassing(caller.transport, self._head.request_id)
         self._may_send = False
         self._is_paid = False
-        self._registered = False
         self._ended = False
-        self._timer: Any = None
+        self._deadline = DeadlineTimer(
+            context.clock, self._time_out_attempt, self._deadline_passed
+        )
         self.progressed_s = self._started_s
 
     def start(self) -> None:
@@ -85,7 +81,9 @@
             return
         self._admitted = checked
         self._context.budget(checked.matched.service.name).deposit()
-        self._set_timer(self._started_s, may_retry=checked.matched.idempotent)
+        self._deadline.start(
+            self._started_s, checked.deadline, may_retry=checked.matched.idempotent
+        )
         if self._head.idempotency_key is not None and not checked.matched.idempotent:
             self._keyed = KeyedRun(
                 self._context.pins,
@@ -132,7 +130,7 @@
 
     def stalled(self) -> None:
         """Break an answer that no longer moves."""
-        if self._ended or self._answer is None or self._attempts is None:
+        if self._ended or self._passing.head is None or self._attempts is None:
             return
         self._attempts.abandon(Outcome.SILENT)
         self._break(Cause.SILENT)
@@ -237,27 +235,25 @@
     def answer_progressed(self, head: AnswerHead | None, piece: AnswerPiece) -> None:
         """Pass on a piece of the answer."""
         self.progressed_s = self._context.seconds()
-        if head is not None:
-            if self._relay is not None and self._asked(head, ended=piece.ended):
-                return
-            self._answer = head
-        answer = self._answer
-        assert answer is not None
-        data = piece.body
-        if self._keyed is not None and data:
-            self._keyed.capture(data)
-        if answer.has_body and answer.content_length is None:
-            data = encode_chunk(data) + (LAST_CHUNK if piece.ended else b"")
-        if head is not None:
-            data = self._encode_head(answer) + data
-        transport = self._caller.transport
-        if data:
-            write_at_once(transport, data)
+        if head is None:
+            self._passing.go_on(piece.body, ended=piece.ended)
+        elif self._relay is not None and self._asked(head, ended=piece.ended):
+            return
+        else:
+            self._passing.begin(
+                head,
+                piece.body,
+                ended=piece.ended,
+                close=not self._keeps_alive(),
+                relayed=self._relay is not None,
+            )
+        if self._keyed is not None and piece.body:
+            self._keyed.capture(piece.body)
         if piece.ended:
-            self._end(status=answer.status, cause=None)
-        elif not self._registered and self._attempts is not None:
-            self._registered = True
-            transport.registerProducer(self._attempts.connection, True)
+            assert self._passing.head is not None
+            self._end(status=self._passing.head.status, cause=None)
+        elif self._attempts is not None:
+            self._passing.pace(self._attempts.connection)
 
     def attempts_failed(self, step: Step, cause: Cause, detail: str) -> None:
         """Refuse, or break the answer that has begun."""
@@ -286,39 +282,18 @@
         self._send()
         return True
 
-    def _encode_head(self, answer: AnswerHead) -> bytes:
-        return encode_answer_head(
-            answer,
-            request_id=self._head.request_id,
-            close=not self._keeps_alive(),
-            relayed=self._relay is not None,
-        )
-
     # Ends.
 
-    def _set_timer(self, now: float, *, may_retry: bool) -> None:
-        """Wake at the deadline, or earlier if another target may be tried then."""
-        assert self._admitted is not None
-        delay_s = max(0.0, self._admitted.deadline - now)
-        if may_retry:
-            delay_s *= ATTEMPT_SHARE
-        self._timer = self._context.clock.callLater(
-            delay_s, self._timer_fired, is_deadline=not may_retry
-        )
+    def _time_out_attempt(self) -> None:
+        if self._attempts is not None:
+            self._attempts.time_out_attempt()
 
-    def _timer_fired(self, *, is_deadline: bool) -> None:
-        self._timer = None
+    def _deadline_passed(self) -> None:
         attempts = self._attempts
-        if attempts is not None and attempts.sending.stage is Stage.ANSWERING:
-            return
-        if not is_deadline:
-            self._set_timer(self._context.seconds(), may_retry=False)
-            if attempts is not None:
-                attempts.time_out_attempt()
-        elif attempts is not None:
-            attempts.deadline_passed()
-        else:
+        if attempts is None:
             self._refuse(Refusal(Cause.DEADLINE))
+        elif attempts.sending.stage is not Stage.ANSWERING:
+            attempts.deadline_passed()
 
     def _give_up(self, cause: Cause) -> None:
         """End a request that can't go on, telling what is known of it."""
@@ -358,16 +333,14 @@
 
     def _finish(self, *, status: int, cause: str | None) -> None:
         self._ended = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        if self._registered:
-            self._caller.transport.unregisterProducer()
+        self._deadline.cancel()
+        self._passing.stop()
         now = self._context.seconds()
         if self._keyed is not None:
             attempts = self._attempts
             self._keyed.ended(
                 may_have_run=attempts is not None and attempts.sending.may_have_run,
-                answer=self._answer,
+                answer=self._passing.head,
                 whole=cause is None,
                 now=now,
             )
--- a/tests/callers/test_keyed.py
+++ b/tests/callers/test_keyed.py
@@ -195,6 +195,8 @@
         target.send(answer(b"done"))
         assert caller.received().endswith(b"done")
         assert bench.limiter.taken == ["nord"]
+        caller.send(KEYED)
+        assert caller.received().endswith(b"\r\n\r\ndone")
 
     def test_earlier_pin_that_knows_the_key_answers(self):
         bench = build_bench(PinPlace.ASK, ask=(PEER,))
