--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from gentianhitch.decisions.freshness import WINDOW_S
@@ -159,3 +160,59 @@
         for value in old.values():
             world.run(process.fleet.take_head(value))
         assert process.fleet.freshness.sequence == sequence
+
+    def test_directory_waits_until_a_restarted_instance_is_fresh(
+        self, world: FleetWorld
+    ) -> None:
+        world.processes[0].fleet.begin_leaving()
+        world.advance(1.0)
+        world.replace(0)
+        restarted = world.processes[-1]
+        seen_fresh = False
+        for _ in range(round(6.0 / world.STEP_S)):
+            world.advance(world.STEP_S)
+            seen_fresh = seen_fresh or restarted.fleet.is_fresh(world.now)
+            for process in world.processes[:-1]:
+                named = restarted.member in process.fleet.live_members(world.now)
+                assert seen_fresh or not named
+        assert all(
+            restarted.member in process.fleet.live_members(world.now)
+            for process in world.processes
+        )
+
+    def test_replacement_is_named_only_once_it_is_fresh(self) -> None:
+        # Callers were sent to an instance that still refused every request.
+        world = FleetWorld(3)
+        world.advance(8.0)
+        old = world.processes[0]
+        old.kill()
+        replaced = attrs.evolve(
+            old.member, id=attrs.evolve(old.member.id, incarnation=2)
+        )
+        world.processes[0] = world.start(replaced)
+        named_early = 0
+        for _ in range(200):
+            world.advance(0.02)
+            fresh = world.processes[0].fleet.is_fresh(world.now)
+            named_early += not fresh and any(
+                replaced in process.fleet.live_members(world.now)
+                for process in world.processes
+            )
+        assert fresh
+        assert named_early == 0
+
+    def test_replacement_does_not_inherit_that_its_predecessor_left(self) -> None:
+        # Peers passed the standing on by name: it hid the next incarnation.
+        world = FleetWorld(3)
+        world.advance(8.0)
+        old = world.processes[0]
+        old.fleet.begin_leaving()
+        world.advance(2.0)
+        old.kill()
+        replaced = attrs.evolve(
+            old.member, id=attrs.evolve(old.member.id, incarnation=2)
+        )
+        world.processes[0] = world.start(replaced)
+        world.advance(8.0)
+        for process in world.processes:
+            assert replaced in process.fleet.live_members(world.now)
