--- a/src/gentianhitch/soak/limits.py
+++ b/src/gentianhitch/soak/limits.py
@@ -9,6 +9,7 @@
 import attrs
 
 from gentianhitch.addresses import Address
+from gentianhitch.decisions.limits.errors import OverspentError
 from gentianhitch.decisions.limits.limiter import LocalLimiter
 from gentianhitch.instances.identity import Member
 from gentianhitch.operators.document import Workspace
@@ -248,8 +249,11 @@
 def run(seed: int, steps: int, *, factory: LimiterFactory = LocalLimiter) -> SoakReport:
     """Do ``steps`` random actions; raise OverspentError on a broken limit."""
     model = LimitsModel(seed, factory=factory)
-    for _ in range(steps):
-        model.step()
+    for step in range(steps):
+        try:
+            model.step()
+        except OverspentError as error:
+            raise OverspentError(f"seed {seed}, step {step}: {error}") from error
     return SoakReport(
         sum(model.fleet.admitted.values()),
         sum(model.fleet.refused.values()),
--- a/tests/limits/test_with_freshness.py
+++ b/tests/limits/test_with_freshness.py
@@ -7,7 +7,7 @@
 from gentianhitch.decisions.limits.limiter import LocalLimiter
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Workspace
-from gentianhitch.soak import fleet as fleet_soak
+from gentianhitch.soak import fleet_model
 from gentianhitch.soak.limits_ledger import FleetLedger
 
 RATE = 30.0
@@ -18,7 +18,7 @@
     return Document(data.decode(), (Workspace("yard", RATE, BURST),), (), (), ())
 
 
-class LimitedFleet(fleet_soak.FleetModel):
+class LimitedFleet(fleet_model.FleetModel):
     """The randomised model of freshness with a limiter in every process."""
 
     def start(self, name: str) -> None:
@@ -63,7 +63,7 @@
 
 @pytest.fixture
 def model(monkeypatch: pytest.MonkeyPatch) -> LimitedFleet:
-    monkeypatch.setattr(fleet_soak, "decode_document", decode_document)
+    monkeypatch.setattr(fleet_model, "decode_named_document", decode_document)
     model = LimitedFleet(seed=5)
     model.promote()
     model.advance(10.0)
