--- a/src/gentianhitch/operators/resource.py
+++ b/src/gentianhitch/operators/resource.py
@@ -41,6 +41,10 @@
 INTERNAL_STATUS = 500
 
 
+def _nothing_in_force() -> int:
+    return 0
+
+
 @attrs.define(eq=False)
 class OperatorsResource:
     """Answer operators' calls; ``app.resource()`` is mounted below the prefix."""
@@ -48,6 +52,7 @@
     platform: Platform
     environment: str
     operator_key_hashes: tuple[str, ...]
+    in_force: Callable[[], int] = _nothing_in_force
     report: Callable[[], answers.InstanceReport] | None = None
 
     app = Klein()
@@ -68,7 +73,7 @@
             documents.current_change(head, head.document) if head.document else None
         )
         answer = answers.StatusAnswer(
-            self.environment, head.sequence, change, current.trial
+            self.environment, head.sequence, self.in_force(), change, current.trial
         )
         return _answer(request, answer)
 
