--- a/src/gentianhitch/decisions/targets/hints.py
+++ b/src/gentianhitch/decisions/targets/hints.py
@@ -20,6 +20,7 @@
     """What is known of one target; times are in seconds of the runtime's clock."""
 
     leaving_until: float = 0.0
+    said_cold_until: float = 0.0
     cold_until: float = 0.0
     cold_allowed: float = 0.0
     refused: bool = False
@@ -29,7 +30,8 @@
     """Tell which targets leave and which start cold.
 
     A cold target may be slow without being gray, but only for a bounded time, so
-    that a target that keeps saying "cold" is judged like any other.
+    that a target that keeps saying "cold" is judged like any other. It counts as
+    capacity only when it does not say so.
     """
 
     def __init__(self) -> None:
@@ -46,6 +48,7 @@
     def hear_cold(self, target: str, now: float) -> None:
         """Note that a target started, or said so."""
         hints = self._of(target)
+        hints.said_cold_until = now + COLD_S
         if now >= hints.cold_allowed:
             hints.cold_until = now + COLD_S
             hints.cold_allowed = now + COLD_AGAIN_S
@@ -64,14 +67,19 @@
         hints = self._hints_by_target.get(target)
         return hints is not None and now < hints.leaving_until
 
+    def says_cold(self, target: str, now: float) -> bool:
+        """Tell whether a target has no full capacity, by its own word."""
+        hints = self._hints_by_target.get(target)
+        return hints is not None and now < hints.said_cold_until
+
     def is_cold(self, target: str, now: float) -> bool:
-        """Tell whether a target starts cold."""
+        """Tell whether a target may be slow without being gray."""
         hints = self._hints_by_target.get(target)
         return hints is not None and now < hints.cold_until
 
     def is_away(self, target: str, now: float) -> bool:
         """Tell whether a target leaves or starts cold."""
-        return self.is_leaving(target, now) or self.is_cold(target, now)
+        return self.is_leaving(target, now) or self.says_cold(target, now)
 
     def keep_only(self, targets: Container[str]) -> None:
         """Forget every target that is not in ``targets``."""
--- a/src/gentianhitch/decisions/targets/service_view.py
+++ b/src/gentianhitch/decisions/targets/service_view.py
@@ -123,7 +123,7 @@
             tuple(self.evidence.seen(now)[:MAX_NAMES]),
             tuple(score_of(scope, score) for scope, score in scores),
             tuple(t for t in targets if self._hints.is_leaving(t, now))[:MAX_NAMES],
-            tuple(t for t in targets if self._hints.is_cold(t, now))[:MAX_NAMES],
+            tuple(t for t in targets if self._hints.says_cold(t, now))[:MAX_NAMES],
         )
 
     def is_urgent(self, targets: Collection[str], now: float) -> bool:
--- a/src/gentianhitch/soak/ejection.py
+++ b/src/gentianhitch/soak/ejection.py
@@ -68,7 +68,7 @@
     """Do one random thing to the fleet or its targets."""
     target = random.choice(model.targets)
     first, second = random.sample(model.names, 2)
-    event = random.choices(range(9), (6, 6, 2, 2, 2, 3, 5, 1, 1))[0]
+    event = random.choices(range(9), (6, 10, 1, 1, 2, 3, 5, 1, 1))[0]
     match event:
         case 0:
             model.make_gray(target)
--- a/tests/targets/test_probing.py
+++ b/tests/targets/test_probing.py
@@ -55,6 +55,7 @@
         for second in range(30):
             self.hints.hear_cold("t0", float(second))
         assert not self.hints.is_cold("t0", COLD_S + 1)
+        assert self.hints.says_cold("t0", COLD_S + 1)
 
 
 class TestReadHealth:
