--- a/src/gentianhitch/benchmarks/command.py
+++ b/src/gentianhitch/benchmarks/command.py
@@ -12,6 +12,8 @@
 from gentianhitch.errors import UsageError
 
 MODULES_BY_NAME: dict[str, str] = {
+    "added-time": "added_time",
+    "control": "control",
     "path": "path",
     "platform": "platform_calls",
     "spread": "spread",
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -43,9 +44,11 @@
 from gentianhitch.lifecycle import LifecycleActions
 from gentianhitch.lifecycle import create_lifecycle
 from gentianhitch.metrics import Metrics
+from gentianhitch.operators.answers import InstanceReport
 from gentianhitch.operators.document_codec import decode_document
 from gentianhitch.operators.resource import OperatorsResource
 from gentianhitch.platform.client import HttpPlatform
+from gentianhitch.platform.interface import Platform
 from gentianhitch.settings import Settings
 from gentianhitch.settings import load_settings
 
@@ -73,8 +76,13 @@
 class EntryInstance:
     """Own every part of one instance and the order in which they start and stop."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(
+        self, reactor: Any, settings: Settings, platform: Platform | None = None
+    ) -> None:
         self._reactor = reactor
+        self.platform: Platform = platform or HttpPlatform(
+            reactor, settings.platform, settings.instance
+        )
         self._settings = settings
         self.clock = MonotonicClock(reactor)
         self.metrics = Metrics(settings.statsd)
@@ -102,9 +110,6 @@
         self.member = Member(
             self._id, settings.failure_domain, callers, self.transport.address
         )
-        self.platform = HttpPlatform(
-            self._reactor, settings.platform, settings.instance
-        )
         self.fleet = Fleet(
             self.member,
             settings.environment,
@@ -184,6 +189,8 @@
             self.platform,
             self._settings.environment,
             self._settings.operator_key_hashes,
+            lambda: self.fleet.freshness.in_force,
+            self._report,
         )
 
         @app.route(DIRECTORY_PATH)  # type: ignore[untyped-decorator]
@@ -196,6 +203,26 @@
 
         return app.resource()
 
+    def _report(self) -> InstanceReport:
+        now = self.clock.seconds()
+        state = self._newest_state()
+        counts = Counter(self.metrics.counts_by_name)
+        counts.update(self.transport.counts_by_name)
+        counts.update(self.fleet.counts_by_name)
+        counts.update(self.detector.counts)
+        counts.update(self.limiter.counters.by_name())
+        return InstanceReport(
+            instance=self._id.name,
+            incarnation=self._id.incarnation,
+            state=self.state,
+            fresh=self.fleet.is_fresh(now),
+            sequence=state.sequence if state else 0,
+            members=tuple(sorted(self.fleet.members)),
+            live=tuple(m.id.name for m in self.fleet.live_members(now)),
+            counts_by_name=dict(sorted(counts.items())),
+            histograms=tuple(self.metrics.summaries()),
+        )
+
     def _newest_state(self) -> AgreedState | None:
         states = self.fleet.active(self.clock.seconds())
         return states[-1] if states else None
@@ -252,14 +279,20 @@
         await self.path.when_idle()
 
     def _exit(self) -> None:
+        self.close()
+        self._reactor.callLater(0, self._reactor.stop)
+
+    def close(self) -> None:
+        """Close every listener and connection and stop every timer."""
         for loop in self._loops:
             loop.stop()
+        self._loops.clear()
         if hasattr(self, "path"):
             self.path.close()
             self.limits.stop()
             self.fleet.stop()
             self.transport.close()
-        self._reactor.callLater(0, self._reactor.stop)
+            self._port.stopListening()
 
 
 class _LateFactory:
--- a/src/gentianhitch/operators/answers.py
+++ b/src/gentianhitch/operators/answers.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gentianhitch.metrics import HistogramSummary
 from gentianhitch.operators.checking import Fault
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.documents import Change
@@ -64,10 +65,15 @@
 
 @attrs.frozen
 class StatusAnswer:
-    """What an environment has agreed on."""
+    """What an environment has agreed on.
+
+    ``in_force`` is the newest sequence that the answering instance knows to be in
+    force everywhere.
+    """
 
     environment: str
     sequence: int
+    in_force: int
     document: Change | None
     trial: Trial | None
 
@@ -79,3 +85,22 @@
     message: str
     exit_code: int
     faults: tuple[Fault, ...] = ()
+
+
+@attrs.frozen
+class InstanceReport:
+    """What one entry instance knows and has counted since it started.
+
+    ``sequence`` is the newest known one; ``members`` are in the agreed list and
+    ``live`` those that the directory may name.
+    """
+
+    instance: str
+    incarnation: int
+    state: str
+    fresh: bool
+    sequence: int
+    members: tuple[str, ...]
+    live: tuple[str, ...]
+    counts_by_name: dict[str, int]
+    histograms: tuple[HistogramSummary, ...]
--- a/src/gentianhitch/operators/resource.py
+++ b/src/gentianhitch/operators/resource.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+from collections.abc import Callable
 from typing import Any
 from typing import TypeVar
 
@@ -40,6 +41,10 @@
 INTERNAL_STATUS = 500
 
 
+def _nothing_in_force() -> int:
+    return 0
+
+
 @attrs.define(eq=False)
 class OperatorsResource:
     """Answer operators' calls; ``app.resource()`` is mounted below the prefix."""
@@ -47,6 +52,8 @@
     platform: Platform
     environment: str
     operator_key_hashes: tuple[str, ...]
+    in_force: Callable[[], int] = _nothing_in_force
+    report: Callable[[], answers.InstanceReport] | None = None
 
     app = Klein()
 
@@ -66,10 +73,17 @@
             documents.current_change(head, head.document) if head.document else None
         )
         answer = answers.StatusAnswer(
-            self.environment, head.sequence, change, current.trial
+            self.environment, head.sequence, self.in_force(), change, current.trial
         )
         return _answer(request, answer)
 
+    @app.route("/instance", methods=["GET"])
+    def instance(self, request: Request) -> bytes:
+        """Report what this instance knows and has counted."""
+        self._authorise(request)
+        assert self.report is not None, "an entry instance gives its report"
+        return _answer(request, self.report())
+
     @app.route("/document", methods=["GET"])
     async def document(self, request: Request) -> bytes:
         """Return the document in production."""
