--- /dev/null
+++ b/tests/targets/test_driver.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+from random import Random
+
+from twisted.internet.task import Clock
+
+from gentianhitch.decisions.interfaces import Outcome
+from gentianhitch.decisions.targets.driver import TargetsDriver
+from gentianhitch.instances.identity import InstanceId
+from gentianhitch.operators.document import BackendServer
+from gentianhitch.soak.network import Network
+from tests.builders_targets import READ
+from tests.builders_targets import agreement
+from tests.builders_targets import attempt
+from tests.builders_targets import member
+
+INSTANCES = 5
+GRAY = "t1"
+STEP_S = 0.05
+
+
+class TestTargetsDriver:
+    def setup_method(self) -> None:
+        self.clock = Clock()
+        self.network = Network(self.clock, Random(1))
+        agreed = agreement(INSTANCES)
+        self.drivers = [
+            TargetsDriver(
+                agreed,
+                InstanceId(f"i{index}", 1),
+                "d1",
+                self.network.attach(InstanceId(f"i{index}", 1), member(index).peers),
+                self.clock,
+                Random(index),
+            )
+            for index in range(INSTANCES)
+        ]
+        for driver in self.drivers:
+            driver.start()
+
+    def serve(self, seconds: float, *, failing: str = "") -> set[str]:
+        """Send one request from each instance every step; return what was chosen."""
+        chosen: set[str] = set()
+        for _ in range(round(seconds / STEP_S)):
+            for driver in self.drivers:
+                got: list[BackendServer] = []
+                deadline = self.clock.seconds() + 1.0
+                driver.slots.acquire("stock", READ, "w", deadline).addCallback(
+                    got.append
+                )
+                name = got[0].name
+                chosen.add(name)
+                outcome = Outcome.ERROR if name == failing else Outcome.OK
+                driver.pool.record(attempt(name, outcome), self.clock.seconds())
+            self.clock.advance(STEP_S)
+        return chosen
+
+    def test_failing_target_is_ejected_by_all_and_then_gets_nothing(self) -> None:
+        self.serve(9.0)
+        self.serve(2.0, failing=GRAY)
+        views = [driver.detector.view("stock") for driver in self.drivers]
+        now = self.clock.seconds()
+        assert all(GRAY in {s.target for s in view.ejected(now)} for view in views)
+        assert GRAY not in self.serve(2.0, failing=GRAY)
+        assert sum(d.detector.counts["ejection.ejected"] for d in self.drivers) == 1
+
+    def test_recovered_target_gets_its_full_load_again(self) -> None:
+        self.serve(9.0)
+        self.serve(2.0, failing=GRAY)
+        self.serve(20.0)
+        assert GRAY in self.serve(1.0)
+        now = self.clock.seconds()
+        weights = [
+            d.detector.view("stock").ejections.weights(now) for d in self.drivers
+        ]
+        assert weights == [{}] * INSTANCES
+
+    def test_stopped_driver_sends_only_answers_to_what_was_under_way(self) -> None:
+        self.serve(1.0)
+        for driver in self.drivers:
+            driver.stop()
+        self.clock.pump([STEP_S] * 2)
+        before = self.network.traffic.messages
+        self.clock.pump([STEP_S] * 100)
+        assert self.network.traffic.messages == before
