Wait for slots in one queue that refuses early

Cause: two fair queues stood side by side, and the one that the request path used kept a request until its deadline although it could not be served. The path now awaits SlotSource; the queue of the targets refuses at once what would come too late, as not-run. Its own queue and tests are gone; each of their checks stands in tests/targets/test_queueing.py against the queue that stays. The entry instance drives the targets through TargetsDriver and probes as stewards.

--- a/src/gentianhitch/benchmarks/command.py
+++ b/src/gentianhitch/benchmarks/command.py
@@ -13,6 +13,9 @@
 
 MODULES_BY_NAME: dict[str, str] = {
     "added-time": "added_time",
+    "detection": "detection",
+    "false-ejections": "false_ejections",
+    "limits": "limits",
     "control": "control",
     "path": "path",
     "platform": "platform_calls",
--- a/src/gentianhitch/benchmarks/request_paths.py
+++ b/src/gentianhitch/benchmarks/request_paths.py
@@ -58,6 +58,17 @@
         """Admit."""
         return succeed(Verdict.ADMITTED)
 
+    def acquire(
+        self,
+        service: str,
+        route: Route,
+        workspace: str | None,
+        deadline: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Deferred[BackendServer]:
+        """Return the only target at once."""
+        return succeed(self.target)
+
     def retry_after_s(self, workspace: str, now: float) -> float:
         """Return 0: nothing is refused."""
         return 0.0
@@ -93,7 +104,7 @@
 def build_chosen(reactor: Any, target: Address) -> Factory:
     """Build the request path of an entry instance."""
     decisions = build_decisions(target)
-    return RequestPath(reactor, decisions, decisions, decisions)
+    return RequestPath(reactor, decisions, decisions, decisions, decisions)
 
 
 def build_klein_and_treq(reactor: Any, target: Address) -> Any:
--- a/src/gentianhitch/callers/attempts.py
+++ b/src/gentianhitch/callers/attempts.py
@@ -5,6 +5,10 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from twisted.internet.defer import CancelledError
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
 from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.answers import AnswerHead
 from gentianhitch.backend_servers.answers import AnswerPiece
@@ -24,10 +28,10 @@
 from gentianhitch.callers.requests import RequestHead
 from gentianhitch.callers.reservation import Reservation
 from gentianhitch.callers.upload import Upload
+from gentianhitch.decisions.interfaces import NoSlotError
 from gentianhitch.decisions.interfaces import Outcome
 from gentianhitch.decisions.sending import Sending
 from gentianhitch.decisions.sending import Step
-from gentianhitch.decisions.waiting import Waiter
 from gentianhitch.operators.document import BackendServer
 
 if TYPE_CHECKING:
@@ -71,15 +75,14 @@
         self._mode = mode
         self._relays = relay_to is not None
         if relay_to is None:
-            self._slot = Reservation(context.selector, admitted, context.slot_released)
+            self._slot = Reservation(context.selector, admitted)
         else:
-            self._slot = Reservation(OneInstance(relay_to), admitted, _ignore_release)
-        self._service = admitted.matched.service.name
-        budget = context.budget(self._service)
+            self._slot = Reservation(OneInstance(relay_to), admitted)
+        budget = context.budget(admitted.matched.service.name)
         self.sending = Sending(admitted.matched.idempotent, budget)
         self._connecting: Connecting | None = None
         self._connection: TargetConnection | None = None
-        self._waiter: Waiter | None = None
+        self._waiting: Deferred[BackendServer] | None = None
         self._status = 0
         self._upload: Upload | None = None
 
@@ -90,13 +93,28 @@
 
     def begin(self) -> None:
         """Try the first target; wait in the queue if every slot is taken."""
-        if self._try_next():
+        if self._relays:
+            self._try_next()
             return
-        queue = self._context.queue(self._service)
-        self._waiter = queue.add(self._admitted.workspace, self._try_next)
-        if self._waiter is None:
+        waiting = self._context.slots.acquire(
+            self._admitted.matched.service.name,
+            self._admitted.matched.route,
+            self._admitted.workspace,
+            self._admitted.deadline,
+        )
+        self._waiting = waiting
+        waiting.addCallbacks(self._slot_reserved, self._slot_refused)
+
+    def _slot_reserved(self, target: BackendServer) -> None:
+        self._waiting = None
+        self._connect(target)
+
+    def _slot_refused(self, failure: Failure) -> None:
+        self._waiting = None
+        if failure.check(CancelledError) is None:
+            failure.trap(NoSlotError)
             step = self.sending.give_up()
-            self._owner.attempts_failed(step, Cause.NO_CAPACITY, "the queue is full")
+            self._owner.attempts_failed(step, Cause.NO_CAPACITY, str(failure.value))
 
     def body_progressed(self) -> None:
         """Send on what came of the body."""
@@ -115,7 +133,7 @@
         """Stop: the time is up."""
         waited = self._connection is not None
         cause = Cause.SILENT if waited else Cause.DEADLINE
-        if self._waiter is not None and not self._waiter.cancelled:
+        if self._waiting is not None:
             cause = Cause.NO_CAPACITY
         self._leave(Outcome.SILENT if waited else Outcome.NOT_SENT)
         self._follow(self.sending.give_up(), cause)
@@ -268,8 +286,9 @@
             self._connection = None
 
     def _leave(self, outcome: Outcome) -> None:
-        if self._waiter is not None:
-            self._context.queue(self._service).cancel(self._waiter)
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
             self._connecting = None
@@ -286,7 +305,3 @@
 
     def _record(self, outcome: Outcome) -> None:
         self._slot.release(outcome, self._context.seconds())
-
-
-def _ignore_release(service: str) -> None:
-    """Leave the queue of the service alone: a relay held none of its slots."""
--- a/src/gentianhitch/callers/request_path.py
+++ b/src/gentianhitch/callers/request_path.py
@@ -24,10 +24,10 @@
 from gentianhitch.decisions.idempotency import KeyMemory
 from gentianhitch.decisions.idempotency import LocalPins
 from gentianhitch.decisions.interfaces import Agreement
+from gentianhitch.decisions.interfaces import SlotSource
 from gentianhitch.decisions.interfaces import TargetSelector
 from gentianhitch.decisions.interfaces import TokenSource
 from gentianhitch.decisions.sending import RetryBudget
-from gentianhitch.decisions.waiting import FairQueue
 from gentianhitch.settings import LimitSettings
 
 CHECK_INTERVAL_S = 0.5
@@ -50,6 +50,7 @@
     agreement: Agreement
     tokens: TokenSource
     selector: TargetSelector
+    slots: SlotSource
     pool: ConnectionPool
     limits: LimitSettings
     site: Any
@@ -61,7 +62,6 @@
     connections: set[CallerConnection] = attrs.Factory(set)
     idle_waiters: list[Deferred[None]] = attrs.Factory(list)
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
-    _queues_by_service: dict[str, FairQueue] = attrs.Factory(dict)
 
     def seconds(self) -> float:
         """Return the runtime's clock."""
@@ -75,24 +75,6 @@
             budget = self._budgets_by_service[service] = RetryBudget()
         return budget
 
-    def queue(self, service: str) -> FairQueue:
-        """Return the queue of requests that wait for a slot of a service."""
-        queue = self._queues_by_service.get(service)
-        if queue is None:
-            queue = self._queues_by_service[service] = FairQueue()
-        return queue
-
-    def slot_released(self, service: str) -> None:
-        """Let a request that waits for a slot of a service try again."""
-        queue = self._queues_by_service.get(service)
-        if queue:
-            queue.slot_released()
-
-    def retry_waiting(self) -> None:
-        """Let waiting requests try again: targets may have come back."""
-        for queue in self._queues_by_service.values():
-            queue.slot_released()
-
     def finished(self, finished: Finished) -> None:
         """Count a request that has ended."""
         if finished.cause is not None:
@@ -133,6 +115,7 @@
         agreement: Agreement,
         tokens: TokenSource,
         selector: TargetSelector,
+        slots: SlotSource,
         limits: LimitSettings | None = None,
         *,
         internal: Any = None,
@@ -150,6 +133,7 @@
             agreement=agreement,
             tokens=tokens,
             selector=selector,
+            slots=slots,
             pool=self.pool,
             limits=limits,
             site=_build_site(reactor, internal),
@@ -193,5 +177,4 @@
         now = self._context.seconds()
         for connection in tuple(self._context.connections):
             connection.check(now)
-        self._context.retry_waiting()
         self.pool.close_idle(now)
--- a/src/gentianhitch/callers/reservation.py
+++ b/src/gentianhitch/callers/reservation.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import attrs
 
 from gentianhitch.callers.admission import Admitted
@@ -19,9 +17,6 @@
 
     _selector: TargetSelector
     _admitted: Admitted
-    _released: Callable[[str], None]
-    """Called with the service after a slot was released."""
-
     target: BackendServer | None = None
     _started_s: float = 0.0
     _head_received_s: float | None = None
@@ -60,4 +55,3 @@
         )
         self.target = None
         self._selector.record(attempt, now)
-        self._released(self._admitted.matched.service.name)
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -21,6 +21,8 @@
 
 from gentianhitch import logs
 from gentianhitch.addresses import Address
+from gentianhitch.backend_servers.probing import Prober
+from gentianhitch.backend_servers.probing import fetch_with
 from gentianhitch.callers.directory import MAX_AGE_S
 from gentianhitch.callers.directory import PATH as DIRECTORY_PATH
 from gentianhitch.callers.directory import Directory
@@ -31,12 +33,12 @@
 from gentianhitch.decisions.limits.driver import LimitsDriver
 from gentianhitch.decisions.limits.limiter import LocalLimiter
 from gentianhitch.decisions.pins import MemberPins
-from gentianhitch.decisions.targets.detector import TICK_S
-from gentianhitch.decisions.targets.detector import Detector
-from gentianhitch.decisions.targets.selector import TargetPool
+from gentianhitch.decisions.targets.driver import TargetsDriver
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.errors import UsageError
+from gentianhitch.http_client import make_client
+from gentianhitch.http_client import make_pool
 from gentianhitch.instances.fleet import Fleet
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
@@ -54,6 +56,8 @@
 
 OPERATORS_PATH = "/.gentianhitch/operators/"
 LEAVING_MARGIN_S = 1.0
+PROBE_CONNECT_S = 1.0
+PROBE_CONNECTIONS = 1
 PINS_INTERVAL_S = 1.0
 SUPERSEDED_CHECK_S = 1.0
 
@@ -151,16 +155,26 @@
         self.limits = LimitsDriver(
             self.limiter, self.transport, self.clock, self.clock.seconds
         )
-        self.detector = Detector(
-            self.fleet, self._id, self.transport, self._random, now
-        )
-        self.targets = TargetPool(
+        self.targets = TargetsDriver(
             self.fleet,
-            self._id.name,
+            self._id,
             self.member.failure_domain,
-            self.detector,
+            self.transport,
+            self.clock,
             self._random,
         )
+        self.prober = Prober(
+            fetch_with(
+                make_client(
+                    self._reactor,
+                    make_pool(self._reactor, PROBE_CONNECTIONS),
+                    PROBE_CONNECT_S,
+                )
+            ),
+            self.targets.detector.probed_targets,
+            self.targets.hints,
+            self.clock,
+        )
         self.pins = MemberPins(self._id, self.fleet)
 
     def _build_path(self) -> None:
@@ -168,7 +182,8 @@
             self._reactor,
             self.fleet,
             self.limits,
-            self.targets,
+            self.targets.pool,
+            self.targets.slots,
             self._settings.limits,
             internal=self._internal_resource(),
             count=self.metrics.count,
@@ -209,7 +224,7 @@
         counts = Counter(self.metrics.counts_by_name)
         counts.update(self.transport.counts_by_name)
         counts.update(self.fleet.counts_by_name)
-        counts.update(self.detector.counts)
+        counts.update(self.targets.detector.counts)
         counts.update(self.limiter.counters.by_name())
         return InstanceReport(
             instance=self._id.name,
@@ -231,8 +246,8 @@
         self.fleet.on_change(self._note_change)
         self.fleet.start()
         self.limits.start()
-        self.detector.subscribe(self.clock)
-        self._every(TICK_S, self._tick_detector)
+        self.targets.start()
+        self.prober.start()
         self._every(PINS_INTERVAL_S, lambda: self.pins.observe(self.clock.seconds()))
         self._every(SUPERSEDED_CHECK_S, self._check_superseded)
 
@@ -242,9 +257,6 @@
         loop.start(interval_s, now=False).addErrback(_log_failure)
         self._loops.append(loop)
 
-    def _tick_detector(self) -> None:
-        self.detector.tick(self.targets.outstanding, self.clock.seconds())
-
     def _check_superseded(self) -> None:
         if self.fleet.is_superseded and self.state == "serving":
             logger.warning("a later incarnation of this instance runs; leaving")
@@ -289,6 +301,8 @@
         self._loops.clear()
         if hasattr(self, "path"):
             self.path.close()
+            self.prober.stop()
+            self.targets.stop()
             self.limits.stop()
             self.fleet.stop()
             self.transport.close()
--- a/tests/builders_path.py
+++ b/tests/builders_path.py
@@ -17,6 +17,7 @@
 from gentianhitch.callers.request_path import RequestPath
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.interfaces import Verdict
+from gentianhitch.decisions.targets.slots import QueuedSlots
 from gentianhitch.operators.document import BackendServer
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Route
@@ -107,6 +108,7 @@
     targets: tuple = attrs.Factory(build_targets)
     attempts: list = attrs.Factory(list)
     in_flight_by_name: dict = attrs.Factory(dict)
+    on_release: list = attrs.Factory(list)
 
     def choose(self, service, route, workspace, now, exclude=frozenset()):
         for target in self.targets:
@@ -123,6 +125,8 @@
     def record(self, attempt, now):
         self.in_flight_by_name[attempt.target] -= 1
         self.attempts.append(attempt)
+        for call in self.on_release:
+            call(attempt, now)
 
     @property
     def outcomes(self):
@@ -213,17 +217,18 @@
 class PathBench:
     """A request path with everything around it in memory."""
 
-    def __init__(self, **options):
+    def __init__(self, selector=None, **options):
         self.reactor = MemoryReactor()
         self.agreement = FakeAgreement()
         self.limiter = FakeLimiter()
-        self.selector = FakeSelector()
+        self.selector = FakeSelector() if selector is None else selector
         self.counts = []
         self.path = RequestPath(
             self.reactor,
             self.agreement,
             self.limiter,
             self.selector,
+            QueuedSlots(self.selector, self.reactor),
             count=self.counts.append,
             **options,
         )
--- a/tests/callers/test_pauses.py
+++ b/tests/callers/test_pauses.py
@@ -49,10 +49,7 @@
 
 class TestQueue:
     def build(self):
-        bench = PathBench()
-        bench.selector = FakeSelector(build_targets(count=1, slots=1))
-        bench.path._context.selector = bench.selector
-        return bench
+        return PathBench(FakeSelector(build_targets(count=1, slots=1)))
 
     def test_request_waits_for_a_slot(self):
         bench = self.build()
--- a/tests/callers/test_sockets.py
+++ b/tests/callers/test_sockets.py
@@ -20,6 +20,7 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.callers.request_path import RequestPath
+from gentianhitch.decisions.targets.slots import QueuedSlots
 from tests.builders_path import FakeAgreement
 from tests.builders_path import FakeLimiter
 from tests.builders_path import FakeSelector
@@ -44,11 +45,13 @@
     targets = tuple(
         attrs.evolve(each, address=address) for each in build_targets(slots=64)
     )
+    selector = FakeSelector(targets)
     path = RequestPath(
         reactor,
         FakeAgreement(),
         FakeLimiter(),
-        FakeSelector(targets),
+        selector,
+        QueuedSlots(selector, reactor),
         internal=internal,
         **options,
     )
--- a/tests/targets/test_queueing.py
+++ b/tests/targets/test_queueing.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from gentianhitch.decisions.interfaces import NoSlotError
+from gentianhitch.decisions.targets.queueing import MAX_QUEUED
 from gentianhitch.decisions.targets.queueing import MAX_QUEUED_BY_WORKSPACE
 from gentianhitch.decisions.targets.queueing import FairQueue
 from gentianhitch.decisions.targets.selector import TargetPool
@@ -55,6 +56,42 @@
             order.append(ticket.workspace)
         assert order.count("large") == 10
 
+    def test_workspaces_take_turns(self) -> None:
+        queue: FairQueue[str] = FairQueue()
+        for name in ("a1", "a2", "a3", "b1", "c1"):
+            queue.enter(name[0], FAR, 0.0, name)
+        tickets = [queue.next(lambda _: True) for _ in range(6)]
+        assert [t and t.item for t in tickets] == ["a1", "b1", "c1", "a2", "a3", None]
+        assert len(queue) == 0
+
+    def test_request_that_finds_no_slot_stays_first(self) -> None:
+        queue: FairQueue[str] = FairQueue()
+        queue.enter("a", FAR, 0.0, "a1")
+        queue.enter("a", FAR, 0.0, "a2")
+        assert queue.next(lambda _: False) is None
+        tickets = [queue.next(lambda _: True) for _ in range(2)]
+        assert [t and t.item for t in tickets] == ["a1", "a2"]
+
+    def test_queue_is_bounded_for_each_workspace_and_in_all(self) -> None:
+        queue: FairQueue[int] = FairQueue()
+        for index in range(MAX_QUEUED_BY_WORKSPACE):
+            queue.enter("a", FAR, 0.0, index)
+        with pytest.raises(NoSlotError, match="full"):
+            queue.enter("a", FAR, 0.0, 0)
+        for index in range(MAX_QUEUED - MAX_QUEUED_BY_WORKSPACE):
+            queue.enter(str(index), FAR, 0.0, index)
+        with pytest.raises(NoSlotError, match="full"):
+            queue.enter("z", FAR, 0.0, 0)
+        assert len(queue) == MAX_QUEUED
+
+    def test_withdrawn_request_is_never_offered(self) -> None:
+        queue: FairQueue[int] = FairQueue()
+        ticket = queue.enter("a", FAR, 0.0, 1)
+        queue.leave(ticket)
+        queue.leave(ticket)
+        assert queue.next(lambda _: True) is None
+        assert len(queue) == 0
+
     def test_blocked_head_does_not_hold_up_other_workspaces(self) -> None:
         queue: FairQueue[int] = FairQueue()
         queue.enter("a", FAR, 0.0, 1)
