Wait in the demo test until the directory names every instance

It failed once in two runs on a busy machine: the third instance served, but its peers had not heard yet that it was fresh, which the directory now requires. The assertion stands, awaited; that every instance answers is asserted as before.

--- a/tests/end_to_end/test_demo.py
+++ b/tests/end_to_end/test_demo.py
@@ -14,6 +14,7 @@
 from standins.demo import ask
 from standins.demo import directory
 from standins.deployment import call
+from standins.deployment import wait_until
 
 ROOT = Path(__file__).parents[2]
 TIMEOUT_S = 90
@@ -38,8 +39,13 @@
 
 class TestHeldDemo:
     def test_read_answers_whole_from_every_instance(self, held):
-        addresses = directory(held["entries"][0], "stock")
-        assert sorted(addresses) == sorted(held["entries"])
+        def named() -> bool:
+            addresses = directory(held["entries"][0], "stock")
+            return sorted(addresses) == sorted(held["entries"])
+
+        # An instance is named once its peers have heard that it is fresh.
+        wait_until(named, "the directory to name every instance")
+        addresses = held["entries"]
         for address in addresses:
             reply = ask(address, held["routes"]["read"], key=held["key"])
             assert reply.status == 200
