Follow the soak model's new place in the limits tests

Cause: the fleet model moved to soak/fleet_model.py, where the limits tests replace the decoder of documents by name. Before: 3 errors. After: 3 pass.

--- a/tests/limits/test_with_freshness.py
+++ b/tests/limits/test_with_freshness.py
@@ -7,7 +7,7 @@
 from gentianhitch.decisions.limits.limiter import LocalLimiter
 from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Workspace
-from gentianhitch.soak import fleet as fleet_soak
+from gentianhitch.soak import fleet_model as fleet_soak
 from gentianhitch.soak.limits_ledger import FleetLedger
 
 RATE = 30.0
@@ -63,7 +63,7 @@
 
 @pytest.fixture
 def model(monkeypatch: pytest.MonkeyPatch) -> LimitedFleet:
-    monkeypatch.setattr(fleet_soak, "decode_document", decode_document)
+    monkeypatch.setattr(fleet_soak, "decode_named_document", decode_document)
     model = LimitedFleet(seed=5)
     model.promote()
     model.advance(10.0)
