Elect nobody for services without traffic, and report there seldom

Cause: stewards of idle services renewed votes twice a second and steered instances reported once a second. After an idle spell a first leader may grant about 5 s after traffic returns. Not done: no votes while a service has traffic and nothing suspected.

--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -40,6 +40,10 @@
 TICK_S = 0.25
 REPORT_S = 0.5
 IDLE_REPORT_S = 1.0
+UNUSED_REPORT_S = 2.0
+ACTIVE_S = 30.0
+"""Stewards of a service without traffic or hints for so long elect nobody."""
+
 USED_S = 10.0
 PROBING_STEWARDS = 3
 """Stewards of a service that probe its targets; hints need two that agree."""
@@ -71,6 +75,7 @@
         self._views_by_service: dict[str, ServiceView] = {}
         self._stewards_by_service: dict[str, Steward] = {}
         self._reported_by_service: dict[str, float] = {}
+        self._active_by_service: dict[str, float] = {}
 
     def subscribe(self, clock: Clock) -> None:
         """Receive the other instances' messages from now on."""
@@ -121,7 +126,7 @@
                 view.refresh(now)
             self._report_if_due(service, setting, now)
         for service, steward in self._stewards_by_service.items():
-            if service in self._settings_by_service:
+            if service in self._settings_by_service and self._is_active(service, now):
                 steward.tick(self._settings_by_service[service], now)
 
     def receive(self, sender: InstanceId, body: object, now: float) -> None:
@@ -177,16 +182,20 @@
         else:
             self._transport.send(member.peers, body)
 
+    def _is_active(self, service: str, now: float) -> bool:
+        active = self._active_by_service.get(service)
+        return active is not None and now - active <= ACTIVE_S
+
     def _report_if_due(self, service: str, setting: Setting, now: float) -> None:
         view = self._views_by_service.get(service)
         used = view is not None and now - view.used <= USED_S
-        probing = self._me in setting.preferred[:PROBING_STEWARDS]
-        if not used and not probing and self._me.name not in setting.near:
+        urgent = any(self.hints.is_away(t, now) for t in setting.slots_by_target)
+        if not used and not urgent and self._me.name not in setting.near:
             return
         view = self.view(service)
-        interval = (
-            REPORT_S if view.is_urgent(setting.slots_by_target, now) else IDLE_REPORT_S
-        )
+        interval = IDLE_REPORT_S if used else UNUSED_REPORT_S
+        if view.is_urgent(setting.slots_by_target, now):
+            interval = REPORT_S
         if now - self._reported_by_service.get(service, -interval) < interval:
             return
         self._reported_by_service[service] = now
@@ -203,6 +212,8 @@
     def _on_report(self, body: EvidenceReport, sender: InstanceId) -> None:
         steward, setting, member = self._steward_for(body.service, sender)
         if steward and setting and member:
+            if body.seen or body.scores or body.leaving or body.cold:
+                self._active_by_service[body.service] = self._now
             steward.on_report(member, body, setting, self._now)
 
     @_handle.register
