Steer callers to the instances that hold the targets' slots

Cause: the directory and the dealing of slots ranked instances by different keys and counts (service/X, slots/8 and at least 3; steered/X, slots/12 and at least 5), so callers came to instances with few slots of their own, which shed and queue more. One function now serves both, with the counts that were measured for the slots. Four rendezvous rankings became one module; the pins keep their own, which counts incarnations.

127 tests of targets, directory and limits pass. A run of the whole path with the old and the new steering side by side was not made.

--- a/src/gentianhitch/benchmarks/simulated_fleet.py
+++ b/src/gentianhitch/benchmarks/simulated_fleet.py
@@ -22,10 +22,9 @@
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.interfaces import Attempt
 from gentianhitch.decisions.interfaces import Outcome
-from gentianhitch.decisions.targets.catalog import slots_of
+from gentianhitch.decisions.steering import steered
 from gentianhitch.decisions.targets.detector import TICK_S
 from gentianhitch.decisions.targets.detector import Detector
-from gentianhitch.decisions.targets.placement import steered
 from gentianhitch.decisions.targets.selector import TargetPool
 from gentianhitch.decisions.targets.slots import QueuedSlots
 from gentianhitch.decisions.targets.standing import Judge
@@ -111,7 +110,7 @@
         }
         everyone = list(self._state.members_by_name.values())
         self.instances = [self._instance(member, make_judge) for member in everyone]
-        near = steered(service, everyone, slots_of(declared, service))
+        near = steered(declared, service, everyone)
         self.steered = [i for i in self.instances if i.member in near]
         slots = sum(t.declared.slots for t in self.targets_by_name.values())
         self.rate = load * slots / MEAN_SERVICE_S
--- a/src/gentianhitch/decisions/limits/gathering.py
+++ b/src/gentianhitch/decisions/limits/gathering.py
@@ -13,9 +13,9 @@
 from gentianhitch.decisions.limits.constants import MAX_WAIT_S
 from gentianhitch.decisions.limits.constants import MIN_PASSES
 from gentianhitch.decisions.limits.constants import PASS_PAUSE_S
-from gentianhitch.decisions.limits.hashing import hash_name
 from gentianhitch.decisions.limits.holdings import Holdings
 from gentianhitch.decisions.limits.loans import Ask
+from gentianhitch.decisions.rendezvous import hash_name
 from gentianhitch.instances.identity import InstanceId
 
 AHEAD_S = 0.05
--- a/src/gentianhitch/decisions/limits/shares.py
+++ b/src/gentianhitch/decisions/limits/shares.py
@@ -12,8 +12,8 @@
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.limits.constants import HOLDERS
 from gentianhitch.decisions.limits.constants import MIN_HOLDER_BURST
-from gentianhitch.decisions.limits.hashing import hash_name
-from gentianhitch.decisions.limits.hashing import ranked
+from gentianhitch.decisions.rendezvous import hash_name
+from gentianhitch.decisions.rendezvous import ranked
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.identity import Member
 from gentianhitch.operators.document import Document
--- a/src/gentianhitch/decisions/limits/succession.py
+++ b/src/gentianhitch/decisions/limits/succession.py
@@ -6,13 +6,13 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.decisions.limits.constants import HEIR_QUERY_S
-from gentianhitch.decisions.limits.hashing import ranked
 from gentianhitch.decisions.limits.holdings import Holdings
 from gentianhitch.decisions.limits.messages import HeirOffer
 from gentianhitch.decisions.limits.messages import HeirQuery
 from gentianhitch.decisions.limits.peers import Peer
 from gentianhitch.decisions.limits.peers import PeerBook
 from gentianhitch.decisions.limits.transfers import Transfers
+from gentianhitch.decisions.rendezvous import ranked
 from gentianhitch.instances.identity import InstanceId
 from gentianhitch.instances.transport import Transport
 
--- a/src/gentianhitch/decisions/rendezvous.py
+++ b/src/gentianhitch/decisions/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing over instances, spread over failure domains."""
+"""Rank names and entry instances for a key by rendezvous hash."""
 
 from __future__ import annotations
 
@@ -10,21 +10,30 @@
 from gentianhitch.instances.identity import Member
 
 
+def hash_name(name: str) -> int:
+    """Return 64 bits that depend on the name alone."""
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names in the order of their scores for ``key``."""
+    seed = hash_name(key)
+    return sorted(
+        names, key=lambda name: (xxhash.xxh3_64_intdigest(name.encode(), seed), name)
+    )
+
+
 def ordered(key: str, members: Iterable[Member]) -> list[Member]:
-    """Return the members in the rendezvous order of ``key``."""
-    return sorted(members, key=lambda member: _weight(key, member), reverse=True)
+    """Return the members in the order of their scores for ``key``."""
+    members_by_name = {member.id.name: member for member in members}
+    return [members_by_name[name] for name in ranked(key, members_by_name)]
 
 
 def spread(members: Iterable[Member]) -> list[Member]:
     """Take members in turn from each failure domain, keeping the order in each."""
     turns_by_domain: defaultdict[str, int] = defaultdict(int)
-    ranked = []
+    placed = []
     for position, member in enumerate(members):
-        ranked.append((turns_by_domain[member.failure_domain], position, member))
+        placed.append((turns_by_domain[member.failure_domain], position, member))
         turns_by_domain[member.failure_domain] += 1
-    return [member for _, _, member in sorted(ranked, key=lambda row: row[:2])]
-
-
-def _weight(key: str, member: Member) -> tuple[int, str]:
-    text = f"{key}\0{member.id.name}".encode()
-    return (xxhash.xxh3_64_intdigest(text), member.id.name)
+    return [member for _, _, member in sorted(placed, key=lambda row: row[:2])]
--- a/src/gentianhitch/decisions/steering.py
+++ b/src/gentianhitch/decisions/steering.py
@@ -1,8 +1,10 @@
-"""Choose the instances that the directory names for a service."""
+"""Choose the instances that the directory names for a service.
+
+The slots and connections of targets are dealt to the same instances.
+"""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 
 from gentianhitch.decisions.rendezvous import ordered
@@ -20,10 +22,13 @@
 The rest is for callers with an old answer, who use other instances.
 """
 
-SLOTS_PER_INSTANCE = 8
-"""Slots of a service that one instance is meant to keep busy."""
+SLOTS_PER_INSTANCE = 12
+"""Slots of a service for each instance: fewer instances share, fewer sheds."""
 
-MIN_INSTANCES = 3
+MIN_INSTANCES = 5
+"""Instances that keep a service served when two of them fail."""
+
+MAX_INSTANCES = 16
 
 
 def instances_for(targets: Iterable[BackendServer]) -> int:
@@ -37,10 +42,24 @@
     slots = sum(target.slots for target in targets)
     connections = min(target.connections for target in targets)
     fitting = int(connections * CONNECTIONS_USED / CONNECTIONS_PER_TARGET)
-    wanted = max(MIN_INSTANCES, math.ceil(slots / SLOTS_PER_INSTANCE))
+    wanted = min(max(slots // SLOTS_PER_INSTANCE, MIN_INSTANCES), MAX_INSTANCES)
     return max(1, min(wanted, fitting))
 
 
+def targets_of(document: Document, service: str) -> list[BackendServer]:
+    """Return the targets of a service."""
+    return [each for each in document.backend_servers if each.service == service]
+
+
+def steered(
+    document: Document, service: str, members: Iterable[Member]
+) -> tuple[Member, ...]:
+    """Return the instances to which callers of a service are steered."""
+    staying = (member for member in members if not member.leaving)
+    count = instances_for(targets_of(document, service))
+    return tuple(spread(ordered(f"service/{service}", staying))[:count])
+
+
 def choose_instances(
     document: Document,
     service: str,
@@ -48,7 +67,5 @@
     near: str | None = None,
 ) -> list[Member]:
     """Return the instances to use, those in failure domain ``near`` first."""
-    targets = [each for each in document.backend_servers if each.service == service]
-    order = spread(ordered(f"service/{service}", live))
-    chosen = order[: instances_for(targets)]
+    chosen = steered(document, service, live)
     return sorted(chosen, key=lambda member: member.failure_domain != near)
--- a/src/gentianhitch/decisions/targets/catalog.py
+++ b/src/gentianhitch/decisions/targets/catalog.py
@@ -5,11 +5,10 @@
 import attrs
 
 from gentianhitch.decisions.interfaces import AgreedState
-from gentianhitch.decisions.targets.placement import steered
+from gentianhitch.decisions.steering import steered
 from gentianhitch.decisions.targets.sharing import Part
 from gentianhitch.decisions.targets.sharing import part_of
 from gentianhitch.operators.document import BackendServer
-from gentianhitch.operators.document import Document
 from gentianhitch.operators.document import Service
 
 NO_PART = Part(0, 0)
@@ -84,11 +83,6 @@
         )
 
 
-def slots_of(document: Document, service: str) -> int:
-    """Return the slots of all targets of ``service``."""
-    return sum(t.slots for t in document.backend_servers if t.service == service)
-
-
 def _part_in(state: AgreedState, target: BackendServer, name: str) -> Part:
     document = state.document
     if document is None:
@@ -97,5 +91,5 @@
         (t for t in document.backend_servers if t.address == target.address), target
     )
     members = tuple(state.members_by_name.values())
-    near = steered(target.service, members, slots_of(document, target.service))
+    near = steered(document, target.service, members)
     return part_of(agreed, name, members, near)
--- a/src/gentianhitch/decisions/targets/detector.py
+++ b/src/gentianhitch/decisions/targets/detector.py
@@ -12,7 +12,7 @@
 from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.interfaces import Agreement
 from gentianhitch.decisions.interfaces import Attempt
-from gentianhitch.decisions.targets.catalog import slots_of
+from gentianhitch.decisions.steering import steered
 from gentianhitch.decisions.targets.hints import TargetHints
 from gentianhitch.decisions.targets.messages import EjectionGrants
 from gentianhitch.decisions.targets.messages import EvidenceReport
@@ -20,7 +20,6 @@
 from gentianhitch.decisions.targets.messages import VoteRequest
 from gentianhitch.decisions.targets.outstanding import Outstanding
 from gentianhitch.decisions.targets.outstanding import Running
-from gentianhitch.decisions.targets.placement import steered
 from gentianhitch.decisions.targets.service_view import ServiceView
 from gentianhitch.decisions.targets.setting import Setting
 from gentianhitch.decisions.targets.setting import setting_of
@@ -155,7 +154,7 @@
 
     def _derive(self, service: str, document: Document) -> Setting:
         members = self._states[-1].members_by_name.values()
-        near = steered(service, members, slots_of(document, service))
+        near = steered(document, service, members)
         return setting_of(service, self._states, near)
 
     def _forget(self, document: Document) -> None:
