Split the entry module and share the codec hooks

entry.py held the instance, its command and a factory; each has its module now. JSON and MessagePack used two copies of the same hooks.

--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -8,7 +8,7 @@
 import defopt
 
 from gentianhitch.benchmarks.command import bench
-from gentianhitch.entry import entry
+from gentianhitch.entry_command import entry
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.load.command import load
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -3,29 +3,26 @@
 from __future__ import annotations
 
 import os
-import signal
 import time
 from collections import Counter
 from collections.abc import Callable
-from pathlib import Path
 from random import Random
 from typing import Any
 
 import attrs
-import msgspec
 from klein import Klein
 from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
-from gentianhitch import logs
 from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.probing import Prober
 from gentianhitch.backend_servers.probing import fetch_with
 from gentianhitch.callers.directory import MAX_AGE_S
 from gentianhitch.callers.directory import PATH as DIRECTORY_PATH
 from gentianhitch.callers.directory import Directory
+from gentianhitch.callers.late_factory import LateFactory
 from gentianhitch.callers.observing import Finished
 from gentianhitch.callers.request_path import RequestPath
 from gentianhitch.clock import MonotonicClock
@@ -35,7 +32,6 @@
 from gentianhitch.decisions.pins import MemberPins
 from gentianhitch.decisions.targets.driver import TargetsDriver
 from gentianhitch.errors import ExitCode
-from gentianhitch.errors import GentianhitchError
 from gentianhitch.errors import UsageError
 from gentianhitch.http_client import make_client
 from gentianhitch.http_client import make_pool
@@ -52,7 +48,6 @@
 from gentianhitch.platform.client import HttpPlatform
 from gentianhitch.platform.interface import Platform
 from gentianhitch.settings import Settings
-from gentianhitch.settings import load_settings
 
 OPERATORS_PATH = "/.gentianhitch/operators/"
 LEAVING_MARGIN_S = 1.0
@@ -138,7 +133,7 @@
 
     def _listen(self) -> Address:
         wanted = self._settings.callers
-        self._front = _LateFactory()
+        self._front = LateFactory()
         try:
             self._port = self._reactor.listenTCP(
                 wanted.port, self._front, interface=wanted.host, backlog=1024
@@ -266,7 +261,7 @@
         self.pins.observe(self.clock.seconds())
 
     def _record_finished(self, finished: Finished) -> None:
-        measure = "refused" if finished.cause else "total"
+        measure = f"refused {finished.cause}" if finished.cause else "total"
         self.metrics.time(measure, finished.workspace, finished.duration_s)
 
     def _note_state(self, state: str) -> None:
@@ -309,69 +304,5 @@
             self._port.stopListening()
 
 
-class _LateFactory:
-    """Give the port a factory once the request path is built.
-
-    The address that the kernel gives must be known before the parts that name it
-    are built; connections can't be accepted before the reactor runs.
-    """
-
-    def __init__(self) -> None:
-        self._factory: Any = None
-
-    def serve_with(self, factory: Any) -> None:
-        """Serve every connection with ``factory`` from now on."""
-        self._factory = factory
-        factory.doStart()
-
-    def doStart(self) -> None:  # noqa: N802
-        """Do nothing: the real factory starts later."""
-
-    def doStop(self) -> None:  # noqa: N802
-        """Stop the real factory."""
-        self._factory.doStop()
-
-    def buildProtocol(self, address: Any) -> Any:  # noqa: N802
-        """Serve a new connection."""
-        return self._factory.buildProtocol(address)
-
-
 def _log_failure(failure: Any) -> None:
     logger.error("{}: {}", failure.type.__name__, failure.getErrorMessage())
-
-
-def entry(*, settings: Path) -> int:
-    """Serve as one entry instance until SIGTERM or SIGINT.
-
-    :param settings: the settings file, JSON with comments
-    """
-    from twisted.internet import reactor
-
-    checked = load_settings(settings)
-    logs.configure(checked.logs, checked.instance)
-    instance = EntryInstance(reactor, checked)
-    failures: list[GentianhitchError] = []
-
-    def begin() -> None:
-        try:
-            ready = instance.start()
-        except GentianhitchError as error:
-            failures.append(error)
-            reactor.stop()  # type: ignore[attr-defined]
-            return
-        print(msgspec.json.encode(ready, enc_hook=str).decode(), flush=True)
-
-    def stop() -> None:
-        reactor.callFromThread(instance.lifecycle.stop_requested)  # type: ignore[attr-defined]
-
-    _handle_signals(stop)
-    reactor.callWhenRunning(begin)  # type: ignore[attr-defined]
-    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined,call-arg]
-    if failures:
-        raise failures[0]
-    return instance.exit_code
-
-
-def _handle_signals(stop: Callable[[], None]) -> None:
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop())
--- a/src/gentianhitch/instances/codec.py
+++ b/src/gentianhitch/instances/codec.py
@@ -8,7 +8,7 @@
 import attrs
 import msgspec
 
-from gentianhitch.addresses import Address
+from gentianhitch import json_codec
 from gentianhitch.errors import GentianhitchError
 
 T = TypeVar("T")
@@ -30,7 +30,7 @@
 
 def encode(body: object) -> bytes:
     """Encode a message as its name, a zero byte and MessagePack."""
-    payload = msgspec.msgpack.encode(body, enc_hook=_encode_hook)
+    payload = msgspec.msgpack.encode(body, enc_hook=json_codec.encode_hook)
     return type(body).__name__.encode() + b"\0" + payload
 
 
@@ -41,18 +41,8 @@
     if kind is None:
         raise MalformedMessageError(f"unknown message {name[:40]!r}")
     try:
-        return msgspec.msgpack.decode(payload, type=kind, dec_hook=_decode_hook)
+        return msgspec.msgpack.decode(
+            payload, type=kind, dec_hook=json_codec.decode_hook
+        )
     except (msgspec.MsgspecError, ValueError) as error:
         raise MalformedMessageError(f"malformed {kind.__name__}: {error}") from error
-
-
-def _encode_hook(value: object) -> object:
-    if isinstance(value, Address):
-        return str(value)
-    raise NotImplementedError(type(value))
-
-
-def _decode_hook(kind: type, value: object) -> object:
-    if kind is Address:
-        return Address.parse(value)
-    raise NotImplementedError(kind)
--- a/src/gentianhitch/json_codec.py
+++ b/src/gentianhitch/json_codec.py
@@ -17,26 +17,28 @@
 
 def encode(value: object) -> bytes:
     """Encode a value as JSON."""
-    return msgspec.json.encode(value, enc_hook=_encode_hook)
+    return msgspec.json.encode(value, enc_hook=encode_hook)
 
 
 def decode(data: bytes, kind: type[T]) -> T:
     """Decode JSON as ``kind``."""
-    return msgspec.json.decode(data, type=kind, dec_hook=_decode_hook)
+    return msgspec.json.decode(data, type=kind, dec_hook=decode_hook)
 
 
 def decoder(kind: Any) -> msgspec.json.Decoder[Any]:
     """Return a decoder for many values of one kind."""
-    return msgspec.json.Decoder(kind, dec_hook=_decode_hook)
+    return msgspec.json.Decoder(kind, dec_hook=decode_hook)
 
 
-def _encode_hook(value: object) -> object:
+def encode_hook(value: object) -> object:
+    """Encode what msgspec does not know."""
     if isinstance(value, Address):
         return str(value)
     raise NotImplementedError(type(value))
 
 
-def _decode_hook(kind: type, value: object) -> object:
+def decode_hook(kind: type, value: object) -> object:
+    """Decode what msgspec does not know; raise ValueError."""
     if kind is Address:
         return Address.parse(value)
     raise NotImplementedError(kind)
