Tell borrowers of a moved share in the order of the list

Cause of a flaky test (heir_passes_the_share_on with copies accepted: no OverspentError in 3 of 8 hash seeds): the addresses were a set of texts, whose order differs from run to run, and with it the order of messages in the seeded network. Ruled out: the order of test files (it fails alone with PYTHONHASHSEED 1, 5 and 7).

--- a/src/gentianhitch/decisions/limits/rounds.py
+++ b/src/gentianhitch/decisions/limits/rounds.py
@@ -44,8 +44,11 @@
             return
         if limiter.holdings.is_fresh(now):
             newest = limiter.holdings.log.active[-1]
-            addresses = {member.peers for member in newest.members_by_name.values()}
-            limiter.transfers.announce(addresses - {limiter.borrower.own_address})
+            own = limiter.borrower.own_address
+            members = newest.members_by_name.values()
+            # In the order of the list: that of a set differs from run to run.
+            others = dict.fromkeys(m.peers for m in members if m.peers != own)
+            limiter.transfers.announce(others)
             limiter.holdings.reopen(now)
 
     def _plan(self, now: float) -> dict[Address, list[LoanWanted]]:
