--- a/src/gentianhitch/cli.py
+++ b/src/gentianhitch/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from typing import Any
 
 import defopt
@@ -33,6 +34,10 @@
     except GentianhitchError as error:
         print(f"gentianhitch: {error}", file=sys.stderr)
         return int(error.exit_code)
+    except Exception:
+        traceback.print_exc()
+        print("gentianhitch: internal error; please report the above", file=sys.stderr)
+        return int(ExitCode.INTERNAL)
     return int(code or ExitCode.OK)
 
 
--- a/src/gentianhitch/soak/command.py
+++ b/src/gentianhitch/soak/command.py
@@ -11,7 +11,11 @@
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import UsageError
 
-MODULES_BY_MODEL: dict[str, str] = {"fleet": "fleet"}
+MODULES_BY_MODEL: dict[str, str] = {
+    "ejection": "ejection",
+    "fleet": "fleet",
+    "limits": "limits",
+}
 """Module under ``gentianhitch.soak`` whose ``run`` takes a seed and steps."""
 
 
