Count each message of peers once, and drop what nothing uses

Found in the read-through: the transport kept a counter and passed each count on to the metrics, and the report of an instance added both, so peers.sent, peers.received and peers.malformed showed double, while statsd never got the bytes. Ruled out: adding up in the report by hand, a special case on top of two counters; the transport now passes every count on with its amount and the report takes the metrics alone. A protocol and two constants that nothing used are gone.

Before: the new test is red (0 bytes at the metrics).

--- a/src/gentianhitch/benchmarks/detection.py
+++ b/src/gentianhitch/benchmarks/detection.py
@@ -44,7 +44,6 @@
     Fault("slow x3", factor=3.0),
     Fault("errors 20%", failing=0.2),
 )
-NARROW = ("one route", "one workspace")
 PARTIAL = "some instances only"
 
 
--- a/src/gentianhitch/decisions/interfaces.py
+++ b/src/gentianhitch/decisions/interfaces.py
@@ -56,18 +56,6 @@
     REFUSED = "refused"
 
 
-class Limiter(Protocol):
-    """Spend this instance's share of each workspace's rate and burst."""
-
-    def take(self, workspace: str, now: float) -> Verdict:
-        """Take one request's token; WAIT means try again until the wait ends."""
-        ...
-
-    def retry_after_s(self, workspace: str, now: float) -> float:
-        """Return the time after which a refused request may be repeated."""
-        ...
-
-
 class TokenSource(Protocol):
     """Wait for a token of a workspace, for a short time."""
 
--- a/src/gentianhitch/decisions/targets/leadership.py
+++ b/src/gentianhitch/decisions/targets/leadership.py
@@ -11,7 +11,6 @@
 from gentianhitch.instances.identity import InstanceId
 
 VOTE_S = 3.0
-ASK_S = 0.5
 FRUITLESS_S = 4.0
 """A candidate that asks this long without leading is passed over for a while."""
 
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -217,7 +217,6 @@
         now = self.clock.seconds()
         state = self._newest_state()
         counts = Counter(self.metrics.counts_by_name)
-        counts.update(self.transport.counts_by_name)
         counts.update(self.fleet.counts_by_name)
         counts.update(self.targets.detector.counts)
         counts.update(self.limiter.counters.by_name())
--- a/src/gentianhitch/instances/zeromq.py
+++ b/src/gentianhitch/instances/zeromq.py
@@ -67,7 +67,7 @@
         instance: InstanceId,
         environment: str,
         address: Address,
-        count: Callable[[str], None] | None = None,
+        count: Callable[[str, int], None] | None = None,
     ) -> None:
         self.counts_by_name: Counter[str] = Counter()
         self._count_outside = count
@@ -110,7 +110,7 @@
             self._count("peers.sends_dropped")
         else:
             self._count("peers.sent")
-            self.counts_by_name["peers.bytes_sent"] += _size(frames)
+            self._count("peers.bytes_sent", _size(frames))
 
     def subscribe(self, kind: type[T], handler: Handler[T]) -> None:
         """Call ``handler`` with the sender and each message of ``kind``."""
@@ -165,7 +165,7 @@
             self._count("peers.malformed")
             return
         self._count("peers.received")
-        self.counts_by_name["peers.bytes_received"] += _size(frames)
+        self._count("peers.bytes_received", _size(frames))
         for handler in self._handlers_by_kind[type(body)]:
             try:
                 handler(sender, body)
@@ -218,7 +218,7 @@
         socket.setsockopt(zmq.IPV6, int(":" in address.host))
         return socket
 
-    def _count(self, name: str) -> None:
-        self.counts_by_name[name] += 1
+    def _count(self, name: str, amount: int = 1) -> None:
+        self.counts_by_name[name] += amount
         if self._count_outside is not None:
-            self._count_outside(name)
+            self._count_outside(name, amount)
--- a/tests/unit/test_zeromq.py
+++ b/tests/unit/test_zeromq.py
@@ -16,6 +16,7 @@
 from gentianhitch.instances.zeromq import MAX_MESSAGE_BYTES
 from gentianhitch.instances.zeromq import TransportError
 from gentianhitch.instances.zeromq import ZeroMqTransport
+from gentianhitch.metrics import Metrics
 
 ANY_PORT = Address("127.0.0.1", 0)
 
@@ -30,7 +31,10 @@
 
     def __init__(self) -> None:
         self.reactor: Any = EPollReactor()
-        self.a = ZeroMqTransport(self.reactor, InstanceId("a", 1), "trial", ANY_PORT)
+        self.metrics = Metrics()
+        self.a = ZeroMqTransport(
+            self.reactor, InstanceId("a", 1), "trial", ANY_PORT, self.metrics.count
+        )
         self.b = ZeroMqTransport(self.reactor, InstanceId("b", 7), "trial", ANY_PORT)
         self.received: list[tuple[InstanceId, str]] = []
         self.a.subscribe(
@@ -59,6 +63,14 @@
         pair.run_until(lambda: len(pair.received) == 1)
         assert pair.received == [(InstanceId("b", 7), "hello")]
 
+    def test_every_count_goes_on_once_with_its_amount(self, pair: Pair) -> None:
+        # The report of an instance added both counters up and showed doubles.
+        pair.b.send(pair.a.address, Text("hello"))
+        pair.run_until(lambda: len(pair.received) == 1)
+        assert pair.metrics.counts_by_name["peers.received"] == 1
+        assert pair.metrics.counts_by_name["peers.bytes_received"] > 0
+        assert pair.metrics.counts_by_name == pair.a.counts_by_name
+
     def test_drains_a_burst_above_one_batch(self, pair: Pair) -> None:
         pair.b.send(pair.a.address, Text("first"))
         pair.run_until(lambda: len(pair.received) == 1)
