--- a/src/gentianhitch/backend_servers/errors.py
+++ b/src/gentianhitch/backend_servers/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from gentianhitch.errors import GentianhitchError
 
 
@@ -18,4 +20,9 @@
 
 
 class WrongAnswerError(BackendServerError):
-    """The answer is malformed, without an end, overlong or of another request."""
+    """The answer is malformed, without an end, overlong or of another request.
+
+    ``answers`` holds whole answers that came before the fault.
+    """
+
+    answers: tuple[Any, ...] = ()
--- a/src/gentianhitch/backend_servers/pool.py
+++ b/src/gentianhitch/backend_servers/pool.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-from collections.abc import Iterator
 from typing import Any
 from typing import Protocol as TypingProtocol
 
@@ -16,18 +14,13 @@
 from gentianhitch.backend_servers.connection import TargetConnection
 from gentianhitch.backend_servers.errors import ConnectError
 from gentianhitch.operators.document import BackendServer
+from gentianhitch.socket_options import watch_for_silence
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_S = 4.0
 PROVEN_FOR_S = 1.0
 """A non-idempotent request uses only connections that brought bytes so lately."""
 
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MS = 3_000
-"""The kernel drops a connection whose bytes stay unacknowledged so long."""
-
 
 class ConnectionWaiter(TypingProtocol):
     """Wait for a connection."""
@@ -197,24 +190,9 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Start the life of the connection and serve the waiter."""
         super().connectionMade()
-        for option in _socket_options():
-            _set_option(self.transport, *option)
+        watch_for_silence(self.transport)
         waiter, self._connecting.waiter = self._connecting.waiter, None
         if waiter is None:
             self._owner.connection_idle(self)
         else:
             waiter.connected(self)
-
-
-def _socket_options() -> Iterator[tuple[int, int, int]]:
-    yield socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1
-    yield socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S
-    yield socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
-    yield socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES
-    yield socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-
-
-def _set_option(transport: Any, level: int, option: int, value: int) -> None:
-    handle = getattr(transport, "socket", None)
-    if handle is not None:
-        handle.setsockopt(level, option, value)
--- a/src/gentianhitch/callers/refusals.py
+++ b/src/gentianhitch/callers/refusals.py
@@ -65,7 +65,7 @@
     cause: Cause
     outcome: RefusalOutcome = RefusalOutcome.NOT_RUN
     detail: str = ""
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
     address: str | None = None
     vouches: bool = False
 
@@ -83,7 +83,12 @@
 
 
 def encode_refusal(
-    refusal: Refusal, *, request_id: bytes, close: bool, to_head_request: bool
+    refusal: Refusal,
+    *,
+    request_id: bytes,
+    close: bool,
+    to_head_request: bool,
+    request_id_header: str = "X-Request-Id",
 ) -> bytes:
     """Encode a refusal as a whole HTTP answer."""
     cause = refusal.cause
@@ -104,11 +109,11 @@
         f"Content-Length: {len(body)}",
     ]
     if request_id:
-        lines.append(f"X-Request-Id: {request_id.decode('latin-1')}")
+        lines.append(f"{request_id_header}: {request_id.decode('latin-1')}")
     if cause is Cause.UNAUTHORISED:
         lines.append("WWW-Authenticate: Bearer")
     if refusal.retry_after_s is not None:
-        lines.append(f"Retry-After: {refusal.retry_after_s}")
+        lines.append(f"Retry-After: {refusal.retry_after_s:g}")
     if refusal.address is not None:
         lines.append(f"Gentianhitch-Address: {refusal.address}")
     if refusal.vouches:
--- /dev/null
+++ b/src/gentianhitch/instances/datagrams.py
@@ -0,0 +1,102 @@
+"""Datagrams between entry instances: they need no connection that may go silent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import DatagramProtocol
+
+from gentianhitch.addresses import Address
+from gentianhitch.instances.codec import MalformedMessageError
+
+MAX_DATAGRAM_BYTES = 32 * 1024
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Ask how fresh the receiver's knowledge is; ``sent_s`` is the asker's clock."""
+
+    sender: str
+    sent_s: float
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answer an :class:`Ask`: what is known, and how long ago it was proved."""
+
+    sender: str
+    asked_s: float
+    age_s: float
+    revision: int
+    digest: int
+
+
+class Seen(msgspec.Struct, frozen=True, array_like=True):
+    """One attempt at a backend server; ``latency_ms`` is -1 for a failure."""
+
+    server: str
+    started_ms: int
+    route: str
+    latency_ms: int
+
+
+class Running(msgspec.Struct, frozen=True, array_like=True):
+    """The requests that run at one backend server."""
+
+    server: str
+    started_ms: int
+    count: int
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """What an instance did since its last report; totals are of its incarnation."""
+
+    sender: str
+    incarnation: int
+    totals_by_workspace: dict[str, int]
+    running: list[Running]
+    seen: list[Seen]
+
+
+Message = Ask | Told | Report
+
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def decode(data: bytes) -> Message:
+    """Decode a datagram; raise MalformedMessageError."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MalformedMessageError(f"malformed datagram: {error}") from error
+
+
+Receive = Callable[[Message, Address], None]
+
+
+class Datagrams(DatagramProtocol):
+    """Send and receive messages; lost ones are not repeated."""
+
+    transport: Any = None
+
+    def __init__(self, receive: Receive, count: Callable[[str], None]) -> None:
+        self._receive = receive
+        self._count = count
+
+    def send(self, message: Message, to: Address) -> None:
+        """Send one message."""
+        data = _encoder.encode(message)
+        try:
+            self.transport.write(data, (to.host, to.port))
+        except OSError:
+            self._count("datagrams_not_sent")
+
+    def datagramReceived(self, data: bytes, addr: Any) -> None:  # noqa: N802
+        """Pass a message on."""
+        try:
+            message = decode(data)
+        except MalformedMessageError:
+            self._count("datagrams_malformed")
+            return
+        self._receive(message, Address(addr[0], addr[1]))
--- /dev/null
+++ b/src/gentianhitch/platform/caller_interface.py
@@ -0,0 +1,60 @@
+"""Paths and bodies of what callers and the platform ask an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from klein import Klein
+
+from gentianhitch.callers.whole_requests import HeaderNames
+from gentianhitch.platform import wire_names
+from gentianhitch.proxy.directory import DirectoryAnswer
+
+OK = 200
+UNAVAILABLE = 503
+
+HEADER_NAMES = HeaderNames(
+    request_id=wire_names.REQUEST_ID,
+    remaining_ms=wire_names.REMAINING_MS,
+    expected_server=wire_names.EXPECTED_SERVER,
+    workspace=wire_names.WORKSPACE,
+    signature=wire_names.SIGNATURE,
+    not_executed=wire_names.NOT_EXECUTED,
+)
+
+
+class _Resolved(msgspec.Struct, rename="camel"):
+    addresses: tuple[str, ...]
+    # Seconds; callers count at most the bound of the deployment.
+    ttl_s: float = msgspec.field(name="ttlS")
+
+
+def directory_resource(answer: Callable[[str], DirectoryAnswer | None]) -> Any:
+    """Return the resource that tells callers where to connect."""
+    app = Klein()
+
+    @app.route(wire_names.RESOLVE_PATH)  # type: ignore[untyped-decorator]
+    def resolve(request: Any) -> bytes:
+        zone = request.args.get(b"zone", [b""])[0].decode("latin-1")
+        found = answer(zone)
+        if found is None:
+            request.setResponseCode(UNAVAILABLE)
+            return b""
+        request.setHeader(b"Content-Type", b"application/json")
+        return msgspec.json.encode(_Resolved(found.addresses, found.ttl_s))
+
+    return app.resource()
+
+
+def readiness_resource(is_ready: Callable[[], bool]) -> Any:
+    """Return the resource that tells the platform whether the instance is ready."""
+    app = Klein()
+
+    @app.route(wire_names.READINESS_PATH)  # type: ignore[untyped-decorator]
+    def readiness(request: Any) -> bytes:
+        request.setResponseCode(OK if is_ready() else UNAVAILABLE)
+        return b""
+
+    return app.resource()
--- /dev/null
+++ b/src/gentianhitch/proxy/command.py
@@ -0,0 +1,60 @@
+"""The ``proxy`` subcommand: one entry instance on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from gentianhitch.errors import ExitCode
+from gentianhitch.errors import GentianhitchError
+from gentianhitch.platform.node_settings import load_node_settings
+from gentianhitch.platform.wire_names import SETTINGS_VARIABLE
+from gentianhitch.proxy.events import BoundedOutput
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.instance import ProxyInstance
+
+
+def proxy(*, settings: Path | None = None) -> int:
+    """Serve as one entry instance of the platform until SIGTERM or SIGINT.
+
+    :param settings: the settings file; by default the one that the platform names
+    """
+    from twisted.internet import reactor
+
+    # The reactor's default clock is the time of day, which may jump.
+    reactor.seconds = _boot_clock  # type: ignore
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        loaded = load_node_settings(path)
+    except GentianhitchError as error:
+        print(f"gentianhitch: {error}", file=sys.stderr)
+        return int(error.exit_code)
+    output = BoundedOutput()
+    output.open()
+    events = Events(loaded.name, output)
+    instance = ProxyInstance(reactor, loaded, path, events)
+    reactor.callWhenRunning(instance.start)  # type: ignore[attr-defined]
+    _handle_signals(reactor, instance)
+    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined,call-arg]
+    return int(ExitCode.OK)
+
+
+def _boot_clock() -> float:
+    """Return seconds since the machine started, suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _handle_signals(reactor: Any, instance: ProxyInstance) -> None:
+    def stop(*_: object) -> None:
+        reactor.callFromThread(instance.lifecycle.stop_requested)
+
+    def reload(*_: object) -> None:
+        reactor.callFromThread(instance.reload)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
+    signal.signal(signal.SIGHUP, reload)
--- /dev/null
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -0,0 +1,383 @@
+"""Send one admitted request to backend servers until one answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol
+
+import attrs
+
+from gentianhitch.backend_servers.errors import BackendServerError
+from gentianhitch.backend_servers.errors import ConnectError
+from gentianhitch.backend_servers.errors import CutAnswerError
+from gentianhitch.backend_servers.server_connections import Connecting
+from gentianhitch.backend_servers.server_connections import ServerConnection
+from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.backend_servers.whole_answers import WholeAnswer
+from gentianhitch.callers.refusals import Cause
+from gentianhitch.callers.whole_requests import CallerRequest
+from gentianhitch.callers.whole_requests import HeaderNames
+from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.gray_filter import hedge_survival
+from gentianhitch.proxy.model import BackendServer
+from gentianhitch.proxy.model import Route
+from gentianhitch.proxy.retry_budget import RetryBudget
+
+IDEMPOTENT_IDLE_S = 60.0
+"""No bound of its own: the connection's own idle time decides."""
+
+UNREPEATABLE_IDLE_S = 4.0
+"""A request that is sent only once goes on connections that were used lately."""
+
+MIN_HEDGE_S = 0.05
+MIN_USEFUL_S = 0.02
+"""With less time left, nothing is sent any more."""
+
+MAX_CONNECT_FAILURES = 4
+NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
+METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
+
+
+class DispatchOwner(Protocol):
+    """Take the one result of a dispatch."""
+
+    def dispatch_answered(self, answer: WholeAnswer, server: BackendServer) -> None:
+        """Take the answer to pass on."""
+        ...
+
+    def dispatch_failed(self, cause: Cause, *, may_have_run: bool) -> None:
+        """Learn that no answer can be passed on."""
+        ...
+
+    def dispatch_note(self, event: str, server: BackendServer, detail: str) -> None:
+        """Log one step."""
+        ...
+
+
+@attrs.define(eq=False)
+class DispatchContext:
+    """What dispatches of one instance share."""
+
+    clock: Any
+    balancer: Balancer
+    connections: ServerConnections
+    names: HeaderNames
+    new_budget: Callable[[], RetryBudget]
+    sharers: Callable[[], int]
+    _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = self._budgets_by_service[service] = self.new_budget()
+        return budget
+
+    def budget_allows(self, service: str, now: float) -> bool:
+        """Spend one repeat at ``service``, if the budget has one."""
+        return self.budget(service).take(now, self.sharers())
+
+
+class _Attempt:
+    """One send to one server."""
+
+    def __init__(self, dispatch: Dispatch, server: BackendServer) -> None:
+        self._dispatch = dispatch
+        self.server = server
+        self.token: int | None = None
+        self.connection: ServerConnection | None = None
+        self.connecting: Connecting | None = None
+
+    def connected(self, connection: ServerConnection) -> None:
+        """Write the request."""
+        self.connecting = None
+        self._dispatch.write(self, connection)
+
+    def connect_failed(self, error: ConnectError) -> None:
+        """Try another server: nothing was written."""
+        self.connecting = None
+        self._dispatch.connect_failed(self, error)
+
+    def answered(self, answer: WholeAnswer) -> None:
+        """Judge the answer."""
+        self.connection = None
+        self._dispatch.answered(self, answer)
+
+    def answer_failed(self, error: BackendServerError) -> None:
+        """Judge the failure."""
+        self.connection = None
+        self._dispatch.attempt_failed(self, error)
+
+    def cancel(self) -> None:
+        """Stop, so that the server drops the request."""
+        if self.connecting is not None:
+            self.connecting.cancel()
+            self.connecting = None
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
+class Dispatch:
+    """Follow one request through its attempts.
+
+    A request that is not idempotent is written once, and again only after its
+    server said that it did not run it. An idempotent one goes to a second server as
+    soon as the first more likely failed than not, and the first good answer wins.
+    """
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        workspace: str | None,
+        deadline: float,
+        caller_deadline: float,
+        owner: DispatchOwner,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._service = service
+        self._workspace = workspace
+        self._deadline = deadline
+        self._caller_deadline = caller_deadline
+        self._owner = owner
+        self._running: list[_Attempt] = []
+        self._tried: frozenset[str] = frozenset()
+        self._writes = 0
+        self._connect_failures = 0
+        self._may_have_run = False
+        self._last_answer: tuple[WholeAnswer, BackendServer] | None = None
+        self._last_cause = Cause.NO_CAPACITY
+        self._hedge: Any = None
+        self._timer: Any = None
+        self._ended = False
+
+    def start(self) -> None:
+        """Send to the best server."""
+        now = self._context.clock.seconds()
+        self._context.budget(self._service).request(now)
+        delay = max(self._deadline - now, 0.0)
+        self._timer = self._context.clock.callLater(delay, self._deadline_passed)
+        if not self._try_another():
+            self._fail(Cause.NO_CAPACITY)
+
+    def cancel(self) -> None:
+        """Stop: nobody waits for the answer."""
+        if not self._ended:
+            self._end()
+
+    # Attempts.
+
+    def _try_another(self) -> bool:
+        now = self._context.clock.seconds()
+        if self._deadline - now < MIN_USEFUL_S:
+            return False
+        server = self._context.balancer.choose(
+            self._service,
+            now,
+            exclude=self._tried,
+            connected=self._context.connections.servers_with_idle(),
+        )
+        if server is None:
+            return False
+        if self._writes and not self._context.budget_allows(self._service, now):
+            self._owner.dispatch_note("retry_budget_spent", server, "")
+            return False
+        self._begin(server)
+        return True
+
+    def _begin(self, server: BackendServer) -> None:
+        self._tried |= {server.id}
+        attempt = _Attempt(self, server)
+        self._running.append(attempt)
+        idempotent = self._route.idempotent
+        attempt.connecting = self._context.connections.acquire(
+            server.key,
+            server.address,
+            attempt,
+            max_idle_s=IDEMPOTENT_IDLE_S if idempotent else UNREPEATABLE_IDLE_S,
+        )
+        if attempt.connection is not None:
+            attempt.connecting = None
+
+    def write(self, attempt: _Attempt, connection: ServerConnection) -> None:
+        """Write the request, unless time has passed what allowed it."""
+        now = self._context.clock.seconds()
+        if self._ended or self._deadline - now < MIN_USEFUL_S:
+            connection.close()
+            if not self._ended:
+                self._deadline_passed()
+            return
+        attempt.connection = connection
+        attempt.token = self._context.balancer.began(attempt.server, self._route, now)
+        self._writes += 1
+        self._may_have_run = True
+        self._owner.dispatch_note("sent", attempt.server, "")
+        connection.send(
+            self._request.request_id, self._encode(attempt.server, now), attempt
+        )
+        self._plan_hedge(attempt, now)
+
+    def connect_failed(self, attempt: _Attempt, error: ConnectError) -> None:
+        """Try another server, or wait for one that runs the request."""
+        self._running.remove(attempt)
+        if self._ended:
+            return
+        now = self._context.clock.seconds()
+        self._context.balancer.unreachable(attempt.server, now)
+        self._owner.dispatch_note("unreachable", attempt.server, str(error))
+        self._connect_failures += 1
+        self._last_cause = Cause.NO_CONNECTION
+        retry = self._connect_failures <= MAX_CONNECT_FAILURES
+        if not (retry and self._try_another()) and not self._running:
+            self._conclude()
+
+    def answered(self, attempt: _Attempt, answer: WholeAnswer) -> None:
+        """Pass the answer on, or try another server after a failure."""
+        names = self._context.names
+        not_executed = answer.status == 421 or (
+            answer.header(names.not_executed.lower()) is not None
+            and answer.status in NOT_EXECUTED_STATUSES
+        )
+        if not_executed:
+            self._declined(attempt, answer)
+            return
+        if _is_spoiled(answer, names):
+            self._judge(attempt, failed=True)
+            self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
+            return
+        failed = answer.status >= 500
+        self._judge(attempt, failed=failed)
+        others_run = len(self._running) > 1
+        if failed and (others_run or self._may_repeat()):
+            self._last_answer = (answer, attempt.server)
+            self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
+            return
+        self._finish(answer, attempt.server)
+
+    def attempt_failed(self, attempt: _Attempt, error: BackendServerError) -> None:
+        """Try another server if the request may run twice."""
+        self._judge(attempt, failed=True)
+        cut = isinstance(error, CutAnswerError)
+        cause = Cause.CUT_ANSWER if cut else Cause.WRONG_ANSWER
+        self._owner.dispatch_note("failed", attempt.server, str(error))
+        self._retry_after_failure(attempt, cause)
+
+    def _declined(self, attempt: _Attempt, answer: WholeAnswer) -> None:
+        """Handle a server that certainly did not run the request."""
+        # A full server is healthy; it tells nothing of answers.
+        self._judge(attempt, failed=None)
+        self._owner.dispatch_note("declined", attempt.server, str(answer.status))
+        self._running.remove(attempt)
+        if not self._route.idempotent or self._only_write_was_declined():
+            self._may_have_run = False
+        self._last_cause = Cause.SHED
+        if self._writes < self._route.max_attempts and self._try_another():
+            return
+        if not self._running:
+            self._conclude()
+
+    def _only_write_was_declined(self) -> bool:
+        return self._writes == 1 and not self._running and self._last_answer is None
+
+    def _retry_after_failure(self, attempt: _Attempt, cause: Cause) -> None:
+        self._running.remove(attempt)
+        self._last_cause = cause
+        if self._may_repeat() and self._try_another():
+            return
+        if not self._running:
+            self._conclude()
+
+    def _may_repeat(self) -> bool:
+        return self._route.idempotent and self._writes < self._route.max_attempts
+
+    def _judge(self, attempt: _Attempt, *, failed: bool | None) -> None:
+        if attempt.token is not None:
+            token, attempt.token = attempt.token, None
+            self._context.balancer.ended(
+                attempt.server,
+                self._route,
+                token,
+                failed=failed,
+                now=self._context.clock.seconds(),
+            )
+
+    # Hedging.
+
+    def _plan_hedge(self, attempt: _Attempt, now: float) -> None:
+        if self._hedge is not None or not self._may_repeat():
+            return
+        balancer = self._context.balancer
+        latencies = balancer.latencies(self._service, self._route)
+        gray = balancer.gray_probability(attempt.server, now)
+        wait_s = latencies.quantile(1.0 - hedge_survival(gray))
+        wait_s = max(wait_s, MIN_HEDGE_S)
+        if now + wait_s < self._deadline:
+            self._hedge = self._context.clock.callLater(wait_s, self._hedge_now)
+
+    def _hedge_now(self) -> None:
+        self._hedge = None
+        if not self._ended and self._may_repeat():
+            self._try_another()
+
+    # Ends.
+
+    def _deadline_passed(self) -> None:
+        if self._ended:
+            return
+        for attempt in self._running:
+            # A request cut short by its own deadline still shows a slow server.
+            self._judge(attempt, failed=True if attempt.connection else None)
+        self._fail(Cause.SILENT if self._writes else Cause.NO_CAPACITY)
+
+    def _conclude(self) -> None:
+        """End with the best that is known after the last attempt."""
+        if self._last_answer is not None:
+            self._finish(*self._last_answer)
+        else:
+            self._fail(self._last_cause)
+
+    def _finish(self, answer: WholeAnswer, server: BackendServer) -> None:
+        self._end()
+        self._owner.dispatch_answered(answer, server)
+
+    def _fail(self, cause: Cause) -> None:
+        self._end()
+        self._owner.dispatch_failed(cause, may_have_run=self._may_have_run)
+
+    def _end(self) -> None:
+        self._ended = True
+        for timer in (self._hedge, self._timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+        running, self._running = self._running, []
+        for attempt in running:
+            self._judge(attempt, failed=None)
+            attempt.cancel()
+
+    def _encode(self, server: BackendServer, now: float) -> bytes:
+        request, names = self._request, self._context.names
+        remaining_ms = max(int((self._deadline - now) * 1000), 1)
+        lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+        lines += [b"%b: %b" % header for header in request.headers]
+        lines.append(b"%b: %d" % (names.remaining_ms, remaining_ms))
+        lines.append(b"%b: %b" % (names.expected_server, server.id.encode()))
+        if self._workspace is not None:
+            lines.append(b"%b: %b" % (names.workspace, self._workspace.encode()))
+        if request.body or request.has_length or request.method in METHODS_WITH_BODY:
+            lines.append(b"Content-Length: %d" % len(request.body))
+        lines.append(b"\r\n")
+        return b"\r\n".join(lines) + request.body
+
+
+def _is_spoiled(answer: WholeAnswer, names: HeaderNames) -> bool:
+    """Tell whether an answer is not what the server itself wrote."""
+    if answer.header(b"content-encoding") is not None:
+        return True
+    signed = answer.header(names.signature.lower()) is not None
+    return answer.status < 400 and not signed
--- /dev/null
+++ b/src/gentianhitch/proxy/instance.py
@@ -0,0 +1,373 @@
+"""One entry instance on the users' platform: its parts, wired to one loop."""
+
+from __future__ import annotations
+
+import secrets
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import attrs
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.web.server import Site
+
+from gentianhitch.addresses import Address
+from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.callers.pipelined_connection import CallerFactory
+from gentianhitch.callers.pipelined_connection import Exchange
+from gentianhitch.callers.pipelined_connection import Reply
+from gentianhitch.callers.whole_requests import CallerRequest
+from gentianhitch.http_client import make_client
+from gentianhitch.http_client import make_pool
+from gentianhitch.instances.datagrams import Ask
+from gentianhitch.instances.datagrams import Datagrams
+from gentianhitch.instances.datagrams import Message
+from gentianhitch.instances.datagrams import Report
+from gentianhitch.instances.datagrams import Told
+from gentianhitch.instances.view_transfer import encode_view
+from gentianhitch.lifecycle import LifecycleActions
+from gentianhitch.lifecycle import create_lifecycle
+from gentianhitch.metrics import Metrics
+from gentianhitch.platform.caller_interface import HEADER_NAMES
+from gentianhitch.platform.caller_interface import directory_resource
+from gentianhitch.platform.caller_interface import readiness_resource
+from gentianhitch.platform.node_settings import NodeSettings
+from gentianhitch.platform.node_settings import NodeSettingsError
+from gentianhitch.platform.node_settings import load_node_settings
+from gentianhitch.platform.store import KeyValueStore
+from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.directory import Directory
+from gentianhitch.proxy.directory import DirectoryAnswer
+from gentianhitch.proxy.dispatch import DispatchContext
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.knowledge import Change
+from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.metrics_text import render_metrics
+from gentianhitch.proxy.model import CallerLimits
+from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.quotas import Quotas
+from gentianhitch.proxy.refresh import VIEW_PATH
+from gentianhitch.proxy.refresh import Refresher
+from gentianhitch.proxy.registration import Registration
+from gentianhitch.proxy.reports import Reports
+from gentianhitch.proxy.request_server import RequestServer
+from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.steering import serving_instances
+from gentianhitch.proxy.traffic_split import TrafficSplits
+from gentianhitch.repeating import Repeating
+
+INCARNATION_BITS = 48
+PEER_CONNECTIONS = 1
+PEER_CONNECT_TIMEOUT_S = 0.5
+HOUSEKEEPING_S = 0.5
+LISTEN_BACKLOG = 1024
+CLOSE_IDLE_AFTER_S = 2.0
+"""Callers have taken a new answer of the directory by then, even the slow ones."""
+
+STOP_LISTENING_AFTER_S = 2.6
+"""Before the third second of a stop, after which no request may be cut."""
+
+LAST_MOMENT_S = 0.4
+"""An instance ends so long before it would be killed."""
+
+
+class ProxyInstance:
+    """Own every part of one instance and the order in which they start and stop."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: NodeSettings,
+        settings_path: Path,
+        events: Events,
+    ) -> None:
+        self._reactor = reactor
+        self._settings_path = settings_path
+        self._settings = settings
+        self._events = events
+        self._random = Random(settings.name)
+        self.metrics = Metrics()
+        self.knowledge = Knowledge()
+        self._peer = Peer(
+            settings.name,
+            secrets.randbits(INCARNATION_BITS),
+            settings.failure_domain,
+            settings.callers,
+            settings.internal,
+        )
+        self._ports: list[Any] = []
+        self._told_s = float("-inf")
+        self._stop_s: float | None = None
+        self.state = "starting"
+        self.lifecycle = create_lifecycle(
+            LifecycleActions(self._note_state, self._leave, self._exit)
+        )
+        self._build_parts()
+
+    def _build_parts(self) -> None:
+        settings, clock, events = self._settings, self._reactor, self._events
+        self._datagrams = Datagrams(self._receive, self.metrics.count)
+        self._store = KeyValueStore(self._reactor, settings.store)
+        self._balancer = Balancer(settings.failure_domain, self._random)
+        self._quotas = Quotas(settings.name)
+        self._connections = ServerConnections(
+            self._reactor, clock, HEADER_NAMES.request_id
+        )
+        self._refresher = Refresher(
+            clock,
+            self._store,
+            make_client(
+                self._reactor,
+                make_pool(self._reactor, PEER_CONNECTIONS),
+                PEER_CONNECT_TIMEOUT_S,
+            ),
+            self._datagrams,
+            self.knowledge,
+            settings.name,
+            settings.failure_domain,
+            events,
+            self._note_change,
+        )
+        self._registration = Registration(clock, self._store, self._peer, events)
+        self._reports = Reports(
+            clock,
+            settings.name,
+            self._peer.incarnation,
+            self._datagrams,
+            self._balancer,
+            self._quotas,
+            self._report_receivers,
+            events.failure,
+        )
+        self._directory = Directory(self.knowledge, self._heard_any_peer)
+        self._server = RequestServer(
+            clock,
+            self.knowledge,
+            self._quotas,
+            DispatchContext(
+                clock,
+                self._balancer,
+                self._connections,
+                HEADER_NAMES,
+                self._new_budget,
+                lambda: len(self._quotas.sharers),
+            ),
+            TrafficSplits(),
+            events,
+            settings.bounds.revocation_s,
+            self._note_finished,
+        )
+        self._callers = CallerFactory(
+            clock, HEADER_NAMES, self._caller_limits, self._serve
+        )
+        self._housekeeping = Repeating(
+            clock, HOUSEKEEPING_S, self._keep_house, events.failure
+        )
+
+    def start(self) -> None:
+        """Open every listener and begin to learn."""
+        settings = self._settings
+        self._listen(settings.callers, self._callers)
+        self._listen(settings.readiness, Site(readiness_resource(self.is_ready)))
+        self._listen(settings.directory, Site(directory_resource(self._resolve)))
+        self._listen(settings.internal, Site(self._view_resource()))
+        self._listen(settings.metrics, Site(self._metrics_resource()))
+        self._ports.append(
+            self._reactor.listenUDP(
+                settings.internal.port,
+                self._datagrams,
+                interface=settings.internal.host,
+            )
+        )
+        self._refresher.start()
+        self._registration.start()
+        self._reports.start()
+        self._housekeeping.start(now=False)
+        self.lifecycle.started()
+
+    def _listen(self, address: Address, factory: Any) -> None:
+        port = self._reactor.listenTCP(
+            address.port, factory, backlog=LISTEN_BACKLOG, interface=address.host
+        )
+        self._ports.append(port)
+
+    # What others ask.
+
+    def is_ready(self) -> bool:
+        """Tell whether the instance serves callers."""
+        return self.state == "serving" and self.knowledge.configuration is not None
+
+    def _resolve(self, failure_domain: str) -> DirectoryAnswer | None:
+        return self._directory.answer(failure_domain, self._reactor.seconds())
+
+    def _view_resource(self) -> Any:
+        app = Klein()
+
+        @app.route(VIEW_PATH)  # type: ignore[untyped-decorator]
+        def view(request: Any) -> bytes:
+            if self.knowledge.view is None:
+                request.setResponseCode(503)
+                return b""
+            age_s = self.knowledge.age_s(self._reactor.seconds())
+            return encode_view(self.knowledge.view, age_s)
+
+        return app.resource()
+
+    def _metrics_resource(self) -> Any:
+        app = Klein()
+
+        @app.route("/metrics")  # type: ignore[untyped-decorator]
+        def metrics(request: Any) -> bytes:
+            return render_metrics(self.metrics, self._gauges()).encode()
+
+        return app.resource()
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "store_calls": self._store.calls,
+            "server_connections_opened": self._connections.opened,
+            "view_age_seconds": self.knowledge.age_s(self._reactor.seconds()),
+            "log_lines_dropped": self._events.output.dropped,
+        }
+
+    def _receive(self, message: Message, sender: Address) -> None:
+        if isinstance(message, Ask):
+            self._tell(message, sender)
+        elif isinstance(message, Told):
+            self._told_s = self._reactor.seconds()
+            self._refresher.told(message)
+        elif isinstance(message, Report):
+            self._reports.heard(message)
+
+    def _tell(self, ask: Ask, to: Address) -> None:
+        view = self.knowledge.view
+        if view is not None:
+            age_s = self.knowledge.age_s(self._reactor.seconds())
+            told = Told(
+                self._settings.name, ask.sent_s, age_s, view.revision, view.digest
+            )
+            self._datagrams.send(told, to)
+
+    # What the parts need of each other.
+
+    def _serve(self, request: CallerRequest, reply: Reply) -> Exchange:
+        self._reports.note_request()
+        return self._server.serve(request, reply)
+
+    def _caller_limits(self) -> CallerLimits:
+        configuration = self.knowledge.configuration
+        return CallerLimits() if configuration is None else configuration.limits
+
+    def _new_budget(self) -> RetryBudget:
+        bounds = self._settings.bounds
+        return RetryBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        )
+
+    def _heard_any_peer(self, now: float) -> bool:
+        return now - self._told_s < HOUSEKEEPING_S * 4
+
+    def _serving_peers(self) -> list[Peer]:
+        peers = self.knowledge.peers(self._reactor.seconds())
+        serving = serving_instances(peers.values())
+        return [peer for each in serving.values() for peer in each]
+
+    def _report_receivers(self) -> list[Peer]:
+        receivers = self._serving_peers()
+        names = {peer.name for peer in receivers}
+        peers = self.knowledge.peers(self._reactor.seconds())
+        for name in self._reports.recent_senders() - names:
+            if name in peers:
+                receivers.append(peers[name])
+        return receivers
+
+    def _note_change(self, change: Change) -> None:
+        now = self._reactor.seconds()
+        view = self.knowledge.view
+        assert view is not None
+        self._events.state(
+            "view_changed",
+            revision=view.revision,
+            configuration=view.configuration_revision,
+            configuration_changed=change.configuration,
+            added=[server.id for server in change.added],
+            removed=[server.id for server in change.removed],
+            peers=len(view.peers_by_name),
+        )
+        self._apply(now)
+
+    def _apply(self, now: float) -> None:
+        servers = self.knowledge.servers(now)
+        self._balancer.update(servers.values(), now)
+        self._connections.retain(frozenset(each.key for each in servers.values()))
+        self._quotas.sharers = frozenset(peer.name for peer in self._serving_peers())
+        configuration = self.knowledge.configuration
+        if configuration is not None:
+            self._quotas.prepare(configuration.workspaces_by_key.values(), now)
+
+    def _keep_house(self) -> None:
+        now = self._reactor.seconds()
+        self._connections.close_idle(now)
+        self._apply(now)
+
+    def _note_finished(self, outcome: str, workspace: str, elapsed_s: float) -> None:
+        self.metrics.count(f"requests.{outcome}")
+        self.metrics.time("total", workspace, elapsed_s)
+
+    def reload(self) -> None:
+        """Read the settings file again; addresses stay as they are."""
+        try:
+            settings = load_node_settings(self._settings_path)
+        except NodeSettingsError as error:
+            self._events.state("reload_failed", detail=str(error))
+            return
+        self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
+        self._server.revocation_s = settings.bounds.revocation_s
+        self._events.state("reloaded")
+
+    # Stop.
+
+    def _note_state(self, state: str) -> None:
+        if not state.startswith("still"):
+            self.state = state
+        self._events.state("lifecycle", state=state)
+
+    def _leave(self) -> None:
+        self._stop_s = self._reactor.seconds()
+        leaving = Deferred.fromCoroutine(self._drain())
+        leaving.addErrback(self._events.failure)
+        leaving.addBoth(lambda _: self.lifecycle.drained())
+
+    async def _drain(self) -> None:
+        """Leave the directory, wait out its answers, finish, close."""
+        self._callers.is_leaving = True
+        Deferred.fromCoroutine(self._registration.leave()).addErrback(
+            self._events.failure
+        )
+        await deferLater(self._reactor, CLOSE_IDLE_AFTER_S, lambda: None)
+        self._callers.close_idle()
+        wait_s = STOP_LISTENING_AFTER_S - CLOSE_IDLE_AFTER_S
+        await deferLater(self._reactor, wait_s, lambda: None)
+        self._ports[0].stopListening()
+        self._callers.close_idle()
+        await self._when_idle()
+
+    def _when_idle(self) -> Deferred[None]:
+        idle: Deferred[None] = Deferred()
+        grace_s = self._settings.bounds.shutdown_grace_s - LAST_MOMENT_S
+        assert self._stop_s is not None
+        left_s = self._stop_s + grace_s - self._reactor.seconds()
+        if self._callers.is_busy and left_s > 0:
+            timer = self._reactor.callLater(left_s, self._callers.stop_waiting)
+            idle.addBoth(lambda _: timer.cancel() if timer.active() else None)
+            self._callers.on_idle = lambda: idle.callback(None)
+        else:
+            idle.callback(None)
+        return idle
+
+    def _exit(self) -> None:
+        for part in (self._refresher, self._registration, self._reports):
+            part.stop()
+        self._reactor.callLater(0, self._reactor.stop)
--- /dev/null
+++ b/src/gentianhitch/proxy/latencies.py
@@ -0,0 +1,54 @@
+"""Keep the latencies of recent answers to one kind of request."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from bisect import insort
+from collections import deque
+
+import attrs
+
+SAMPLES = 200
+PRIOR_SAMPLES = 20
+PRIOR_MEDIAN_SHARE = 0.25
+"""Median of the assumed latencies as a part of the objective, until some are seen."""
+
+PRIOR_SPREAD = 4.0
+"""Ratio between the longest assumed latency and the median."""
+
+
+@attrs.define
+class Latencies:
+    """Estimate how often an answer takes longer than a given time."""
+
+    _ordered: list[float]
+    _recent: deque[float]
+
+    @classmethod
+    def assume(cls, objective_s: float) -> Latencies:
+        """Start from latencies that fit a route's objective."""
+        median = PRIOR_MEDIAN_SHARE * objective_s
+        half = PRIOR_SAMPLES / 2
+        samples = sorted(
+            median * PRIOR_SPREAD ** ((index - half) / half)
+            for index in range(PRIOR_SAMPLES)
+        )
+        return cls(samples, deque(samples))
+
+    def add(self, latency_s: float) -> None:
+        """Keep one latency and drop the oldest."""
+        insort(self._ordered, latency_s)
+        self._recent.append(latency_s)
+        if len(self._recent) > SAMPLES:
+            oldest = self._recent.popleft()
+            del self._ordered[bisect_left(self._ordered, oldest)]
+
+    def survival(self, age_s: float) -> float:
+        """Return the share of answers that take longer than ``age_s``."""
+        longer = len(self._ordered) - bisect_left(self._ordered, age_s)
+        return (longer + 0.5) / (len(self._ordered) + 1)
+
+    def quantile(self, share: float) -> float:
+        """Return the latency that ``share`` of the answers do not exceed."""
+        index = min(int(share * len(self._ordered)), len(self._ordered) - 1)
+        return self._ordered[max(index, 0)]
--- /dev/null
+++ b/src/gentianhitch/proxy/model.py
@@ -0,0 +1,153 @@
+"""What an instance knows of its configuration, its peers and backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from gentianhitch.addresses import Address
+
+
+@attrs.frozen
+class WeightedService:
+    """One destination of a route and its weight among the others."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where requests of one host and prefix go, and what may be done with them.
+
+    ``timeout_s`` is None where the operator sets no bound; ``priority`` 0 is the
+    most urgent; ``max_attempts`` counts backend servers for one request.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    public: bool
+    priority: int
+    objective_s: float
+    timeout_s: float | None
+    max_attempts: int
+    destinations: tuple[WeightedService, ...]
+
+
+@attrs.frozen
+class Workspace:
+    """A workspace with its rate limit; ``rate_per_s`` 0 means unlimited."""
+
+    name: str
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+
+@attrs.frozen
+class Service:
+    """A group of interchangeable backend servers."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds on what callers send; sizes in bytes, times in seconds."""
+
+    max_head_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen
+class Configuration:
+    """One whole configuration; ``version`` is the operator's own number."""
+
+    version: int
+    limits: CallerLimits
+    routes_by_host: dict[str, tuple[Route, ...]]
+    workspaces_by_key: dict[str, Workspace]
+    services_by_name: dict[str, Service]
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@attrs.frozen
+class BackendServer:
+    """One incarnation of a backend server.
+
+    ``started_ms`` (Unix milliseconds) tells incarnations of one id apart;
+    ``warmup_s`` is how much longer it stays slow after its start.
+    """
+
+    id: str
+    started_ms: int
+    service: str
+    address: Address
+    failure_domain: str
+    slots: int
+    draining: bool
+    warmup_s: float
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what identifies this incarnation."""
+        return (self.id, self.started_ms)
+
+
+@attrs.frozen
+class Peer:
+    """One live entry instance; ``internal`` is its address for other instances."""
+
+    name: str
+    incarnation: int
+    failure_domain: str
+    callers: Address
+    internal: Address
+
+
+@attrs.frozen
+class StoreView:
+    """What one read of the store showed; ``revision`` orders views.
+
+    ``configuration_source`` holds the bytes that ``configuration`` was decoded
+    from, for peers that the store turns away.
+    """
+
+    revision: int
+    configuration_revision: int
+    configuration_source: bytes
+    configuration: Configuration | None
+    backend_servers_by_id: dict[str, BackendServer]
+    peers_by_name: dict[str, Peer]
+    digest: int = 0
+
+
+def digest_of(
+    configuration_revision: int,
+    backend_servers: Iterable[BackendServer],
+    peers: Iterable[Peer],
+) -> int:
+    """Return a hash that two instances share if they know the same."""
+    state = xxhash.xxh64(b"%d;" % configuration_revision)
+    for server in sorted(backend_servers, key=lambda each: each.id):
+        state.update(
+            f"{server.id} {server.started_ms} {server.service} {server.address}"
+            f" {server.slots} {server.draining};".encode()
+        )
+    for peer in sorted(peers, key=lambda each: each.name):
+        state.update(f"{peer.name} {peer.incarnation} {peer.callers};".encode())
+    return state.intdigest()
--- /dev/null
+++ b/src/gentianhitch/proxy/refresh.py
@@ -0,0 +1,169 @@
+"""Keep the knowledge of the store fresh, from the store or from other instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
+from twisted.web.client import ResponseFailed
+
+from gentianhitch.http_client import NOT_SENT_ERRORS
+from gentianhitch.instances.codec import MalformedMessageError
+from gentianhitch.instances.datagrams import Ask
+from gentianhitch.instances.datagrams import Datagrams
+from gentianhitch.instances.datagrams import Told
+from gentianhitch.instances.view_transfer import decode_view
+from gentianhitch.platform.interface import PlatformError
+from gentianhitch.platform.store import KeyValueStore
+from gentianhitch.platform.store_view import ViewDecoder
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.knowledge import Change
+from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.model import StoreView
+from gentianhitch.proxy.sources import SourcePlan
+from gentianhitch.repeating import Repeating
+
+TICK_S = 0.1
+TRANSFER_TIMEOUT_S = 1.0
+VIEW_PATH = "/view"
+EVERYTHING = ""
+"""The prefix of all keys: one call reads all that an instance must know."""
+
+
+class Refresher:
+    """Read the store, ask peers, and take what is newer."""
+
+    def __init__(
+        self,
+        clock: Any,
+        store: KeyValueStore,
+        http: HTTPClient,
+        datagrams: Datagrams,
+        knowledge: Knowledge,
+        name: str,
+        failure_domain: str,
+        events: Events,
+        on_change: Callable[[Change], None],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._http = http
+        self._datagrams = datagrams
+        self._knowledge = knowledge
+        self._plan = SourcePlan(name, failure_domain)
+        self._events = events
+        self._on_change = on_change
+        self._decoder = ViewDecoder()
+        self._reading = False
+        self._fetching: set[str] = set()
+        self._store_reachable = True
+        self._rejected: dict[str, str] = {}
+        self._loop = Repeating(clock, TICK_S, self._tick, events.failure)
+
+    def start(self) -> None:
+        """Begin to refresh."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop refreshing."""
+        self._loop.stop()
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        peers = self._knowledge.peers(now).values()
+        step = self._plan.next_step(peers, self._knowledge.age_s(now), now)
+        for peer in step.peers:
+            self._datagrams.send(Ask(self._plan.name, now), peer.internal)
+        if step.read_store and not self._reading:
+            self._reading = True
+            Deferred.fromCoroutine(self._read_store()).addErrback(self._events.failure)
+
+    async def _read_store(self) -> None:
+        began_s = self._clock.seconds()
+        try:
+            page = await self._store.read_range(EVERYTHING)
+            view = self._decoder.decode(page.items, page.revision)
+        except PlatformError as error:
+            self._note_store(reachable=False, detail=str(error))
+            return
+        finally:
+            self._reading = False
+        self._note_store(reachable=True)
+        self._note_rejected()
+        self._take(view, began_s)
+
+    def told(self, message: Told) -> None:
+        """Take a peer's answer: a proof, or a reason to fetch its view."""
+        now = self._clock.seconds()
+        self._plan.answered(message.sender, message.age_s, now)
+        began_s = message.asked_s - message.age_s
+        if self._knowledge.confirm(message.digest, began_s):
+            return
+        view = self._knowledge.view
+        newer = view is None or message.revision > view.revision
+        peer = self._knowledge.peers(now).get(message.sender)
+        if newer and peer is not None and message.sender not in self._fetching:
+            self._fetching.add(message.sender)
+            fetching = Deferred.fromCoroutine(self._fetch(peer))
+            fetching.addErrback(self._events.failure)
+
+    async def _fetch(self, peer: Peer) -> None:
+        began_s = self._clock.seconds()
+        url = f"http://{peer.internal}{VIEW_PATH}"
+        try:
+            calling = Deferred.fromCoroutine(self._get(url))
+            body = await calling.addTimeout(TRANSFER_TIMEOUT_S, self._clock)
+            received = decode_view(body)
+            configuration = self._decoder.configuration(
+                received.configuration_source, received.configuration_revision
+            )
+        except (
+            *NOT_SENT_ERRORS,
+            DeferredTimeoutError,
+            MalformedMessageError,
+            PlatformError,
+            ResponseFailed,
+        ) as error:
+            self._events.state("view_not_fetched", peer=peer.name, detail=repr(error))
+            return
+        finally:
+            self._fetching.discard(peer.name)
+        view = StoreView(
+            received.revision,
+            received.configuration_revision,
+            received.configuration_source,
+            configuration,
+            {server.id: server for server in received.backend_servers},
+            {each.name: each for each in received.peers},
+            received.digest,
+        )
+        self._take(view, began_s - received.age_s)
+
+    async def _get(self, url: str) -> bytes:
+        response = await self._http.get(url)
+        content: bytes = await response.content()
+        if response.code != 200:
+            raise MalformedMessageError(f"status {response.code} from {url}")
+        return content
+
+    def _take(self, view: StoreView, began_s: float) -> None:
+        change = self._knowledge.learn(view, began_s, self._clock.seconds())
+        if change is not None:
+            self._on_change(change)
+
+    def _note_store(self, *, reachable: bool, detail: str = "") -> None:
+        if reachable != self._store_reachable:
+            self._store_reachable = reachable
+            event = "store_regained" if reachable else "store_lost"
+            self._events.state(event, detail=detail)
+
+    def _note_rejected(self) -> None:
+        rejected = self._decoder.rejected_by_key
+        for key, reason in rejected.items():
+            if key not in self._rejected:
+                self._events.state("entry_rejected", key=key, detail=reason)
+        self._rejected = dict(rejected)
--- /dev/null
+++ b/src/gentianhitch/proxy/registration.py
@@ -0,0 +1,94 @@
+"""Keep this instance listed in the store while it serves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from gentianhitch.platform.interface import PlatformError
+from gentianhitch.platform.store import KeyValueStore
+from gentianhitch.platform.store import LeaseEndedError
+from gentianhitch.platform.store_view import encode_peer
+from gentianhitch.platform.store_view import peer_key
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.model import Peer
+from gentianhitch.repeating import Repeating
+
+LEASE_S = 3.0
+"""A dead instance is told to callers for at most so long."""
+
+RENEW_INTERVAL_S = 1.0
+
+
+class Registration:
+    """Hold a lease and the instance's entry under it."""
+
+    def __init__(
+        self, clock: Any, store: KeyValueStore, peer: Peer, events: Events
+    ) -> None:
+        self._store = store
+        self._peer = peer
+        self._events = events
+        self._lease: int | None = None
+        self._busy = False
+        self._left = False
+        self._listed = False
+        self._loop = Repeating(clock, RENEW_INTERVAL_S, self._tick, events.failure)
+
+    def start(self) -> None:
+        """Begin to hold the entry."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop renewing."""
+        self._left = True
+        self._loop.stop()
+
+    async def leave(self) -> None:
+        """Take the entry away at once."""
+        self.stop()
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self._store.end_lease(lease)
+        except PlatformError as error:
+            # The lease ends by itself within LEASE_S.
+            self._events.state("lease_not_ended", detail=str(error))
+
+    def _tick(self) -> None:
+        if not self._busy:
+            self._busy = True
+            Deferred.fromCoroutine(self._hold()).addErrback(self._events.failure)
+
+    async def _hold(self) -> None:
+        try:
+            if self._lease is None:
+                await self._enter()
+            else:
+                await self._store.renew_lease(self._lease)
+            self._note_listed(listed=True)
+        except LeaseEndedError:
+            self._lease = None
+            self._note_listed(listed=False, detail="the lease ended")
+        except PlatformError as error:
+            self._note_listed(listed=False, detail=str(error))
+        finally:
+            self._busy = False
+
+    async def _enter(self) -> None:
+        lease = await self._store.grant_lease(LEASE_S)
+        await self._store.put(
+            peer_key(self._peer.name), encode_peer(self._peer), lease=lease
+        )
+        if self._left:
+            await self._store.end_lease(lease)
+        else:
+            self._lease = lease
+
+    def _note_listed(self, *, listed: bool, detail: str = "") -> None:
+        if listed != self._listed:
+            self._listed = listed
+            event = "registered" if listed else "registration_lost"
+            self._events.state(event, detail=detail)
--- /dev/null
+++ b/src/gentianhitch/proxy/reports.py
@@ -0,0 +1,121 @@
+"""Exchange with other serving instances what each has seen and admitted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+from twisted.python.failure import Failure
+
+from gentianhitch.instances.datagrams import Datagrams
+from gentianhitch.instances.datagrams import Report
+from gentianhitch.instances.datagrams import Running
+from gentianhitch.instances.datagrams import Seen
+from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.balancing import Observation
+from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.quotas import Quotas
+from gentianhitch.repeating import Repeating
+
+REPORT_INTERVAL_S = 0.2
+"""A fifth of the time after which a silent instance counts as cut off."""
+
+FAILED = -1
+ACTIVE_FOR_S = 4.0
+"""An instance without requests for so long stops reporting."""
+
+
+class Reports:
+    """Send reports to, and take them from, the instances that serve requests."""
+
+    def __init__(
+        self,
+        clock: Any,
+        name: str,
+        incarnation: int,
+        datagrams: Datagrams,
+        balancer: Balancer,
+        quotas: Quotas,
+        receivers: Callable[[], Iterable[Peer]],
+        on_error: Callable[[Failure], None],
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._datagrams = datagrams
+        self._balancer = balancer
+        self._quotas = quotas
+        self._receivers = receivers
+        self._active_s = float("-inf")
+        self._heard_s_by_name: dict[str, float] = {}
+        self._loop = Repeating(clock, REPORT_INTERVAL_S, self._send, on_error)
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._loop.start(now=False)
+
+    def stop(self) -> None:
+        """Stop reporting."""
+        self._loop.stop()
+
+    def note_request(self) -> None:
+        """Note that this instance takes requests."""
+        self._active_s = self._clock.seconds()
+
+    def recent_senders(self) -> frozenset[str]:
+        """Return the instances that reported a moment ago."""
+        since = self._clock.seconds() - ACTIVE_FOR_S
+        return frozenset(
+            name for name, heard_s in self._heard_s_by_name.items() if heard_s > since
+        )
+
+    def _send(self) -> None:
+        now = self._clock.seconds()
+        observations, self._balancer.observations = self._balancer.observations, []
+        serves = any(peer.name == self._name for peer in self._receivers())
+        if not serves and now - self._active_s > ACTIVE_FOR_S:
+            return
+        report = Report(
+            self._name,
+            self._incarnation,
+            self._quotas.report(),
+            [
+                Running(key[0], key[1], count)
+                for key, count in self._balancer.running().items()
+            ],
+            [_encode(observation) for observation in observations],
+        )
+        for peer in self._receivers():
+            if peer.name != self._name:
+                self._datagrams.send(report, peer.internal)
+
+    def heard(self, report: Report) -> None:
+        """Take the report of another instance."""
+        now = self._clock.seconds()
+        self._heard_s_by_name[report.sender] = now
+        self._quotas.hear(
+            report.sender, report.incarnation, report.totals_by_workspace, now
+        )
+        self._balancer.reported_running(
+            report.sender,
+            {(each.server, each.started_ms): each.count for each in report.running},
+            now,
+        )
+        for seen in report.seen:
+            self._balancer.reported(_decode(seen), now)
+
+
+def _encode(observation: Observation) -> Seen:
+    latency_s = observation.latency_s
+    return Seen(
+        observation.server[0],
+        observation.server[1],
+        observation.route,
+        FAILED if latency_s is None else int(latency_s * 1000),
+    )
+
+
+def _decode(seen: Seen) -> Observation:
+    latency_s = None if seen.latency_ms == FAILED else seen.latency_ms / 1000
+    return Observation((seen.server, seen.started_ms), seen.route, latency_s)
--- /dev/null
+++ b/src/gentianhitch/proxy/request_server.py
@@ -0,0 +1,251 @@
+"""Admit callers' requests, have them sent, and answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+
+from gentianhitch.backend_servers.whole_answers import WholeAnswer
+from gentianhitch.callers.pipelined_connection import Reply
+from gentianhitch.callers.refusals import Cause
+from gentianhitch.callers.refusals import Refusal
+from gentianhitch.callers.refusals import RefusalOutcome
+from gentianhitch.callers.refusals import encode_refusal
+from gentianhitch.callers.requests import HOP_BY_HOP
+from gentianhitch.callers.whole_requests import CallerRequest
+from gentianhitch.proxy.dispatch import Dispatch
+from gentianhitch.proxy.dispatch import DispatchContext
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.model import BackendServer
+from gentianhitch.proxy.model import Configuration
+from gentianhitch.proxy.model import Route
+from gentianhitch.proxy.model import Workspace
+from gentianhitch.proxy.quotas import Quotas
+from gentianhitch.proxy.traffic_split import TrafficSplits
+
+FRESHNESS_MARGIN_S = 0.15
+"""Subtracted from the time within which a withdrawn key must stop working."""
+
+CURRENT_S = 1.2
+"""Above this age, an unknown route or key may just not be known here yet."""
+
+ANSWER_MARGIN_S = 0.02
+"""A final answer is written so long before the route's timeout."""
+
+RETRY_AFTER_S = 0.3
+"""When to come back after a refusal that says that nothing ran."""
+
+ANSWER_NOT_FORWARDED = HOP_BY_HOP | {b"content-length"}
+
+
+@attrs.frozen
+class Admitted:
+    """A request that may run: for whom and on which route."""
+
+    route: Route
+    workspace: Workspace | None
+
+
+@attrs.define(eq=False)
+class RequestServer:
+    """Serve requests by what the instance knows."""
+
+    clock: Any
+    knowledge: Knowledge
+    quotas: Quotas
+    dispatch: DispatchContext
+    splits: TrafficSplits
+    events: Events
+    revocation_s: float
+    finished: Callable[[str, str, float], None]
+
+    def serve(self, request: CallerRequest, reply: Reply) -> ServedRequest:
+        """Begin to serve one request."""
+        served = ServedRequest(self, request, reply, self.clock.seconds())
+        served.start()
+        return served
+
+    def admit(self, request: CallerRequest, now: float) -> Admitted | Refusal:
+        """Check a request against the configuration and its freshness."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            return Refusal(Cause.NOT_FRESH, retry_after_s=RETRY_AFTER_S)
+        age_s = self.knowledge.age_s(now)
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            return _unknown(Cause.UNKNOWN_ROUTE, age_s)
+        if route.public or not configuration.workspaces_by_key:
+            return Admitted(route, None)
+        if age_s > self.revocation_s - FRESHNESS_MARGIN_S:
+            return Refusal(Cause.NOT_FRESH, retry_after_s=RETRY_AFTER_S)
+        workspace = _workspace(configuration, request)
+        if workspace is None:
+            return _unknown(Cause.UNAUTHORISED, age_s)
+        wait_s = self.quotas.admit(workspace, now)
+        if wait_s > 0:
+            return Refusal(
+                Cause.OVER_RATE,
+                detail=self.quotas.describe(workspace),
+                retry_after_s=round(wait_s, 3),
+            )
+        return Admitted(route, workspace)
+
+
+def _workspace(
+    configuration: Configuration, request: CallerRequest
+) -> Workspace | None:
+    if request.key is None:
+        return None
+    return configuration.workspaces_by_key.get(request.key)
+
+
+def _unknown(cause: Cause, age_s: float) -> Refusal:
+    """Refuse what is unknown; say so for good only if the knowledge is current."""
+    if age_s > CURRENT_S:
+        return Refusal(Cause.NOT_FRESH, retry_after_s=RETRY_AFTER_S)
+    return Refusal(cause)
+
+
+class ServedRequest:
+    """One request from its head to its answer."""
+
+    def __init__(
+        self, server: RequestServer, request: CallerRequest, reply: Reply, now: float
+    ) -> None:
+        self._server = server
+        self._request = request
+        self._reply = reply
+        self._began_s = now
+        self._dispatch: Dispatch | None = None
+        self._admitted: Admitted | None = None
+        self._service = ""
+
+    def start(self) -> None:
+        """Admit the request and send it."""
+        server = self._server
+        checked = server.admit(self._request, self._began_s)
+        if isinstance(checked, Refusal):
+            self._refuse(checked)
+            return
+        self._admitted = checked
+        route = checked.route
+        self._service = server.splits.choose(route)
+        caller_deadline = self._began_s + self._request.remaining_s
+        deadline = caller_deadline
+        if route.timeout_s is not None:
+            deadline = min(deadline, self._began_s + route.timeout_s)
+        self._dispatch = Dispatch(
+            server.dispatch,
+            self._request,
+            route,
+            self._service,
+            None if checked.workspace is None else checked.workspace.name,
+            deadline - ANSWER_MARGIN_S,
+            caller_deadline,
+            self,
+        )
+        self._dispatch.start()
+
+    def caller_gone(self) -> None:
+        """Cancel the request: nobody waits for its answer."""
+        if self._dispatch is not None:
+            self._dispatch.cancel()
+        self._finish("caller-gone", None)
+
+    def dispatch_answered(self, answer: WholeAnswer, server: BackendServer) -> None:
+        """Pass a server's answer on."""
+        self._finish(str(answer.status), server)
+        close = self._reply.will_close
+        self._reply.send(
+            _encode_answer(answer, self._request, close=close), close=close
+        )
+
+    def dispatch_failed(self, cause: Cause, *, may_have_run: bool) -> None:
+        """Refuse, and say whether the request may have run."""
+        if may_have_run:
+            if cause.status == HTTPStatus.SERVICE_UNAVAILABLE:
+                cause = Cause.CUT_ANSWER
+            self._refuse(Refusal(cause, RefusalOutcome.UNKNOWN))
+            return
+        admitted = self._admitted
+        if admitted is not None and admitted.workspace is not None:
+            self._server.quotas.give_back(admitted.workspace)
+        if cause.status != HTTPStatus.SERVICE_UNAVAILABLE:
+            cause = Cause.NO_CAPACITY
+        self._refuse(Refusal(cause, retry_after_s=RETRY_AFTER_S))
+
+    def dispatch_note(self, event: str, server: BackendServer, detail: str) -> None:
+        """Log one step of the dispatch."""
+        self._server.events.request(
+            event,
+            self._request.request_id,
+            server=server.id,
+            service=self._service,
+            detail=detail,
+            view_age_ms=self._view_age_ms(),
+        )
+
+    def _view_age_ms(self) -> int:
+        now = self._server.clock.seconds()
+        return int(min(self._server.knowledge.age_s(now), 3600.0) * 1000)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._finish(refusal.cause.label, None, detail=refusal.detail)
+        close = self._reply.will_close
+        self._reply.send(
+            encode_refusal(
+                refusal,
+                request_id=self._request.request_id,
+                close=close,
+                to_head_request=self._request.method == b"HEAD",
+                request_id_header=self._server.dispatch.names.request_id.decode(),
+            ),
+            close=close,
+        )
+
+    def _finish(
+        self, outcome: str, server: BackendServer | None, *, detail: str = ""
+    ) -> None:
+        admitted = self._admitted
+        elapsed_s = self._server.clock.seconds() - self._began_s
+        workspace = admitted.workspace.name if admitted and admitted.workspace else ""
+        view = self._server.knowledge.view
+        self._server.events.request(
+            "finished",
+            self._request.request_id,
+            outcome=outcome,
+            server="" if server is None else server.id,
+            route=admitted.route.name if admitted else "",
+            workspace=workspace,
+            elapsed_ms=int(elapsed_s * 1000),
+            detail=detail,
+            view_age_ms=self._view_age_ms(),
+            configuration=0 if view is None else view.configuration_revision,
+        )
+        self._server.finished(outcome, workspace, elapsed_s)
+
+
+def _encode_answer(
+    answer: WholeAnswer, request: CallerRequest, *, close: bool
+) -> bytes:
+    dropped = ANSWER_NOT_FORWARDED
+    listed = answer.header(b"connection")
+    if listed is not None:
+        dropped = dropped | {part.strip() for part in listed.lower().split(b",")}
+    lines = [b"HTTP/1.1 %d %b" % (answer.status, answer.reason)]
+    lines += [
+        b"%b: %b" % header
+        for header in answer.headers
+        if header[0].lower() not in dropped
+    ]
+    if answer.status != HTTPStatus.NO_CONTENT:
+        lines.append(b"Content-Length: %d" % len(answer.body))
+    if close:
+        lines.append(b"Connection: close")
+    lines.append(b"\r\n")
+    head = b"\r\n".join(lines)
+    return head if request.method == b"HEAD" else head + answer.body
--- /dev/null
+++ b/src/gentianhitch/proxy/retry_budget.py
@@ -0,0 +1,40 @@
+"""Bound repeated sends to one service over all instances together."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+SAFETY = 0.8
+"""Part of the budget that is spent: instances come and go within one window."""
+
+
+@attrs.define
+class RetryBudget:
+    """Allow repeats worth a ratio of the requests and a share of the slack."""
+
+    ratio: float
+    slack: float
+    window_s: float
+    _requests: deque[float] = attrs.Factory(deque)
+    _repeats: deque[float] = attrs.Factory(deque)
+
+    def request(self, now: float) -> None:
+        """Count the first send of a request."""
+        self._requests.append(now)
+
+    def take(self, now: float, sharers: int) -> bool:
+        """Spend one repeat; False when the budget is used up."""
+        _drop_old(self._requests, now - self.window_s)
+        _drop_old(self._repeats, now - self.window_s)
+        allowed = self.ratio * len(self._requests) + self.slack / max(sharers, 1)
+        if len(self._repeats) + 1 > SAFETY * allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+
+def _drop_old(times: deque[float], before: float) -> None:
+    while times and times[0] < before:
+        times.popleft()
--- /dev/null
+++ b/src/gentianhitch/proxy/sources.py
@@ -0,0 +1,117 @@
+"""Decide from where an instance refreshes its knowledge of the store.
+
+In each failure domain the first instance of a common order reads the store; the
+others ask it. An instance that gives no fresh answer is passed over for a while,
+so that the next one reads, without an election.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from gentianhitch.proxy.model import Peer
+
+REFRESH_INTERVAL_S = 0.5
+"""A quarter of the 2 s within which a change must be in force."""
+
+ANSWER_TIMEOUT_S = 0.35
+"""Above a round trip between failure domains with one lost datagram's delay."""
+
+USEFUL_AGE_S = 1.1
+"""An answer older than two refreshes shows that its sender is cut off."""
+
+PASSED_OVER_S = 3.0
+OWN_READ_AGE_S = 1.6
+"""Past this age an instance reads for itself, whatever its place in the order."""
+
+OWN_READ_INTERVAL_S = 0.7
+FAR_PEERS_ASKED = 2
+
+
+@attrs.frozen
+class Step:
+    """What to do now; ``peers`` are asked, in no order."""
+
+    read_store: bool
+    peers: tuple[Peer, ...]
+
+
+def _rank(name: str) -> int:
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+def reading_order(peers: Iterable[Peer]) -> list[Peer]:
+    """Return peers in the order in which they read the store."""
+    return sorted(peers, key=lambda peer: _rank(peer.name))
+
+
+@attrs.define
+class SourcePlan:
+    """Follow who answered and who did not."""
+
+    name: str
+    failure_domain: str
+    _passed_over_until_by_name: dict[str, float] = attrs.Factory(dict)
+    _asked_by_name: dict[str, float] = attrs.Factory(dict)
+    _last_read_s: float = float("-inf")
+    _last_ask_s: float = float("-inf")
+    _turn: int = 0
+
+    def answered(self, name: str, age_s: float, now: float) -> None:
+        """Note an answer; one that is too old counts like none."""
+        self._asked_by_name.pop(name, None)
+        if age_s > USEFUL_AGE_S:
+            self._passed_over_until_by_name[name] = now + PASSED_OVER_S
+        else:
+            self._passed_over_until_by_name.pop(name, None)
+
+    def next_step(self, peers: Iterable[Peer], age_s: float, now: float) -> Step:
+        """Decide what to ask at ``now`` with knowledge of ``age_s``."""
+        self._expire(now)
+        known = [peer for peer in peers if peer.name != self.name]
+        near = [peer for peer in known if peer.failure_domain == self.failure_domain]
+        reader = self._reader(near, now)
+        read = reader is None and now - self._last_read_s >= REFRESH_INTERVAL_S
+        if age_s > OWN_READ_AGE_S and now - self._last_read_s >= OWN_READ_INTERVAL_S:
+            read = True
+        asked: tuple[Peer, ...] = ()
+        if now - self._last_ask_s >= REFRESH_INTERVAL_S:
+            asked = self._to_ask(reader, known, age_s)
+        if read:
+            self._last_read_s = now
+        if asked:
+            self._last_ask_s = now
+            for peer in asked:
+                self._asked_by_name.setdefault(peer.name, now)
+        return Step(read, asked)
+
+    def _reader(self, near: list[Peer], now: float) -> Peer | None:
+        own_rank = _rank(self.name)
+        for peer in reading_order(near):
+            if _rank(peer.name) >= own_rank:
+                return None
+            if self._passed_over_until_by_name.get(peer.name, 0.0) <= now:
+                return peer
+        return None
+
+    def _to_ask(
+        self, reader: Peer | None, known: list[Peer], age_s: float
+    ) -> tuple[Peer, ...]:
+        asked = [] if reader is None else [reader]
+        if age_s > OWN_READ_AGE_S and known:
+            # The whole failure domain may be cut off: ask anyone, in turn.
+            ordered = reading_order(known)
+            for _ in range(FAR_PEERS_ASKED):
+                self._turn += 1
+                asked.append(ordered[self._turn % len(ordered)])
+        return tuple(dict.fromkeys(asked))
+
+    def _expire(self, now: float) -> None:
+        for name, asked_s in tuple(self._asked_by_name.items()):
+            if now - asked_s > ANSWER_TIMEOUT_S:
+                del self._asked_by_name[name]
+                self._passed_over_until_by_name[name] = now + PASSED_OVER_S
+                self._last_ask_s = float("-inf")
