Count quotas in windows and report only news

Cause: a token bucket split by level refused 154 requests of workspaces within their limit, and idle instances exchanged reports with everyone.

--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -27,6 +27,9 @@
     retry_slack: float
     retry_window_s: float
     directory_ttl_s: float
+    quota_window_s: float
+    quota_overshoot: float
+    quota_slack: float
 
 
 @attrs.frozen
@@ -120,4 +123,7 @@
         retry_window_s=bounds.get("budgetWindowS", float),
         # ttl_max_s caps how long callers keep a directory answer.
         directory_ttl_s=bounds.get("ttl_max_s", float),
+        quota_window_s=bounds.get("quotaWindowS", float),
+        quota_overshoot=bounds.get("quotaOvershoot", float),
+        quota_slack=bounds.get("quotaSlack", float),
     )
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -64,7 +64,7 @@
     connections: ServerConnections
     names: HeaderNames
     new_budget: Callable[[], RetryBudget]
-    sharers: Callable[[], int]
+    slack_share: Callable[[], float]
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
 
     def budget(self, service: str) -> RetryBudget:
@@ -76,7 +76,7 @@
 
     def budget_allows(self, service: str, now: float) -> bool:
         """Spend one repeat at ``service``, if the budget has one."""
-        return self.budget(service).take(now, self.sharers())
+        return self.budget(service).take(now, self.slack_share())
 
 
 class _Attempt:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -47,6 +47,7 @@
 from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.quotas import Overshoot
 from gentianhitch.proxy.quotas import Quotas
 from gentianhitch.proxy.refresh import VIEW_PATH
 from gentianhitch.proxy.refresh import Refresher
@@ -69,6 +70,12 @@
 STOP_LISTENING_AFTER_S = 2.6
 """Before the third second of a stop, after which no request may be cut."""
 
+SERVING_SLACK_SHARE = 0.8
+"""Part of the slack for repeats that the instances named to callers share."""
+
+MIN_OTHERS = 8
+"""Instances among which the rest is split while few others are known."""
+
 LAST_MOMENT_S = 0.4
 """An instance ends so long before it would be killed."""
 
@@ -111,7 +118,7 @@
         self._datagrams = Datagrams(self._receive, self.metrics.count)
         self._store = KeyValueStore(self._reactor, settings.store)
         self._balancer = Balancer(settings.failure_domain, self._random)
-        self._quotas = Quotas(settings.name)
+        self._quotas = Quotas(settings.name, _overshoot(settings))
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id
         )
@@ -152,7 +159,7 @@
                 self._connections,
                 HEADER_NAMES,
                 self._new_budget,
-                lambda: len(self._quotas.sharers),
+                self._slack_share,
             ),
             TrafficSplits(),
             events,
@@ -253,7 +260,6 @@
     # What the parts need of each other.
 
     def _serve(self, request: CallerRequest, reply: Reply) -> Exchange:
-        self._reports.note_request()
         return self._server.serve(request, reply)
 
     def _caller_limits(self) -> CallerLimits:
@@ -266,6 +272,15 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
 
+    def _slack_share(self) -> float:
+        """Return this instance's part of what all may spend on repeats."""
+        sharers = self._quotas.sharers
+        if self._settings.name in sharers:
+            return SERVING_SLACK_SHARE / len(sharers)
+        peers = self.knowledge.peers(self._reactor.seconds())
+        others = max(len(peers) - len(sharers), MIN_OTHERS)
+        return (1.0 - SERVING_SLACK_SHARE) / others
+
     def _heard_any_peer(self, now: float) -> bool:
         return now - self._told_s < HOUSEKEEPING_S * 4
 
@@ -275,12 +290,13 @@
         return [peer for each in serving.values() for peer in each]
 
     def _report_receivers(self) -> list[Peer]:
+        """Return the instances that callers are told, and those that are busy too."""
         receivers = self._serving_peers()
         names = {peer.name for peer in receivers}
-        peers = self.knowledge.peers(self._reactor.seconds())
-        for name in self._reports.recent_senders() - names:
-            if name in peers:
-                receivers.append(peers[name])
+        if self._settings.name in names:
+            peers = self.knowledge.peers(self._reactor.seconds())
+            busy = self._reports.busy_senders() - names
+            receivers += [peers[name] for name in busy if name in peers]
         return receivers
 
     def _note_change(self, change: Change) -> None:
@@ -325,6 +341,7 @@
             return
         self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
         self._server.revocation_s = settings.bounds.revocation_s
+        self._quotas.overshoot = _overshoot(settings)
         self._events.state("reloaded")
 
     # Stop.
@@ -371,3 +388,8 @@
         for part in (self._refresher, self._registration, self._reports):
             part.stop()
         self._reactor.callLater(0, self._reactor.stop)
+
+
+def _overshoot(settings: NodeSettings) -> Overshoot:
+    bounds = settings.bounds
+    return Overshoot(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack)
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -1,15 +1,16 @@
-"""Keep workspaces within their rate over all instances together.
-
-Every instance replays one token bucket for each workspace from its own admissions
-and from the running totals that the other instances report. Between two reports it
-spends at most its even part of the level, so that instances that act on the same
-level do not spend it many times over. For an instance that isn't heard, its even
-part of the rate counts as spent, so that instances that are cut off from each other
-stay within the rate together.
+"""Keep workspaces within their limit over all instances together.
+
+In any window, a workspace may send as many requests as its rate and burst allow.
+Every instance counts its own admissions and those that the others report. Between
+two reports it admits at most its even part of what is left, or of the permitted
+overshoot, so that instances that know the same rest do not spend it many times over.
+For an instance that isn't heard, its even part counts as spent, so that instances
+that are cut off from each other stay within the limit together.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 
 import attrs
@@ -19,17 +20,68 @@
 SILENT_AFTER_S = 1.0
 """Reports come five times a second; an instance unheard so long counts as cut off."""
 
-START_SHARE = 0.25
-"""Part of the burst that a bucket holds at the start: the rest may have been spent."""
+START_SHARE = 0.5
+"""Part of the limit that counts as spent before the start of an instance."""
+
+ADMITTED_SHARE = 0.5
+"""Part of the permitted overshoot that is admitted; the rest covers late reports."""
+
+UNREPORTED_SHARE = 0.4
+"""Part of the permitted overshoot that may be spent between two reports."""
 
 MIN_RETRY_S = 0.05
+TOTALS_REPEATED_S = 1.0
+"""A running total is reported for so long after it changed: reports may be lost."""
+
+
+@attrs.frozen
+class Overshoot:
+    """By how much a workspace may exceed its limit over all instances.
+
+    In any ``window_s`` seconds, ``ratio`` of what the limit allows and ``slack``
+    requests more.
+    """
+
+    window_s: float
+    ratio: float
+    slack: float
+
+    def allowed(self, workspace: Workspace) -> float:
+        """Return the requests that the limit allows in one window."""
+        return workspace.rate_per_s * self.window_s + workspace.burst
+
+    def extra(self, workspace: Workspace) -> float:
+        """Return the requests above the limit in one window."""
+        return self.ratio * self.allowed(workspace) + self.slack
+
+
+@attrs.frozen
+class _Admissions:
+    at_s: float
+    count: float
+
+
+@attrs.define
+class _Window:
+    """Admissions of all instances in the last window."""
+
+    entries: deque[_Admissions] = attrs.Factory(deque)
+    count: float = 0.0
+    unreported: int = 0
+
+    def add(self, now: float, count: float) -> None:
+        self.entries.append(_Admissions(now, count))
+        self.count += count
+
+    def expire(self, before_s: float) -> None:
+        while self.entries and self.entries[0].at_s <= before_s:
+            self.count -= self.entries.popleft().count
 
 
 @attrs.define
-class _Bucket:
-    level: float
-    updated_s: float
-    spent_since_report: int = 0
+class _Total:
+    count: int
+    changed_s: float
 
 
 @attrs.define
@@ -44,56 +96,62 @@
     """Admit requests of workspaces; ``sharers`` names who takes requests."""
 
     name: str
+    overshoot: Overshoot
     sharers: frozenset[str] = frozenset()
-    _buckets_by_workspace: dict[str, _Bucket] = attrs.Factory(dict)
-    _totals_by_workspace: dict[str, int] = attrs.Factory(dict)
+    _windows_by_workspace: dict[str, _Window] = attrs.Factory(dict)
+    _totals_by_workspace: dict[str, _Total] = attrs.Factory(dict)
     _reporters_by_name: dict[str, _Reporter] = attrs.Factory(dict)
 
     def prepare(self, workspaces: Iterable[Workspace], now: float) -> None:
-        """Start the buckets of new workspaces and drop those of removed ones."""
+        """Start the windows of new workspaces and drop those of removed ones."""
         known = {workspace.name: workspace for workspace in workspaces}
-        for name in tuple(self._buckets_by_workspace):
+        for name in tuple(self._windows_by_workspace):
             if name not in known:
-                del self._buckets_by_workspace[name]
+                del self._windows_by_workspace[name]
         for workspace in known.values():
-            self._bucket(workspace, now)
+            self._window(workspace, now)
 
     def admit(self, workspace: Workspace, now: float) -> float:
-        """Take a token; return 0, or the seconds until there may be one."""
+        """Count a request; return 0, or the seconds until one may be admitted."""
         if workspace.rate_per_s <= 0:
             return 0.0
-        bucket = self._bucket(workspace, now)
-        part = (bucket.level + bucket.spent_since_report) / max(len(self.sharers), 1)
-        if bucket.level < 1.0 or bucket.spent_since_report + 1 > max(part, 1.0):
-            missing = max(1.0 - bucket.level, 0.0)
-            return max(missing / workspace.rate_per_s, MIN_RETRY_S)
-        bucket.level -= 1.0
-        bucket.spent_since_report += 1
-        total = self._totals_by_workspace.get(workspace.name, 0)
-        self._totals_by_workspace[workspace.name] = total + 1
+        window = self._window(workspace, now)
+        rest = self._limit(workspace, now) - window.count
+        extra = self.overshoot.extra(workspace)
+        whole = max(rest + window.unreported, UNREPORTED_SHARE * extra)
+        part = max(whole / max(len(self.sharers), 1), 1.0)
+        if rest < 1.0 or window.unreported + 1 > part:
+            return max((1.0 - rest) / workspace.rate_per_s, MIN_RETRY_S)
+        window.add(now, 1.0)
+        window.unreported += 1
+        self._add_total(workspace.name, 1, now)
         return 0.0
 
-    def describe(self, workspace: Workspace) -> str:
+    def describe(self, workspace: Workspace, now: float) -> str:
         """Return what decided about a request of ``workspace``."""
-        bucket = self._buckets_by_workspace[workspace.name]
+        window = self._window(workspace, now)
+        heard = sum(self._is_heard(name, now) for name in self.sharers)
         return (
-            f"{workspace.name}: {bucket.level:.1f} tokens of {workspace.burst:g},"
-            f" {workspace.rate_per_s:g}/s, {bucket.spent_since_report} spent since the"
-            f" last report, {len(self.sharers)} sharers"
+            f"{workspace.name}: {window.count:g} of {self._limit(workspace, now):g}"
+            f" in {self.overshoot.window_s:g} s, {window.unreported} unreported,"
+            f" {heard} of {len(self.sharers)} sharers heard"
         )
 
-    def give_back(self, workspace: Workspace) -> None:
-        """Return the token of a request that certainly did not run."""
-        bucket = self._buckets_by_workspace.get(workspace.name)
-        if bucket is not None and workspace.rate_per_s > 0:
-            bucket.level += 1.0
-            self._totals_by_workspace[workspace.name] -= 1
-
-    def report(self) -> dict[str, int]:
-        """Return the running totals by workspace and begin a new interval."""
-        for bucket in self._buckets_by_workspace.values():
-            bucket.spent_since_report = 0
-        return dict(self._totals_by_workspace)
+    def give_back(self, workspace: Workspace, now: float) -> None:
+        """Forget a request that certainly did not run."""
+        if workspace.rate_per_s > 0:
+            self._window(workspace, now).add(now, -1.0)
+            self._add_total(workspace.name, -1, now)
+
+    def report(self, now: float) -> dict[str, int]:
+        """Return running totals that changed lately, and begin a new interval."""
+        for window in self._windows_by_workspace.values():
+            window.unreported = 0
+        return {
+            name: total.count
+            for name, total in self._totals_by_workspace.items()
+            if now - total.changed_s < TOTALS_REPEATED_S
+        }
 
     def hear(
         self, name: str, incarnation: int, totals: dict[str, int], now: float
@@ -101,35 +159,38 @@
         """Count what another instance has admitted since its last report."""
         reporter = self._reporters_by_name.get(name)
         if reporter is None or reporter.incarnation != incarnation:
-            # What it admitted before is over, or was counted by its share.
-            self._reporters_by_name[name] = _Reporter(incarnation, now, totals)
-            return
-        if now - reporter.heard_s <= SILENT_AFTER_S:
-            for workspace, total in totals.items():
-                bucket = self._buckets_by_workspace.get(workspace)
-                if bucket is not None:
-                    before = reporter.totals_by_workspace.get(workspace, 0)
-                    bucket.level -= total - before
+            reporter = _Reporter(incarnation, now, {})
+            self._reporters_by_name[name] = reporter
+        for workspace, total in totals.items():
+            window = self._windows_by_workspace.get(workspace)
+            before = reporter.totals_by_workspace.get(workspace, 0)
+            if window is not None and total != before:
+                window.add(now, total - before)
         reporter.heard_s = now
-        reporter.totals_by_workspace = totals
-
-    def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
-        bucket = self._buckets_by_workspace.get(workspace.name)
-        if bucket is None:
-            bucket = _Bucket(START_SHARE * workspace.burst, now)
-            self._buckets_by_workspace[workspace.name] = bucket
-        rate = workspace.rate_per_s * self._heard_share(now)
-        grown = bucket.level + rate * max(now - bucket.updated_s, 0.0)
-        bucket.level = min(grown, max(workspace.burst, 1.0))
-        bucket.updated_s = now
-        return bucket
-
-    def _heard_share(self, now: float) -> float:
-        """Return the part of a rate that this instance and those heard may spend."""
+        reporter.totals_by_workspace.update(totals)
+
+    def _add_total(self, workspace: str, count: int, now: float) -> None:
+        total = self._totals_by_workspace.setdefault(workspace, _Total(0, now))
+        total.count += count
+        total.changed_s = now
+
+    def _window(self, workspace: Workspace, now: float) -> _Window:
+        window = self._windows_by_workspace.get(workspace.name)
+        if window is None:
+            window = self._windows_by_workspace[workspace.name] = _Window()
+            window.add(now, START_SHARE * self.overshoot.allowed(workspace))
+        window.expire(now - self.overshoot.window_s)
+        return window
+
+    def _limit(self, workspace: Workspace, now: float) -> float:
+        """Return what this instance and those heard may admit in one window."""
+        overshoot = self.overshoot
+        limit = overshoot.allowed(workspace)
+        limit += ADMITTED_SHARE * overshoot.extra(workspace)
         if not self.sharers:
-            return 1.0
-        heard = sum(1 for name in self.sharers if self._is_heard(name, now))
-        return heard / len(self.sharers)
+            return limit
+        heard = sum(self._is_heard(name, now) for name in self.sharers)
+        return limit * heard / len(self.sharers)
 
     def _is_heard(self, name: str, now: float) -> bool:
         if name == self.name:
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
@@ -22,8 +23,9 @@
 """A fifth of the time after which a silent instance counts as cut off."""
 
 FAILED = -1
-ACTIVE_FOR_S = 4.0
-"""An instance without requests for so long stops reporting."""
+BUSY_WINDOW_S = 2.0
+BUSY_REPORTS = 5
+"""So many reports in the window come only from an instance that serves callers."""
 
 
 class Reports:
@@ -47,8 +49,7 @@
         self._balancer = balancer
         self._quotas = quotas
         self._receivers = receivers
-        self._active_s = float("-inf")
-        self._heard_s_by_name: dict[str, float] = {}
+        self._heard_s_by_name: dict[str, deque[float]] = {}
         self._loop = Repeating(clock, REPORT_INTERVAL_S, self._send, on_error)
 
     def start(self) -> None:
@@ -59,41 +60,43 @@
         """Stop reporting."""
         self._loop.stop()
 
-    def note_request(self) -> None:
-        """Note that this instance takes requests."""
-        self._active_s = self._clock.seconds()
-
-    def recent_senders(self) -> frozenset[str]:
-        """Return the instances that reported a moment ago."""
-        since = self._clock.seconds() - ACTIVE_FOR_S
+    def busy_senders(self) -> frozenset[str]:
+        """Return the instances that reported often a moment ago."""
+        since = self._clock.seconds() - BUSY_WINDOW_S
+        for times in self._heard_s_by_name.values():
+            while times and times[0] < since:
+                times.popleft()
         return frozenset(
-            name for name, heard_s in self._heard_s_by_name.items() if heard_s > since
+            name
+            for name, times in self._heard_s_by_name.items()
+            if len(times) >= BUSY_REPORTS
         )
 
     def _send(self) -> None:
         now = self._clock.seconds()
         observations, self._balancer.observations = self._balancer.observations, []
-        serves = any(peer.name == self._name for peer in self._receivers())
-        if not serves and now - self._active_s > ACTIVE_FOR_S:
+        totals = self._quotas.report(now)
+        receivers = [peer for peer in self._receivers() if peer.name != self._name]
+        # Only silence of an instance that callers are told to use means anything.
+        if not (observations or self._name in self._quotas.sharers):
             return
         report = Report(
             self._name,
             self._incarnation,
-            self._quotas.report(),
+            totals,
             [
                 Running(key[0], key[1], count)
                 for key, count in self._balancer.running().items()
             ],
             [_encode(observation) for observation in observations],
         )
-        for peer in self._receivers():
-            if peer.name != self._name:
-                self._datagrams.send(report, peer.internal)
+        for peer in receivers:
+            self._datagrams.send(report, peer.internal)
 
     def heard(self, report: Report) -> None:
         """Take the report of another instance."""
         now = self._clock.seconds()
-        self._heard_s_by_name[report.sender] = now
+        self._heard_s_by_name.setdefault(report.sender, deque()).append(now)
         self._quotas.hear(
             report.sender, report.incarnation, report.totals_by_workspace, now
         )
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -89,7 +89,7 @@
         if wait_s > 0:
             return Refusal(
                 Cause.OVER_RATE,
-                detail=self.quotas.describe(workspace),
+                detail=self.quotas.describe(workspace, now),
                 retry_after_s=round(wait_s, 3),
             )
         return Admitted(route, workspace)
@@ -173,7 +173,8 @@
             return
         admitted = self._admitted
         if admitted is not None and admitted.workspace is not None:
-            self._server.quotas.give_back(admitted.workspace)
+            now = self._server.clock.seconds()
+            self._server.quotas.give_back(admitted.workspace, now)
         if cause.status != HTTPStatus.SERVICE_UNAVAILABLE:
             cause = Cause.NO_CAPACITY
         self._refuse(Refusal(cause, retry_after_s=RETRY_AFTER_S))
--- a/src/gentianhitch/proxy/retry_budget.py
+++ b/src/gentianhitch/proxy/retry_budget.py
@@ -24,11 +24,14 @@
         """Count the first send of a request."""
         self._requests.append(now)
 
-    def take(self, now: float, sharers: int) -> bool:
-        """Spend one repeat; False when the budget is used up."""
+    def take(self, now: float, slack_share: float) -> bool:
+        """Spend one repeat; False when the budget is used up.
+
+        ``slack_share`` is this instance's part of the slack.
+        """
         _drop_old(self._requests, now - self.window_s)
         _drop_old(self._repeats, now - self.window_s)
-        allowed = self.ratio * len(self._requests) + self.slack / max(sharers, 1)
+        allowed = self.ratio * len(self._requests) + self.slack * slack_share
         if len(self._repeats) + 1 > SAFETY * allowed:
             return False
         self._repeats.append(now)
