Test the proxy's decisions, the store client and the wire decoding

Conclusion: quotas run as a state machine under cuts, restarts and lost reports; a stand-in speaks the store's protocol with outages and lost answers.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable
 from typing import Any
 
@@ -27,6 +26,7 @@
     value: str
     revision: int
     lease: str | None = None
+    created: int = 0
 
 
 @attrs.define
@@ -44,7 +44,7 @@
     clock: Clock
     records_by_key: dict[str, Record] = attrs.Factory(dict)
     leases_by_id: dict[str, LeaseRecord] = attrs.Factory(dict)
-    _revisions: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
+    revision: int = 0
 
     def get(self, key: str) -> Record | None:
         """Read one key."""
@@ -56,18 +56,32 @@
         self._require(key, expected)
         if lease is not None and lease not in self.leases_by_id:
             raise StoreConflictError(self.records_by_key.get(key))
-        record = Record(key, value, next(self._revisions), lease)
+        current = self.records_by_key.get(key)
+        self.revision += 1
+        created = self.revision if current is None else current.created
+        record = Record(key, value, self.revision, lease, created)
         self.records_by_key[key] = record
         return record
 
     def delete(self, key: str, expected: int) -> None:
         """Delete if the key is still at ``expected``."""
         self._require(key, expected)
+        self.revision += 1
         self.records_by_key.pop(key, None)
 
+    def range(self, prefix: str, after: str) -> list[Record]:
+        """Return the records under a prefix and past a key, in key order."""
+        self._expire()
+        return [
+            record
+            for key, record in sorted(self.records_by_key.items())
+            if key.startswith(prefix) and key > after
+        ]
+
     def grant(self, ttl_s: float) -> str:
         """Create a lease and return its id."""
-        lease = f"lease-{next(self._revisions)}"
+        self.revision += 1
+        lease = f"lease-{self.revision}"
         self.leases_by_id[lease] = LeaseRecord(ttl_s, self.clock() + ttl_s)
         return lease
 
@@ -79,6 +93,12 @@
         record = self.leases_by_id[lease]
         record.ends_at = self.clock() + record.ttl_s
 
+    def end(self, lease: str) -> None:
+        """End a lease and remove its keys."""
+        if lease in self.leases_by_id:
+            self.leases_by_id[lease].ends_at = self.clock()
+            self._expire()
+
     def _require(self, key: str, expected: int) -> None:
         self._expire()
         current = self.records_by_key.get(key)
@@ -94,6 +114,7 @@
             del self.leases_by_id[id_]
         for key, record in list(self.records_by_key.items()):
             if record.lease in ended:
+                self.revision += 1
                 del self.records_by_key[key]
 
 
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from gentianhitch.platform.configuration import MalformedConfigurationError
+from gentianhitch.platform.configuration import decode_configuration
+
+DOCUMENT = {
+    "version": 7,
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1024,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [
+        {
+            "name": "north",
+            "apiKeys": ["k1", "k2"],
+            "priority": 1,
+            "ratePerS": 30,
+            "burst": 31,
+        }
+    ],
+    "listeners": [
+        {
+            "hostname": "Shop.example",
+            "rules": [
+                {
+                    "name": "r-1",
+                    "type": "safe",
+                    "objectiveLatencyMs": 2000,
+                    "priority": 2,
+                    "public": False,
+                    "match": {"prefix": "/a/"},
+                    "action": {
+                        "trafficSplit": [
+                            {"service": "one", "weight": 90},
+                            {"service": "two", "weight": 10},
+                        ],
+                        "timeoutMs": 5000,
+                        "attempts": 2,
+                    },
+                },
+                {
+                    "name": "r-2",
+                    "type": "unsafe",
+                    "public": True,
+                    "match": {"prefix": "/a/b/"},
+                    "action": {"service": "one"},
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {"name": "one", "healthCheckPath": "/health", "maxConnections": 330},
+    ],
+}
+
+
+def decode(document: object) -> object:
+    return decode_configuration(json.dumps(document).encode())
+
+
+class TestDecode:
+    def test_finds_the_longest_prefix(self) -> None:
+        configuration = decode_configuration(json.dumps(DOCUMENT).encode())
+        route = configuration.find_route("shop.example", "/a/b/c")
+        assert route is not None
+        assert (route.name, route.idempotent, route.public) == ("r-2", False, True)
+        assert route.timeout_s is None
+        assert configuration.find_route("shop.example", "/x/") is None
+        assert configuration.find_route("other.example", "/a/") is None
+
+    def test_reads_splits_limits_and_workspaces(self) -> None:
+        configuration = decode_configuration(json.dumps(DOCUMENT).encode())
+        route = configuration.find_route("shop.example", "/a/x")
+        assert route is not None
+        weights = [(each.service, each.weight) for each in route.destinations]
+        assert weights == [("one", 90), ("two", 10)]
+        assert (route.timeout_s, route.objective_s) == (5.0, 2.0)
+        workspace = configuration.workspaces_by_key["k2"]
+        assert (workspace.name, workspace.rate_per_s, workspace.burst) == (
+            "north",
+            30,
+            31,
+        )
+        assert configuration.limits.max_body_bytes == 1024
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        assert decode({**DOCUMENT, "novelty": [1]})
+
+    @pytest.mark.parametrize(
+        "broken",
+        [
+            {"listeners": []},
+            {**DOCUMENT, "version": "seven"},
+            {
+                "version": 1,
+                "listeners": [
+                    {
+                        "hostname": "h",
+                        "rules": [
+                            {
+                                "name": "r",
+                                "type": "safe",
+                                "match": {"prefix": "/"},
+                                "action": {},
+                            }
+                        ],
+                    }
+                ],
+            },
+        ],
+    )
+    def test_names_what_is_wrong(self, broken: object) -> None:
+        with pytest.raises(MalformedConfigurationError):
+            decode(broken)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import pytest
+from twisted.internet import reactor
+
+from gentianhitch.addresses import Address
+from gentianhitch.platform.interface import OutcomeUnknownError
+from gentianhitch.platform.interface import UnavailableError
+from gentianhitch.platform.store import KeyValueStore
+from gentianhitch.platform.store import LeaseEndedError
+from standins import key_value_store
+from standins import platform_store
+from standins import serving
+from tests.running import run_on_reactor
+
+
+class Scenario:
+    """A client and a store stand-in on loopback."""
+
+    def __init__(self) -> None:
+        self.server = key_value_store.KeyValueStore(
+            platform_store.Store(serving.seconds)
+        )
+        address = Address.parse(serving.listen(self.server.app, 0))
+        self.client = KeyValueStore(reactor, address)
+
+
+class TestRange:
+    def test_reads_every_item_under_the_prefix(self) -> None:
+        scenario = Scenario()
+        scenario.server.write("servers/a", b"1")
+        scenario.server.write("op/config", b"2")
+
+        async def read() -> dict[str, bytes]:
+            page = await scenario.client.read_range("")
+            return {item.key: item.value for item in page.items}
+
+        expected = {"servers/a": b"1", "op/config": b"2"}
+        assert run_on_reactor(read()) == expected
+
+    def test_follows_pages(self) -> None:
+        scenario = Scenario()
+        for number in range(key_value_store.PAGE_ITEMS + 10):
+            scenario.server.write(f"servers/{number:04}", b"x")
+
+        async def read() -> int:
+            return len((await scenario.client.read_range("servers/")).items)
+
+        assert run_on_reactor(read()) == key_value_store.PAGE_ITEMS + 10
+
+    @pytest.mark.parametrize("outage", ["busy", "many"])
+    def test_a_refused_call_changed_nothing(self, outage: str) -> None:
+        scenario = Scenario()
+        scenario.server.faults.outage = outage  # type: ignore[assignment]
+
+        async def read() -> None:
+            with pytest.raises(UnavailableError, match="status"):
+                await scenario.client.read_range("")
+
+        run_on_reactor(read())
+
+    @pytest.mark.parametrize("outage", ["reset", "silent"])
+    def test_a_call_without_an_answer_ends_in_time(self, outage: str) -> None:
+        scenario = Scenario()
+        scenario.server.faults.outage = outage  # type: ignore[assignment]
+
+        async def read() -> None:
+            with pytest.raises(OutcomeUnknownError):
+                await scenario.client.read_range("")
+
+        run_on_reactor(read())
+
+
+class TestLeases:
+    def test_an_item_goes_with_its_lease(self) -> None:
+        scenario = Scenario()
+
+        async def write() -> list[str]:
+            lease = await scenario.client.grant_lease(5.0)
+            await scenario.client.put("instances/e-1", b"{}", lease=lease)
+            await scenario.client.renew_lease(lease)
+            await scenario.client.end_lease(lease)
+            page = await scenario.client.read_range("")
+            return [item.key for item in page.items]
+
+        assert run_on_reactor(write()) == []
+
+    def test_an_ended_lease_can_not_be_renewed(self) -> None:
+        scenario = Scenario()
+
+        async def renew() -> None:
+            with pytest.raises(LeaseEndedError):
+                await scenario.client.renew_lease(4711)
+
+        run_on_reactor(renew())
+
+    def test_a_lost_answer_leaves_the_outcome_open(self) -> None:
+        scenario = Scenario()
+        scenario.server.faults.lost_answers = 1
+
+        async def write() -> bytes:
+            lease = await scenario.client.grant_lease(5.0)
+            return b"%d" % lease
+
+        async def lost() -> None:
+            with pytest.raises(OutcomeUnknownError):
+                await write()
+
+        run_on_reactor(lost())
--- /dev/null
+++ b/tests/platform/test_store_view.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from gentianhitch.platform.store import Item
+from gentianhitch.platform.store_view import MalformedEntryError
+from gentianhitch.platform.store_view import ViewDecoder
+from gentianhitch.platform.store_view import decode_backend_server
+from gentianhitch.platform.store_view import decode_peer
+from gentianhitch.platform.store_view import encode_peer
+from gentianhitch.platform.store_view import peer_key
+from tests.builders_proxy import make_peer
+
+ENTRY = {
+    "service": "stock",
+    "address": "10.128.0.9:8080",
+    "zone": "dk-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "warmupRemainingMs": 1500,
+    "sequenceNumber": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def make_item(value: object, key: str = "servers/i-1") -> Item:
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return Item(key, data, 12, 10)
+
+
+class TestBackendServers:
+    def test_reads_an_entry(self) -> None:
+        server = decode_backend_server(make_item(ENTRY))
+        assert server.key == ("i-1", 1_700_000_000_000)
+        assert (server.slots, server.draining, server.warmup_s) == (6, False, 1.5)
+
+    @pytest.mark.parametrize(
+        "broken",
+        [
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            {**ENTRY, "state": "sleeping"},
+            {**ENTRY, "slots": "six"},
+            {**ENTRY, "slots": 0},
+            {**ENTRY, "address": "nowhere"},
+            {**ENTRY, "service": ""},
+            {name: ENTRY[name] for name in ENTRY if name != "zone"},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_server(self, broken: object) -> None:
+        with pytest.raises(MalformedEntryError, match="servers/i-1"):
+            decode_backend_server(make_item(broken))
+
+    def test_a_broken_entry_leaves_the_others_in_force(self) -> None:
+        decoder = ViewDecoder()
+        items = [make_item(ENTRY), make_item(b"?", "servers/i-2")]
+        view = decoder.decode(items, 20)
+        assert set(view.backend_servers_by_id) == {"i-1"}
+        assert set(decoder.rejected_by_key) == {"servers/i-2"}
+
+    def test_a_heartbeat_does_not_change_the_digest(self) -> None:
+        decoder = ViewDecoder()
+        before = decoder.decode([make_item(ENTRY)], 20)
+        after = decoder.decode([make_item({**ENTRY, "sequenceNumber": 5})], 21)
+        assert before.digest == after.digest
+        gone = decoder.decode([make_item({**ENTRY, "state": "draining"})], 22)
+        assert gone.digest != before.digest
+
+
+class TestPeers:
+    def test_round_trip(self) -> None:
+        peer = make_peer("e-1")
+        item = Item(peer_key(peer.name), encode_peer(peer), 3, 3)
+        assert decode_peer(item) == peer
--- /dev/null
+++ b/tests/proxy/test_balancing.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.balancing import Observation
+from gentianhitch.proxy.gray_filter import GRAY_SHARE
+from gentianhitch.proxy.gray_filter import GrayFilter
+from gentianhitch.proxy.gray_filter import hedge_survival
+from gentianhitch.proxy.gray_filter import with_unanswered
+from gentianhitch.proxy.latencies import Latencies
+from tests.builders_proxy import make_route
+from tests.builders_proxy import make_server
+
+ROUTE = make_route()
+
+
+def make_balancer(*names: str, **changes: object) -> Balancer:
+    balancer = Balancer("a", Random(1))
+    balancer.update([make_server(name, **changes) for name in names], 0.0)
+    return balancer
+
+
+class TestChoice:
+    def test_avoids_a_server_that_failed(self) -> None:
+        balancer = make_balancer("s-1", "s-2")
+        server = make_server("s-1")
+        token = balancer.began(server, ROUTE, 1.0)
+        balancer.ended(server, ROUTE, token, failed=True, now=1.5)
+        chosen = [balancer.choose("stock", 1.6) for _ in range(20)]
+        assert {each.id for each in chosen if each} == {"s-2"}
+
+    def test_avoids_a_server_that_does_not_answer(self) -> None:
+        balancer = make_balancer("s-1", "s-2")
+        balancer.latencies("stock", ROUTE)
+        balancer.began(make_server("s-1"), ROUTE, 1.0)
+        chosen = [balancer.choose("stock", 3.0) for _ in range(20)]
+        assert {each.id for each in chosen if each} == {"s-2"}
+
+    def test_learns_from_what_others_report(self) -> None:
+        balancer = make_balancer("s-1", "s-2")
+        balancer.reported(Observation(("s-1", 1_000), "read", None), 1.0)
+        chosen = [balancer.choose("stock", 1.1) for _ in range(20)]
+        assert {each.id for each in chosen if each} == {"s-2"}
+
+    def test_a_failed_server_is_used_again_in_time(self) -> None:
+        balancer = make_balancer("s-1", "s-2")
+        balancer.reported(Observation(("s-1", 1_000), "read", None), 1.0)
+        chosen = [balancer.choose("stock", 40.0) for _ in range(50)]
+        assert {each.id for each in chosen if each} == {"s-1", "s-2"}
+
+    def test_never_chooses_a_draining_server(self) -> None:
+        assert make_balancer("s-1", draining=True).choose("stock", 1.0) is None
+
+    def test_counts_what_others_run(self) -> None:
+        balancer = make_balancer("s-1", "s-2")
+        balancer.reported_running("e-2", {("s-1", 1_000): 6}, 1.0)
+        chosen = [balancer.choose("stock", 1.1) for _ in range(20)]
+        assert {each.id for each in chosen if each} == {"s-2"}
+
+    def test_a_full_service_has_no_server(self) -> None:
+        balancer = make_balancer("s-1")
+        for _ in range(100):
+            balancer.began(make_server("s-1"), ROUTE, 1.0)
+        assert balancer.choose("stock", 1.0) is None
+
+    def test_a_restarted_server_starts_unjudged(self) -> None:
+        balancer = make_balancer("s-1")
+        old = make_server("s-1")
+        token = balancer.began(old, ROUTE, 1.0)
+        balancer.ended(old, ROUTE, token, failed=True, now=1.0)
+        new = make_server("s-1", started_ms=2_000)
+        balancer.update([new], 1.0)
+        assert balancer.gray_probability(new, 1.0) <= GRAY_SHARE + 0.01
+
+    @settings(max_examples=50, deadline=None, derandomize=True)
+    @given(st.integers(2, 12), st.integers(0, 10_000))
+    def test_sound_servers_all_get_requests(self, count: int, seed: int) -> None:
+        balancer = Balancer("a", Random(seed))
+        servers = [make_server(f"s-{number}") for number in range(count)]
+        balancer.update(servers, 0.0)
+        used: set[str] = set()
+        now = 0.0
+        running: list[tuple[float, object, int]] = []
+        for _ in range(count * 10):
+            now += 0.05
+            for began, server, token in [r for r in running if now - r[0] > 0.5]:
+                balancer.ended(server, ROUTE, token, failed=False, now=now)  # type: ignore[arg-type]
+                running.remove((began, server, token))
+            chosen = balancer.choose("stock", now)
+            assert chosen is not None
+            used.add(chosen.id)
+            running.append((now, chosen, balancer.began(chosen, ROUTE, now)))
+        assert len(used) >= 0.7 * count
+
+
+class TestGrayFilter:
+    def test_one_failure_outweighs_the_prior(self) -> None:
+        evidence = GrayFilter(0.0)
+        evidence.failed(1.0)
+        assert evidence.probability(1.0) > 0.5
+
+    def test_good_answers_clear_a_server(self) -> None:
+        evidence = GrayFilter(0.0)
+        evidence.failed(1.0)
+        for _ in range(6):
+            evidence.succeeded(1.1, slow=False)
+        assert evidence.probability(1.1) < 0.1
+
+    def test_returns_to_the_mean(self) -> None:
+        evidence = GrayFilter(0.0)
+        evidence.failed(1.0)
+        assert abs(evidence.probability(100.0) - GRAY_SHARE) < 0.01
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(
+        st.floats(0.001, 0.999), st.lists(st.floats(0.0, 1.0), min_size=1, max_size=9)
+    )
+    def test_an_unanswered_request_never_speaks_for_a_server(
+        self, probability: float, survivals: list[float]
+    ) -> None:
+        assert with_unanswered(probability, survivals) >= probability - 1e-9
+
+    def test_a_doubtful_server_is_hedged_sooner(self) -> None:
+        assert hedge_survival(0.5) > hedge_survival(0.05)
+
+
+class TestLatencies:
+    def test_survival_falls_with_age(self) -> None:
+        latencies = Latencies.assume(2.0)
+        assert latencies.survival(0.01) > latencies.survival(0.5)
+        assert latencies.survival(0.5) > latencies.survival(10.0)
+
+    def test_old_samples_are_forgotten(self) -> None:
+        latencies = Latencies.assume(2.0)
+        for _ in range(1_000):
+            latencies.add(5.0)
+        assert latencies.quantile(0.1) == 5.0
--- /dev/null
+++ b/tests/proxy/test_quotas.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from gentianhitch.proxy.quotas import Quotas
+from tests.builders_proxy import OVERSHOOT
+from tests.builders_proxy import make_workspace
+
+NAMES = ("e-1", "e-2", "e-3")
+REPORT_INTERVAL_S = 0.2
+
+
+class TestOneInstance:
+    def test_admits_a_workspace_within_its_limit(self) -> None:
+        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        workspace = make_workspace(10.0, 10.0)
+        quotas.prepare([workspace], 0.0)
+        refused = 0
+        for step in range(600):
+            quotas.report(100 + step * 0.1)
+            refused += quotas.admit(workspace, 100 + step * 0.1) > 0
+        assert refused == 0
+
+    def test_refusal_tells_when_to_come_back(self) -> None:
+        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        workspace = make_workspace(2.0, 2.0)
+        waits = [quotas.admit(workspace, 100.0) for _ in range(40)]
+        assert waits[0] == 0
+        assert waits[-1] > 0
+
+    def test_a_lowered_limit_holds_at_once(self) -> None:
+        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        for _ in range(40):
+            quotas.admit(make_workspace(10.0, 10.0), 100.0)
+        assert quotas.admit(make_workspace(1.0, 1.0), 100.1) > 0
+
+    def test_a_request_that_did_not_run_is_given_back(self) -> None:
+        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        workspace = make_workspace(1.0, 1.0)
+        while quotas.admit(workspace, 100.0) == 0:
+            pass
+        quotas.give_back(workspace, 100.0)
+        quotas.report(100.0)
+        assert quotas.admit(workspace, 100.0) == 0
+
+    def test_an_unlimited_workspace_is_never_refused(self) -> None:
+        quotas = Quotas("e-1", OVERSHOOT)
+        workspace = make_workspace(0.0, 0.0)
+        assert not any(quotas.admit(workspace, 1.0) for _ in range(1_000))
+
+    def test_a_small_burst_is_not_refused_below_the_limit(self) -> None:
+        # Cause: an even part of nine tokens over six instances rounded to one.
+        names = frozenset(f"e-{number}" for number in range(6))
+        quotas = Quotas("e-0", OVERSHOOT, names)
+        for name in names - {"e-0"}:
+            quotas.hear(name, 1, {}, 100.0)
+        workspace = make_workspace(9.0, 9.0)
+        quotas.prepare([workspace], 90.0)
+        assert [quotas.admit(workspace, 100.0) for _ in range(3)] == [0, 0, 0]
+
+
+class QuotaMachine(RuleBasedStateMachine):
+    """Three instances admit all they may, under cuts, lost reports and restarts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.workspace = make_workspace(8.0, 8.0)
+        self.incarnations = dict.fromkeys(NAMES, 1)
+        self.quotas = {name: self._start(name) for name in NAMES}
+        self.cut: set[str] = set()
+        self.admitted: list[float] = []
+
+    def _start(self, name: str) -> Quotas:
+        quotas = Quotas(name, OVERSHOOT, frozenset(NAMES))
+        quotas.prepare([self.workspace], self.now)
+        return quotas
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(1, 12))
+    def request(self, name: str, count: int) -> None:
+        for _ in range(count):
+            if self.quotas[name].admit(self.workspace, self.now) == 0:
+                self.admitted.append(self.now)
+
+    @rule(lost=st.sampled_from((*NAMES, None)), intervals=st.integers(1, 8))
+    def report(self, lost: str | None, intervals: int) -> None:
+        for _ in range(intervals):
+            self.now += REPORT_INTERVAL_S
+            for sender in NAMES:
+                totals = self.quotas[sender].report(self.now)
+                for receiver in NAMES:
+                    apart = {sender, receiver} & self.cut
+                    if receiver != sender and not apart and sender != lost:
+                        self.quotas[receiver].hear(
+                            sender, self.incarnations[sender], totals, self.now
+                        )
+            lost = None
+
+    @rule(name=st.sampled_from(NAMES))
+    def cut_off(self, name: str) -> None:
+        self.cut.add(name)
+
+    @rule()
+    def heal(self) -> None:
+        self.cut.clear()
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name: str) -> None:
+        self.now += 0.5
+        self.incarnations[name] += 1
+        self.quotas[name] = self._start(name)
+
+    @invariant()
+    def never_above_the_limit(self) -> None:
+        since = self.now - OVERSHOOT.window_s
+        count = sum(at > since for at in self.admitted)
+        allowed = OVERSHOOT.allowed(self.workspace) + OVERSHOOT.extra(self.workspace)
+        assert count <= allowed, f"{count} admitted, {allowed} allowed"
+
+
+TestQuotaMachine = QuotaMachine.TestCase
+TestQuotaMachine.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/proxy/test_sources.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+from gentianhitch.proxy.sources import PASSED_OVER_S
+from gentianhitch.proxy.sources import REFRESH_INTERVAL_S
+from gentianhitch.proxy.sources import SourcePlan
+from gentianhitch.proxy.sources import reading_order
+from tests.builders_proxy import make_peer
+
+PEERS = [make_peer(f"e-{number}") for number in range(4)]
+FIRST, SECOND, *_ = (peer.name for peer in reading_order(PEERS))
+
+
+class TestCalm:
+    def test_only_the_first_of_the_order_reads_the_store(self) -> None:
+        readers = [
+            peer.name
+            for peer in PEERS
+            if SourcePlan(peer.name, "a").next_step(PEERS, 0.1, 100.0).read_store
+        ]
+        assert readers == [FIRST]
+
+    def test_the_others_ask_it(self) -> None:
+        step = SourcePlan(SECOND, "a").next_step(PEERS, 0.1, 100.0)
+        assert [peer.name for peer in step.peers] == [FIRST]
+
+    def test_reads_once_an_interval(self) -> None:
+        plan = SourcePlan(FIRST, "a")
+        reads = 0
+        for tick in range(100):
+            now = 100.0 + tick * 0.1
+            reads += plan.next_step(PEERS, 0.1, now).read_store
+        assert reads <= 10 / REFRESH_INTERVAL_S + 1
+
+    def test_each_failure_domain_has_a_reader(self) -> None:
+        peers = [*PEERS, make_peer("f-1", "b")]
+        assert SourcePlan("f-1", "b").next_step(peers, 0.1, 100.0).read_store
+
+
+class TestFailures:
+    def test_the_next_one_reads_when_the_first_is_silent(self) -> None:
+        plan = SourcePlan(SECOND, "a")
+        plan.next_step(PEERS, 0.1, 100.0)
+        assert plan.next_step(PEERS, 0.5, 100.4).read_store
+
+    def test_an_answer_that_is_too_old_counts_like_silence(self) -> None:
+        plan = SourcePlan(SECOND, "a")
+        plan.next_step(PEERS, 0.1, 100.0)
+        plan.answered(FIRST, 5.0, 100.01)
+        assert plan.next_step(PEERS, 0.5, 100.6).read_store
+
+    def test_a_silent_one_is_tried_again_later(self) -> None:
+        plan = SourcePlan(SECOND, "a")
+        plan.next_step(PEERS, 0.1, 100.0)
+        plan.next_step(PEERS, 0.5, 100.4)
+        later = 100.4 + PASSED_OVER_S + 0.1
+        assert [p.name for p in plan.next_step(PEERS, 0.1, later).peers] == [FIRST]
+
+    def test_old_knowledge_makes_everyone_read_and_ask_afar(self) -> None:
+        peers = [*PEERS, make_peer("f-1", "b")]
+        plan = SourcePlan(peers[0].name, "a")
+        asked: set[str] = set()
+        reads = 0
+        for tick in range(40):
+            step = plan.next_step(peers, 3.0, 100.0 + tick * 0.1)
+            reads += step.read_store
+            asked |= {peer.name for peer in step.peers}
+        assert reads >= 4
+        assert "f-1" in asked
--- /dev/null
+++ b/tests/proxy/test_steering.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+from gentianhitch.proxy.directory import ISOLATED_AGE_S
+from gentianhitch.proxy.directory import Directory
+from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.sources import reading_order
+from gentianhitch.proxy.steering import INSTANCES_PER_FAILURE_DOMAIN
+from gentianhitch.proxy.steering import serving_instances
+from tests.builders_proxy import make_peer
+from tests.builders_proxy import make_view
+
+PEERS = tuple(make_peer(f"{domain}-{n}", domain) for domain in "abc" for n in range(5))
+
+
+def make_directory(*, heard: bool = True) -> Directory:
+    knowledge = Knowledge()
+    knowledge.learn(make_view(5, peers=PEERS), 10.0, 10.0)
+    return Directory(knowledge, lambda now: heard)
+
+
+class TestServingInstances:
+    def test_names_a_few_in_each_failure_domain(self) -> None:
+        serving = serving_instances(PEERS)
+        assert set(serving) == {"a", "b", "c"}
+        assert {len(each) for each in serving.values()} == {
+            INSTANCES_PER_FAILURE_DOMAIN
+        }
+
+    def test_spares_the_reader_of_the_store(self) -> None:
+        near = [peer for peer in PEERS if peer.failure_domain == "a"]
+        assert reading_order(near)[0] not in serving_instances(PEERS)["a"]
+
+    def test_a_death_moves_only_its_own_place(self) -> None:
+        before = serving_instances(PEERS)["a"]
+        rest = [peer for peer in PEERS if peer != before[0]]
+        assert before[1] in serving_instances(rest)["a"]
+
+
+class TestDirectory:
+    def test_answers_with_addresses_nearby(self) -> None:
+        answer = make_directory().answer("a", 10.0)
+        assert answer is not None
+        near = {str(peer.callers) for peer in PEERS if peer.failure_domain == "a"}
+        assert set(answer.addresses) <= near
+
+    def test_a_failure_domain_without_instances_gets_the_others(self) -> None:
+        answer = make_directory().answer("z", 10.0)
+        assert answer is not None
+        assert len(answer.addresses) == 3 * INSTANCES_PER_FAILURE_DOMAIN
+
+    def test_an_isolated_instance_sends_callers_on(self) -> None:
+        late = 10.0 + ISOLATED_AGE_S + 1
+        assert make_directory(heard=False).answer("a", late) is None
+        assert make_directory(heard=True).answer("a", late) is not None
