--- /dev/null
+++ b/tests/callers/test_pipelined_connection.py
@@ -0,0 +1,206 @@
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from gentianhitch.callers.pipelined_connection import LINGER_S
+from gentianhitch.callers.pipelined_connection import CallerFactory
+from gentianhitch.callers.pipelined_connection import Reply
+from gentianhitch.callers.whole_requests import CallerRequest
+from gentianhitch.platform.caller_interface import HEADER_NAMES
+from gentianhitch.proxy.model import CallerLimits
+
+
+class Transport(StringTransport):
+    """A transport that knows the calls of a TCP connection."""
+
+    aborted = False
+    half_closed = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        pass
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.aborted = True
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.half_closed = True
+
+
+@attrs.define(eq=False)
+class Served:
+    """One request that was handed on."""
+
+    request: CallerRequest
+    reply: Reply
+    gone: bool = False
+
+    def caller_gone(self) -> None:
+        self.gone = True
+
+
+class Scenario:
+    """One caller's connection."""
+
+    def __init__(self, limits: CallerLimits | None = None) -> None:
+        self.clock = Clock()
+        self.served: list[Served] = []
+        chosen = limits or CallerLimits()
+        self.factory = CallerFactory(
+            self.clock, HEADER_NAMES, lambda: chosen, self._serve
+        )
+        self.connection: Any = self.factory.buildProtocol(None)
+        self.transport = Transport()
+        self.connection.makeConnection(self.transport)
+
+    def _serve(self, request: CallerRequest, reply: Reply) -> Served:
+        served = Served(request, reply)
+        self.served.append(served)
+        return served
+
+    def send(self, *lines: str, body: bytes = b"") -> None:
+        head = "\r\n".join(("Host: shop.example:80", *lines)) + "\r\n\r\n"
+        self.connection.dataReceived(
+            b"GET /stock/1?x=%2F HTTP/1.1\r\n" + head.encode() + body
+        )
+
+    @property
+    def written(self) -> bytes:
+        value: bytes = self.transport.value()
+        return value
+
+
+class TestRequests:
+    def test_reads_what_is_forwarded(self) -> None:
+        scenario = Scenario()
+        scenario.send(
+            "X-Gentianhitch-Request-Id: r-1",
+            "X-Gentianhitch-Request-Deadline: 2500",
+            "X-Gentianhitch-Tenant-Name: forged",
+            "X-Gentianhitch-Expected-Instance: forged",
+            "Authorization: Bearer key-1",
+            "Connection: X-Hop",
+            "X-Hop: 1",
+            "X-Other: 2",
+        )
+        request = scenario.served[0].request
+        assert (request.host, request.path) == ("shop.example", "/stock/1")
+        assert request.target == b"/stock/1?x=%2F"
+        assert (request.key, request.remaining_s) == ("key-1", 2.5)
+        assert {name.lower() for name, _ in request.headers} == {
+            b"host",
+            b"x-gentianhitch-request-id",
+            b"x-other",
+        }
+
+    def test_reads_a_chunked_body(self) -> None:
+        scenario = Scenario()
+        scenario.send(
+            "Transfer-Encoding: chunked", body=b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        )
+        assert scenario.served[0].request.body == b"abc"
+
+    def test_asks_for_a_body_that_waits(self) -> None:
+        scenario = Scenario()
+        scenario.send("Content-Length: 2", "Expect: 100-continue")
+        assert scenario.written.startswith(b"HTTP/1.1 100")
+        scenario.connection.dataReceived(b"ab")
+        assert scenario.served[0].request.body == b"ab"
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (b"\x16\x03\x01 nonsense\r\n\r\n", b"400"),
+            (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 20_000 + b"\r\n\r\n", b"431"),
+            (
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n" + b"x" * 99,
+                b"413",
+            ),
+            (
+                b"GET / HTTP/1.1\r\nHost: h\r\n"
+                b"X-Gentianhitch-Request-Deadline: soon\r\n\r\n",
+                b"400",
+            ),
+        ],
+    )
+    def test_refuses_bad_input_and_closes(self, data: bytes, status: bytes) -> None:
+        scenario = Scenario(CallerLimits(max_body_bytes=50))
+        scenario.connection.dataReceived(data)
+        assert scenario.written.startswith(b"HTTP/1.1 " + status)
+        assert scenario.transport.half_closed
+        assert scenario.served == []
+
+
+class TestPipelining:
+    def test_answers_in_the_order_of_the_requests(self) -> None:
+        scenario = Scenario()
+        scenario.send()
+        scenario.send()
+        scenario.served[1].reply.send(b"second")
+        assert scenario.written == b""
+        scenario.served[0].reply.send(b"first")
+        assert scenario.written == b"firstsecond"
+
+    def test_requests_behind_a_closing_answer_are_dropped(self) -> None:
+        scenario = Scenario()
+        scenario.send()
+        scenario.send()
+        scenario.served[0].reply.send(b"first", close=True)
+        assert scenario.served[1].gone
+        assert scenario.transport.half_closed
+        scenario.served[1].reply.send(b"late")
+        assert scenario.written == b"first"
+
+    def test_a_caller_that_leaves_cancels_its_requests(self) -> None:
+        scenario = Scenario()
+        scenario.send()
+        scenario.connection.connectionLost()
+        assert scenario.served[0].gone
+
+
+class TestSilence:
+    def test_an_unfinished_request_times_out(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(b"GET / HTTP/1.1\r\nHost:")
+        scenario.connection.check(10.0)
+        assert scenario.written.startswith(b"HTTP/1.1 408")
+
+    def test_an_idle_connection_is_closed_after_the_limit(self) -> None:
+        scenario = Scenario(CallerLimits(idle_timeout_s=5.0))
+        scenario.connection.check(5.0)
+        assert not scenario.transport.half_closed
+        scenario.connection.check(6.5)
+        assert scenario.transport.half_closed
+
+    def test_a_closing_connection_is_not_kept_for_long(self) -> None:
+        scenario = Scenario()
+        scenario.connection.close_if_idle()
+        assert not scenario.transport.aborted
+        scenario.connection.check(LINGER_S + 0.1)
+        assert scenario.transport.aborted
+
+
+class TestLeaving:
+    def test_answers_end_their_connections(self) -> None:
+        scenario = Scenario()
+        scenario.factory.is_leaving = True
+        scenario.send()
+        assert scenario.served[0].reply.will_close
+
+    def test_busy_connections_are_left_open(self) -> None:
+        scenario = Scenario()
+        scenario.send()
+        scenario.factory.close_idle()
+        assert not scenario.transport.half_closed
+
+    def test_tells_when_nothing_is_served_any_more(self) -> None:
+        scenario = Scenario()
+        scenario.send()
+        told: list[bool] = []
+        scenario.factory.on_idle = lambda: told.append(True)
+        scenario.served[0].reply.send(b"done", close=True)
+        assert told == [True]
