Share the ages of running requests, and spread instances over servers

Cause: requests that hang at one instance told the others nothing for 6 s; a request given up for a hedge told nothing at all; six instances sent to the same best server between two reports (five orders lost within 0.4 s at one onset). Ruled out: earlier suspicion of servers with good answers (it needs the 98th percentile of latencies whatever the prior).

--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -32,20 +32,25 @@
 
 
 class Seen(msgspec.Struct, frozen=True, array_like=True):
-    """One attempt at a backend server; ``latency_ms`` is -1 for a failure."""
+    """One attempt at a backend server, and how long after it was sent it ended.
+
+    ``result`` is a number of :class:`gentianhitch.proxy.balancing.Result`.
+    """
 
     server: str
     started_ms: int
     route: str
     latency_ms: int
+    result: int
 
 
 class Running(msgspec.Struct, frozen=True, array_like=True):
-    """The requests that run at one backend server."""
+    """The requests of one route that run at one backend server, by their age."""
 
     server: str
     started_ms: int
-    count: int
+    route: str
+    ages_ms: list[int]
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import IntEnum
 from random import Random
 
 import attrs
+import xxhash
 
 from gentianhitch.proxy.gray_filter import FAILS_WHEN_GRAY
 from gentianhitch.proxy.gray_filter import GrayFilter
-from gentianhitch.proxy.gray_filter import with_unanswered
+from gentianhitch.proxy.gray_filter import Unanswered
 from gentianhitch.proxy.latencies import Latencies
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
@@ -17,12 +19,16 @@
 SLOW_SURVIVAL = 0.03
 """An answer slower than all but this share counts as slow."""
 
-LOAD_WEIGHT = 0.25
+LOAD_WEIGHT = 0.5
 FULL_WEIGHT = 1.5
 FAR_PENALTY = 0.03
 COLD_PENALTY = 0.15
-NEW_CONNECTION_PENALTY = 0.02
-TIE_BREAK = 0.03
+NEW_CONNECTION_PENALTY = 0.05
+AFFINITY_WEIGHT = 0.06
+"""Instances that know the same prefer different servers, by a fixed order of each."""
+
+TIE_BREAK = 0.01
+MAX_DIGEST = 2**32 - 1
 REPORT_LIFETIME_S = 1.0
 """What another instance reports of its running requests counts for so long."""
 
@@ -33,20 +39,19 @@
 """Requests sent to a server at once, as a multiple of its slots."""
 
 
-@attrs.define
-class _Running:
+@attrs.frozen
+class RunningRequest:
     """One request that a server has not answered."""
 
-    began_s: float
     route: str
-    objective_s: float
+    began_s: float
 
 
-@attrs.define
+@attrs.frozen
 class _Remote:
     """Requests that another instance has running at one server."""
 
-    count: int
+    requests: tuple[RunningRequest, ...]
     heard_s: float
 
 
@@ -61,33 +66,45 @@
     server: BackendServer
     pooled: GrayFilter
     path: GrayFilter
-    running_by_token: dict[int, _Running] = attrs.Factory(dict)
+    running_by_token: dict[int, RunningRequest] = attrs.Factory(dict)
     remote_by_instance: dict[str, _Remote] = attrs.Factory(dict)
     warm_at_s: float = 0.0
+    affinity: float = 0.0
 
-    def load(self, now: float) -> int:
-        """Return the requests that run there, as far as known."""
-        remote = sum(
-            each.count
+    def remote(self, now: float) -> list[RunningRequest]:
+        """Return the requests of other instances that run there."""
+        return [
+            request
             for each in self.remote_by_instance.values()
             if now - each.heard_s < REPORT_LIFETIME_S
-        )
-        return len(self.running_by_token) + remote
+            for request in each.requests
+        ]
+
+
+class Result(IntEnum):
+    """How an attempt ended; DECLINED tells nothing of a server's answers."""
+
+    GOOD = 0
+    FAILED = 1
+    GIVEN_UP = 2
+    DECLINED = 3
 
 
 @attrs.frozen
 class Observation:
-    """How one attempt ended; ``latency_s`` is None for a failure."""
+    """How one attempt ended, and how long after it was sent."""
 
     server: tuple[str, int]
     route: str
-    latency_s: float | None
+    latency_s: float
+    result: Result
 
 
 class Balancer:
     """Pick servers and learn from attempts, own and reported."""
 
-    def __init__(self, failure_domain: str, random: Random) -> None:
+    def __init__(self, name: str, failure_domain: str, random: Random) -> None:
+        self._name = name
         self._failure_domain = failure_domain
         self._random = random
         self._records_by_key: dict[tuple[str, int], ServerRecord] = {}
@@ -112,10 +129,16 @@
                     path=GrayFilter(now, PATH_BROKEN_SHARE),
                 )
                 record.warm_at_s = now + server.warmup_s
+                record.affinity = self._affinity(server)
                 self._records_by_key[key] = record
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
 
+    def _affinity(self, server: BackendServer) -> float:
+        """Return where the server stands in this instance's own order, 0 to 1."""
+        digest = xxhash.xxh32_intdigest(f"{self._name} {server.id}".encode())
+        return digest / MAX_DIGEST
+
     def choose(
         self,
         service: str,
@@ -159,7 +182,7 @@
         self._next_token += 1
         record = self._records_by_key.get(server.key)
         if record is not None:
-            running = _Running(now, route.name, route.objective_s)
+            running = RunningRequest(route.name, now)
             record.running_by_token[self._next_token] = running
         return self._next_token
 
@@ -168,18 +191,18 @@
         server: BackendServer,
         route: Route,
         token: int,
-        *,
-        failed: bool | None,
+        result: Result,
         now: float,
     ) -> None:
-        """Learn from an attempt; ``failed`` None tells nothing of the server."""
+        """Learn from an attempt."""
         record = self._records_by_key.get(server.key)
         running = record.running_by_token.pop(token, None) if record else None
-        if record is None or running is None or failed is None:
+        if record is None or running is None or result is Result.DECLINED:
             return
-        latency_s = None if failed else now - running.began_s
-        self._learn(record, route.name, latency_s, now, own=True)
-        self.observations.append(Observation(server.key, route.name, latency_s))
+        latency_s = now - running.began_s
+        observation = Observation(server.key, route.name, latency_s, result)
+        self._learn(record, observation, now, own=True)
+        self.observations.append(observation)
 
     def unreachable(self, server: BackendServer, now: float) -> None:
         """Learn that no connection could be had; others may still reach it."""
@@ -191,71 +214,77 @@
         """Learn from an attempt of another instance."""
         record = self._records_by_key.get(observation.server)
         if record is not None:
-            self._learn(
-                record, observation.route, observation.latency_s, now, own=False
-            )
+            self._learn(record, observation, now, own=False)
 
     def reported_running(
-        self, instance: str, counts_by_server: dict[tuple[str, int], int], now: float
+        self,
+        instance: str,
+        requests_by_server: dict[tuple[str, int], tuple[RunningRequest, ...]],
+        now: float,
     ) -> None:
         """Take the running requests of another instance, all of them."""
         for key, record in self._records_by_key.items():
-            count = counts_by_server.get(key, 0)
-            if count:
-                record.remote_by_instance[instance] = _Remote(count, now)
+            requests = requests_by_server.get(key)
+            if requests:
+                record.remote_by_instance[instance] = _Remote(requests, now)
             else:
                 record.remote_by_instance.pop(instance, None)
 
-    def running(self) -> dict[tuple[str, int], int]:
+    def running(self) -> dict[tuple[str, int], list[RunningRequest]]:
         """Return the own running requests by server."""
         return {
-            key: len(record.running_by_token)
+            key: list(record.running_by_token.values())
             for key, record in self._records_by_key.items()
             if record.running_by_token
         }
 
     def _learn(
-        self,
-        record: ServerRecord,
-        route: str,
-        latency_s: float | None,
-        now: float,
-        *,
-        own: bool,
+        self, record: ServerRecord, observation: Observation, now: float, *, own: bool
     ) -> None:
         filters = (record.pooled, record.path) if own else (record.pooled,)
-        if latency_s is None:
-            for each in filters:
-                each.failed(now)
-            return
-        known = self._latencies_by_route.get((record.server.service, route))
-        slow = False
-        if known is not None:
-            slow = known.survival(latency_s) < SLOW_SURVIVAL
-            known.add(latency_s)
+        latency_s = observation.latency_s
+        known = self._latencies_by_route.get((record.server.service, observation.route))
+        survival = 0.5 if known is None else known.survival(latency_s)
         for each in filters:
-            each.succeeded(now, slow=slow)
+            if observation.result is Result.FAILED:
+                each.failed(now, latency_s)
+            elif observation.result is Result.GIVEN_UP:
+                each.unanswered(now, Unanswered(latency_s, survival))
+            else:
+                each.succeeded(now, latency_s, slow=survival < SLOW_SURVIVAL)
+        if known is not None and observation.result is Result.GOOD:
+            known.add(latency_s)
 
     def _gray(self, record: ServerRecord, now: float) -> float:
-        known = max(record.pooled.probability(now), record.path.probability(now))
-        return with_unanswered(known, self._survivals(record, now))
+        service = record.server.service
+        own = self._unanswered(service, record.running_by_token.values(), now)
+        remote = self._unanswered(service, record.remote(now), now)
+        return max(
+            record.pooled.with_unanswered([*own, *remote], now),
+            record.path.with_unanswered(own, now),
+        )
 
-    def _survivals(self, record: ServerRecord, now: float) -> list[float]:
-        survivals = []
-        for running in record.running_by_token.values():
-            known = self._latencies_by_route.get((record.server.service, running.route))
+    def _unanswered(
+        self, service: str, requests: Iterable[RunningRequest], now: float
+    ) -> list[Unanswered]:
+        unanswered = []
+        for request in requests:
+            known = self._latencies_by_route.get((service, request.route))
             if known is not None:
-                survivals.append(known.survival(now - running.began_s))
-        return survivals
+                age_s = max(now - request.began_s, 0.0)
+                unanswered.append(Unanswered(age_s, known.survival(age_s)))
+        return unanswered
 
     def _cost(self, record: ServerRecord, now: float) -> float:
         server = record.server
-        load = (record.load(now) + 1) / server.slots
+        running = len(record.running_by_token) + len(record.remote(now))
+        load = (running + 1) / server.slots
         if load > QUEUE_SHARE + 1.0 / server.slots:
             return float("inf")
         cost = self._gray(record, now) * FAILS_WHEN_GRAY + LOAD_WEIGHT * load
         cost += FULL_WEIGHT * max(load - 1.0, 0.0)
         cost += TIE_BREAK * self._random.random()
+        cost -= AFFINITY_WEIGHT * record.affinity
         if server.failure_domain != self._failure_domain:
             cost += FAR_PENALTY
         if now < record.warm_at_s:
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -19,6 +19,7 @@
 from gentianhitch.callers.whole_requests import CallerRequest
 from gentianhitch.callers.whole_requests import HeaderNames
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.balancing import Result
 from gentianhitch.proxy.gray_filter import hedge_survival
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
@@ -31,6 +32,9 @@
 """A request that is sent only once goes on connections that were used lately."""
 
 MIN_HEDGE_S = 0.05
+HEDGE_QUANTILE = 0.9
+"""A repeat that takes as long as this share of the answers is still in time."""
+
 MIN_USEFUL_S = 0.02
 """With less time left, nothing is sent any more."""
 
@@ -248,11 +252,11 @@
             self._declined(attempt, answer)
             return
         if _is_spoiled(answer, names):
-            self._judge(attempt, failed=True)
+            self._judge(attempt, Result.FAILED)
             self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
             return
         failed = answer.status >= 500
-        self._judge(attempt, failed=failed)
+        self._judge(attempt, Result.FAILED if failed else Result.GOOD)
         others_run = len(self._running) > 1
         if failed and (others_run or self._may_repeat()):
             self._last_answer = (answer, attempt.server)
@@ -262,7 +266,7 @@
 
     def attempt_failed(self, attempt: _Attempt, error: BackendServerError) -> None:
         """Try another server if the request may run twice."""
-        self._judge(attempt, failed=True)
+        self._judge(attempt, Result.FAILED)
         cut = isinstance(error, CutAnswerError)
         cause = Cause.CUT_ANSWER if cut else Cause.WRONG_ANSWER
         self._owner.dispatch_note("failed", attempt.server, str(error))
@@ -270,8 +274,7 @@
 
     def _declined(self, attempt: _Attempt, answer: WholeAnswer) -> None:
         """Handle a server that certainly did not run the request."""
-        # A full server is healthy; it tells nothing of answers.
-        self._judge(attempt, failed=None)
+        self._judge(attempt, Result.DECLINED)
         self._owner.dispatch_note("declined", attempt.server, str(answer.status))
         self._running.remove(attempt)
         if not self._route.idempotent or self._only_write_was_declined():
@@ -296,15 +299,15 @@
     def _may_repeat(self) -> bool:
         return self._route.idempotent and self._writes < self._route.max_attempts
 
-    def _judge(self, attempt: _Attempt, *, failed: bool | None) -> None:
+    def _judge(self, attempt: _Attempt, result: Result) -> None:
         if attempt.token is not None:
             token, attempt.token = attempt.token, None
             self._context.balancer.ended(
                 attempt.server,
                 self._route,
                 token,
-                failed=failed,
-                now=self._context.clock.seconds(),
+                result,
+                self._context.clock.seconds(),
             )
 
     # Hedging.
@@ -316,7 +319,9 @@
         latencies = balancer.latencies(self._service, self._route)
         gray = balancer.gray_probability(attempt.server, now)
         wait_s = latencies.quantile(1.0 - hedge_survival(gray))
-        wait_s = max(wait_s, MIN_HEDGE_S)
+        typical_s = latencies.quantile(HEDGE_QUANTILE)
+        in_time_s = max(self._route.objective_s - typical_s, typical_s)
+        wait_s = max(min(wait_s, in_time_s), MIN_HEDGE_S)
         if now + wait_s < self._deadline:
             self._hedge = self._context.clock.callLater(wait_s, self._hedge_now)
 
@@ -332,7 +337,7 @@
             return
         for attempt in self._running:
             # A request cut short by its own deadline still shows a slow server.
-            self._judge(attempt, failed=True if attempt.connection else None)
+            self._judge(attempt, Result.FAILED)
         self._fail(Cause.SILENT if self._writes else Cause.NO_CAPACITY)
 
     def _conclude(self) -> None:
@@ -357,7 +362,7 @@
                 timer.cancel()
         running, self._running = self._running, []
         for attempt in running:
-            self._judge(attempt, failed=None)
+            self._judge(attempt, Result.GIVEN_UP)
             attempt.cancel()
 
     def _encode(self, server: BackendServer, now: float) -> bytes:
--- a/src/gentianhitch/proxy/gray_filter.py
+++ b/src/gentianhitch/proxy/gray_filter.py
@@ -2,19 +2,21 @@
 
 A two-state hidden Markov model: a server is healthy or gray and changes between the
 two at random. Each answer, failure and unanswered request moves the odds by how much
-likelier it is in one state than in the other (Bayes' rule).
+likelier it is in one state than in the other (Bayes' rule). A request tells of the
+state at the time at which it was sent, so what it tells fades with its age.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 import attrs
 
-GRAY_SHARE = 0.08
+GRAY_SHARE = 0.12
 """Part of the time that a server is assumed to be gray."""
 
-GRAY_FOR_S = 5.0
+GRAY_FOR_S = 6.0
 """Mean length of a gray period; the pages say several seconds."""
 
 FAILS_WHEN_GRAY = 0.7
@@ -29,6 +31,21 @@
 _MIN_PROBABILITY = 0.001
 _MAX_PROBABILITY = 0.999
 
+_FAILED = FAILS_WHEN_GRAY / FAILS_WHEN_HEALTHY
+_SLOW = (1.0 - FAILS_WHEN_GRAY) * SLOW_WHEN_GRAY / SLOW_WHEN_HEALTHY
+_GOOD = (1.0 - FAILS_WHEN_GRAY) * (1.0 - SLOW_WHEN_GRAY) / (1.0 - SLOW_WHEN_HEALTHY)
+
+
+@attrs.frozen
+class Unanswered:
+    """A request without an answer so far.
+
+    ``survival`` is the share of answers that take longer than its age.
+    """
+
+    age_s: float
+    survival: float
+
 
 @attrs.define
 class GrayFilter:
@@ -51,36 +68,38 @@
         rest = math.exp(-elapsed_s * _RELAX_PER_S)
         return self._mean + (self._probability - self._mean) * rest
 
-    def succeeded(self, now: float, *, slow: bool) -> None:
+    def succeeded(self, now: float, age_s: float, *, slow: bool) -> None:
         """Learn from a good answer, which may have been slower than most."""
-        gray = 1.0 - FAILS_WHEN_GRAY
-        if slow:
-            self._update(gray * SLOW_WHEN_GRAY, SLOW_WHEN_HEALTHY, now)
-        else:
-            self._update(gray * (1 - SLOW_WHEN_GRAY), 1 - SLOW_WHEN_HEALTHY, now)
-
-    def failed(self, now: float) -> None:
-        """Learn from a failure."""
-        self._update(FAILS_WHEN_GRAY, FAILS_WHEN_HEALTHY, now)
-
-    def _update(self, if_gray: float, if_healthy: float, now: float) -> None:
-        before = self.probability(now)
-        gray = before * if_gray
-        after = gray / (gray + (1.0 - before) * if_healthy)
+        self._update(_SLOW if slow else _GOOD, age_s, now)
+
+    def failed(self, now: float, age_s: float = 0.0) -> None:
+        """Learn from the failure of a request that was sent ``age_s`` ago."""
+        self._update(_FAILED, age_s, now)
+
+    def unanswered(self, now: float, request: Unanswered) -> None:
+        """Learn from a request that was given up before its answer came."""
+        self._update(_unanswered_ratio(request), request.age_s, now)
+
+    def with_unanswered(self, requests: Iterable[Unanswered], now: float) -> float:
+        """Return the probability that counts requests without an answer."""
+        odds = _odds(self.probability(now))
+        for request in requests:
+            odds *= self._faded(_unanswered_ratio(request), request.age_s)
+        return min(odds / (1.0 + odds), _MAX_PROBABILITY)
+
+    def _update(self, ratio: float, age_s: float, now: float) -> None:
+        odds = _odds(self.probability(now)) * self._faded(ratio, age_s)
+        after = odds / (1.0 + odds)
         self._probability = min(max(after, _MIN_PROBABILITY), _MAX_PROBABILITY)
         self._updated_s = now
 
-
-def with_unanswered(probability: float, survivals: list[float]) -> float:
-    """Return the probability that counts requests without an answer so far.
-
-    ``survivals`` holds for each of them the share of answers that take longer.
-    """
-    odds = probability / max(1.0 - probability, _MIN_PROBABILITY)
-    for survival in survivals:
-        healthy = max(survival, MIN_SURVIVAL)
-        odds *= (FAILS_WHEN_GRAY + (1.0 - FAILS_WHEN_GRAY) * survival) / healthy
-    return odds / (1.0 + odds)
+    def _faded(self, ratio: float, age_s: float) -> float:
+        """Return what is left of a likelihood ratio after ``age_s``."""
+        mean_odds = _odds(self._mean)
+        odds = mean_odds * ratio
+        then = odds / (1.0 + odds)
+        rest = math.exp(-age_s * _RELAX_PER_S)
+        return _odds(self._mean + (then - self._mean) * rest) / mean_odds
 
 
 def hedge_survival(probability: float) -> float:
@@ -91,3 +110,12 @@
     """
     fails = probability * FAILS_WHEN_GRAY
     return min(fails / max(1.0 - fails, _MIN_PROBABILITY), 1.0)
+
+
+def _unanswered_ratio(request: Unanswered) -> float:
+    gray = FAILS_WHEN_GRAY + (1.0 - FAILS_WHEN_GRAY) * request.survival
+    return max(gray / max(request.survival, MIN_SURVIVAL), 1.0)
+
+
+def _odds(probability: float) -> float:
+    return probability / max(1.0 - probability, _MIN_PROBABILITY)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -117,7 +117,7 @@
         settings, clock, events = self._settings, self._reactor, self._events
         self._datagrams = Datagrams(self._receive, self.metrics.count)
         self._store = KeyValueStore(self._reactor, settings.store)
-        self._balancer = Balancer(settings.failure_domain, self._random)
+        self._balancer = Balancer(settings.name, settings.failure_domain, self._random)
         self._quotas = Quotas(settings.name, _overshoot(settings))
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -15,6 +15,8 @@
 from gentianhitch.instances.datagrams import Seen
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.balancing import Observation
+from gentianhitch.proxy.balancing import Result
+from gentianhitch.proxy.balancing import RunningRequest
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.quotas import Quotas
 from gentianhitch.repeating import Repeating
@@ -22,7 +24,6 @@
 REPORT_INTERVAL_S = 0.2
 """A fifth of the time after which a silent instance counts as cut off."""
 
-FAILED = -1
 BUSY_WINDOW_S = 2.0
 BUSY_REPORTS = 5
 """So many reports in the window come only from an instance that serves callers."""
@@ -84,10 +85,7 @@
             self._name,
             self._incarnation,
             totals,
-            [
-                Running(key[0], key[1], count)
-                for key, count in self._balancer.running().items()
-            ],
+            _encode_running(self._balancer.running(), now),
             [_encode(observation) for observation in observations],
         )
         for peer in receivers:
@@ -102,7 +100,7 @@
         )
         self._balancer.reported_running(
             report.sender,
-            {(each.server, each.started_ms): each.count for each in report.running},
+            _decode_running(report.running, now),
             now,
         )
         for seen in report.seen:
@@ -110,15 +108,42 @@
 
 
 def _encode(observation: Observation) -> Seen:
-    latency_s = observation.latency_s
     return Seen(
         observation.server[0],
         observation.server[1],
         observation.route,
-        FAILED if latency_s is None else int(latency_s * 1000),
+        int(observation.latency_s * 1000),
+        observation.result,
     )
 
 
 def _decode(seen: Seen) -> Observation:
-    latency_s = None if seen.latency_ms == FAILED else seen.latency_ms / 1000
-    return Observation((seen.server, seen.started_ms), seen.route, latency_s)
+    return Observation(
+        (seen.server, seen.started_ms),
+        seen.route,
+        seen.latency_ms / 1000,
+        Result(seen.result),
+    )
+
+
+def _encode_running(
+    running: dict[tuple[str, int], list[RunningRequest]], now: float
+) -> list[Running]:
+    encoded: dict[tuple[str, int, str], list[int]] = {}
+    for (server, started_ms), requests in running.items():
+        for request in requests:
+            ages_ms = encoded.setdefault((server, started_ms, request.route), [])
+            ages_ms.append(int((now - request.began_s) * 1000))
+    return [Running(*key, ages_ms) for key, ages_ms in encoded.items()]
+
+
+def _decode_running(
+    running: list[Running], now: float
+) -> dict[tuple[str, int], tuple[RunningRequest, ...]]:
+    decoded: dict[tuple[str, int], tuple[RunningRequest, ...]] = {}
+    for each in running:
+        key = (each.server, each.started_ms)
+        decoded[key] = decoded.get(key, ()) + tuple(
+            RunningRequest(each.route, now - age_ms / 1000) for age_ms in each.ages_ms
+        )
+    return decoded
--- a/tests/proxy/test_balancing.py
+++ b/tests/proxy/test_balancing.py
@@ -8,10 +8,12 @@
 
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.balancing import Observation
+from gentianhitch.proxy.balancing import Result
+from gentianhitch.proxy.balancing import RunningRequest
 from gentianhitch.proxy.gray_filter import GRAY_SHARE
 from gentianhitch.proxy.gray_filter import GrayFilter
+from gentianhitch.proxy.gray_filter import Unanswered
 from gentianhitch.proxy.gray_filter import hedge_survival
-from gentianhitch.proxy.gray_filter import with_unanswered
 from gentianhitch.proxy.latencies import Latencies
 from tests.builders_proxy import make_route
 from tests.builders_proxy import make_server
@@ -20,7 +22,7 @@
 
 
 def make_balancer(*names: str, **changes: object) -> Balancer:
-    balancer = Balancer("a", Random(1))
+    balancer = Balancer("e-1", "a", Random(1))
     balancer.update([make_server(name, **changes) for name in names], 0.0)
     return balancer
 
@@ -30,7 +32,7 @@
         balancer = make_balancer("s-1", "s-2")
         server = make_server("s-1")
         token = balancer.began(server, ROUTE, 1.0)
-        balancer.ended(server, ROUTE, token, failed=True, now=1.5)
+        balancer.ended(server, ROUTE, token, Result.FAILED, 1.5)
         chosen = [balancer.choose("stock", 1.6) for _ in range(20)]
         assert {each.id for each in chosen if each} == {"s-2"}
 
@@ -41,27 +43,64 @@
         chosen = [balancer.choose("stock", 3.0) for _ in range(20)]
         assert {each.id for each in chosen if each} == {"s-2"}
 
+    def test_a_request_given_up_for_a_hedge_speaks_against_its_server(self) -> None:
+        # Cause: a hung server whose requests others answered stayed unsuspected.
+        balancer = make_balancer("s-1", "s-2")
+        balancer.latencies("stock", ROUTE)
+        server = make_server("s-1")
+        token = balancer.began(server, ROUTE, 1.0)
+        balancer.ended(server, ROUTE, token, Result.GIVEN_UP, 3.0)
+        chosen = [balancer.choose("stock", 3.1) for _ in range(20)]
+        assert {each.id for each in chosen if each} == {"s-2"}
+
     def test_learns_from_what_others_report(self) -> None:
         balancer = make_balancer("s-1", "s-2")
-        balancer.reported(Observation(("s-1", 1_000), "read", None), 1.0)
+        balancer.reported(Observation(("s-1", 1_000), "read", 0.1, Result.FAILED), 1.0)
         chosen = [balancer.choose("stock", 1.1) for _ in range(20)]
         assert {each.id for each in chosen if each} == {"s-2"}
 
     def test_a_failed_server_is_used_again_in_time(self) -> None:
         balancer = make_balancer("s-1", "s-2")
-        balancer.reported(Observation(("s-1", 1_000), "read", None), 1.0)
-        chosen = [balancer.choose("stock", 40.0) for _ in range(50)]
-        assert {each.id for each in chosen if each} == {"s-1", "s-2"}
+        balancer.reported(Observation(("s-1", 1_000), "read", 0.1, Result.FAILED), 1.0)
+        busy = (RunningRequest("read", 1.0),)
+        balancer.reported_running("e-2", {("s-2", 1_000): busy}, 1.1)
+        soon = balancer.choose("stock", 1.1)
+        balancer.reported_running("e-2", {("s-2", 1_000): busy}, 40.0)
+        later = balancer.choose("stock", 40.0)
+        assert soon is not None
+        assert later is not None
+        assert (soon.id, later.id) == ("s-2", "s-1")
 
     def test_never_chooses_a_draining_server(self) -> None:
         assert make_balancer("s-1", draining=True).choose("stock", 1.0) is None
 
     def test_counts_what_others_run(self) -> None:
         balancer = make_balancer("s-1", "s-2")
-        balancer.reported_running("e-2", {("s-1", 1_000): 6}, 1.0)
+        requests = (RunningRequest("read", 1.0),) * 6
+        balancer.reported_running("e-2", {("s-1", 1_000): requests}, 1.0)
         chosen = [balancer.choose("stock", 1.1) for _ in range(20)]
         assert {each.id for each in chosen if each} == {"s-2"}
 
+    def test_avoids_a_server_that_does_not_answer_another_instance(self) -> None:
+        # Cause: instances reported how many requests run, not since when.
+        balancer = make_balancer("s-1", "s-2")
+        balancer.latencies("stock", ROUTE)
+        requests = (RunningRequest("read", 1.0),)
+        balancer.reported_running("e-2", {("s-1", 1_000): requests}, 3.0)
+        chosen = [balancer.choose("stock", 3.1) for _ in range(20)]
+        assert {each.id for each in chosen if each} == {"s-2"}
+
+    def test_instances_that_know_the_same_choose_differently(self) -> None:
+        # Cause: six instances sent to the same best server between two reports.
+        chosen = set()
+        for number in range(12):
+            balancer = Balancer(f"e-{number}", "a", Random(1))
+            balancer.update([make_server(f"s-{n}") for n in range(12)], 0.0)
+            best = balancer.choose("stock", 1.0)
+            assert best is not None
+            chosen.add(best.id)
+        assert len(chosen) >= 6
+
     def test_a_full_service_has_no_server(self) -> None:
         balancer = make_balancer("s-1")
         for _ in range(100):
@@ -72,7 +111,7 @@
         balancer = make_balancer("s-1")
         old = make_server("s-1")
         token = balancer.began(old, ROUTE, 1.0)
-        balancer.ended(old, ROUTE, token, failed=True, now=1.0)
+        balancer.ended(old, ROUTE, token, Result.FAILED, 1.0)
         new = make_server("s-1", started_ms=2_000)
         balancer.update([new], 1.0)
         assert balancer.gray_probability(new, 1.0) <= GRAY_SHARE + 0.01
@@ -80,7 +119,7 @@
     @settings(max_examples=50, deadline=None, derandomize=True)
     @given(st.integers(2, 12), st.integers(0, 10_000))
     def test_sound_servers_all_get_requests(self, count: int, seed: int) -> None:
-        balancer = Balancer("a", Random(seed))
+        balancer = Balancer("e-1", "a", Random(seed))
         servers = [make_server(f"s-{number}") for number in range(count)]
         balancer.update(servers, 0.0)
         used: set[str] = set()
@@ -89,7 +128,7 @@
         for _ in range(count * 10):
             now += 0.05
             for began, server, token in [r for r in running if now - r[0] > 0.5]:
-                balancer.ended(server, ROUTE, token, failed=False, now=now)  # type: ignore[arg-type]
+                balancer.ended(server, ROUTE, token, Result.GOOD, now)  # type: ignore[arg-type]
                 running.remove((began, server, token))
             chosen = balancer.choose("stock", now)
             assert chosen is not None
@@ -108,7 +147,7 @@
         evidence = GrayFilter(0.0)
         evidence.failed(1.0)
         for _ in range(6):
-            evidence.succeeded(1.1, slow=False)
+            evidence.succeeded(1.1, 0.1, slow=False)
         assert evidence.probability(1.1) < 0.1
 
     def test_returns_to_the_mean(self) -> None:
@@ -118,12 +157,24 @@
 
     @settings(max_examples=100, deadline=None, derandomize=True)
     @given(
-        st.floats(0.001, 0.999), st.lists(st.floats(0.0, 1.0), min_size=1, max_size=9)
+        st.lists(
+            st.tuples(st.floats(0.0, 20.0), st.floats(0.0, 1.0)), min_size=1, max_size=9
+        )
     )
     def test_an_unanswered_request_never_speaks_for_a_server(
-        self, probability: float, survivals: list[float]
+        self, requests: list[tuple[float, float]]
     ) -> None:
-        assert with_unanswered(probability, survivals) >= probability - 1e-9
+        evidence = GrayFilter(0.0)
+        unanswered = [Unanswered(age_s, survival) for age_s, survival in requests]
+        before = evidence.probability(1.0)
+        assert evidence.with_unanswered(unanswered, 1.0) >= before - 1e-9
+
+    def test_an_old_failure_tells_less_than_a_new_one(self) -> None:
+        # Cause: a timeout kept a server out that had recovered meanwhile.
+        new, old = GrayFilter(0.0), GrayFilter(0.0)
+        new.failed(10.0, 0.1)
+        old.failed(10.0, 6.0)
+        assert old.probability(10.0) < new.probability(10.0)
 
     def test_a_doubtful_server_is_hedged_sooner(self) -> None:
         assert hedge_survival(0.5) > hedge_survival(0.05)
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -107,7 +107,7 @@
     def __init__(self, route: Route, unreachable: tuple[str, ...] = ()) -> None:
         self.clock = Clock()
         self.connections = FakeConnections(set(unreachable))
-        self.balancer = Balancer("a", Random(1))
+        self.balancer = Balancer("e-1", "a", Random(1))
         servers = [make_server(name) for name in ("s-1", "s-2", "s-3")]
         self.balancer.update(servers, 0.0)
         self.owner = Owner()
