--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -92,6 +92,7 @@
     ) -> None:
         self._reactor = reactor
         self._settings_path = settings_path
+        self._settings_seen = _stamp(settings_path)
         self._settings = settings
         self._events = events
         self._random = Random(settings.name)
@@ -327,6 +328,8 @@
         now = self._reactor.seconds()
         self._connections.close_idle(now)
         self._apply(now)
+        if _stamp(self._settings_path) != self._settings_seen:
+            self.reload()
 
     def _note_finished(self, outcome: str, workspace: str, elapsed_s: float) -> None:
         self.metrics.count(f"requests.{outcome}")
@@ -334,6 +337,7 @@
 
     def reload(self) -> None:
         """Read the settings file again; addresses stay as they are."""
+        self._settings_seen = _stamp(self._settings_path)
         try:
             settings = load_node_settings(self._settings_path)
         except NodeSettingsError as error:
@@ -393,3 +397,12 @@
 def _overshoot(settings: NodeSettings) -> Overshoot:
     bounds = settings.bounds
     return Overshoot(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack)
+
+
+def _stamp(path: Path) -> tuple[int, int]:
+    """Return what changes when a file is written; zeros while there is none."""
+    try:
+        status = path.stat()
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_ino)
