--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -10,6 +10,7 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.instances.codec import MalformedMessageError
+from gentianhitch.proxy.balancing import Result
 
 MAX_DATAGRAM_BYTES = 32 * 1024
 
@@ -32,16 +33,13 @@
 
 
 class Seen(msgspec.Struct, frozen=True, array_like=True):
-    """One attempt at a backend server, and how long after it was sent it ended.
-
-    ``result`` is a number of :class:`gentianhitch.proxy.balancing.Result`.
-    """
+    """One attempt at a backend server, and how long after it was sent it ended."""
 
     server: str
     started_ms: int
     route: str
     latency_ms: int
-    result: int
+    result: Result
 
 
 class Running(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -22,6 +22,7 @@
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.balancing import Result
 from gentianhitch.proxy.gray_filter import hedge_survival
+from gentianhitch.proxy.messages import encode_request
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.model import Workspace
@@ -42,7 +43,6 @@
 
 MAX_CONNECT_FAILURES = 4
 NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
-METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
 class DispatchOwner(Protocol):
@@ -230,9 +230,14 @@
         self._writes += 1
         self._may_have_run = True
         self._owner.dispatch_note("sent", attempt.server, "")
-        connection.send(
-            self._request.request_id, self._encode(attempt.server, now), attempt
+        data = encode_request(
+            self._request,
+            self._context.names,
+            server_id=attempt.server.id,
+            workspace=self._workspace,
+            remaining_s=self._deadline - now,
         )
+        connection.send(self._request.request_id, data, attempt)
         self._plan_hedge(attempt, now)
 
     def connect_failed(self, attempt: _Attempt, error: ConnectError) -> None:
@@ -376,20 +381,6 @@
             self._judge(attempt, Result.GIVEN_UP)
             attempt.cancel()
 
-    def _encode(self, server: BackendServer, now: float) -> bytes:
-        request, names = self._request, self._context.names
-        remaining_ms = max(int((self._deadline - now) * 1000), 1)
-        lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
-        lines += [b"%b: %b" % header for header in request.headers]
-        lines.append(b"%b: %d" % (names.remaining_ms, remaining_ms))
-        lines.append(b"%b: %b" % (names.expected_server, server.id.encode()))
-        if self._workspace is not None:
-            lines.append(b"%b: %b" % (names.workspace, self._workspace.encode()))
-        if request.body or request.has_length or request.method in METHODS_WITH_BODY:
-            lines.append(b"Content-Length: %d" % len(request.body))
-        lines.append(b"\r\n")
-        return b"\r\n".join(lines) + request.body
-
 
 def _is_spoiled(answer: WholeAnswer, names: HeaderNames) -> bool:
     """Tell whether an answer is not what the server itself wrote."""
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -8,9 +8,7 @@
 from typing import Any
 
 import attrs
-from klein import Klein
 from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
 from twisted.web.server import Site
 
 from gentianhitch.addresses import Address
@@ -42,6 +40,9 @@
 from gentianhitch.proxy.directory import DirectoryAnswer
 from gentianhitch.proxy.dispatch import DispatchContext
 from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.inner_resources import bound_address
+from gentianhitch.proxy.inner_resources import metrics_resource
+from gentianhitch.proxy.inner_resources import views_resource
 from gentianhitch.proxy.knowledge import Change
 from gentianhitch.proxy.knowledge import Knowledge
 from gentianhitch.proxy.metrics_text import render_metrics
@@ -49,12 +50,12 @@
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.quotas import Overshoot
 from gentianhitch.proxy.quotas import Quotas
-from gentianhitch.proxy.refresh import VIEW_PATH
 from gentianhitch.proxy.refresh import Refresher
 from gentianhitch.proxy.registration import Registration
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.shutdown import drain
 from gentianhitch.proxy.steering import serving_instances
 from gentianhitch.proxy.traffic_split import TrafficSplits
 from gentianhitch.repeating import Repeating
@@ -64,21 +65,12 @@
 PEER_CONNECT_TIMEOUT_S = 0.5
 HOUSEKEEPING_S = 0.5
 LISTEN_BACKLOG = 1024
-CLOSE_IDLE_AFTER_S = 2.0
-"""Callers have taken a new answer of the directory by then, even the slow ones."""
-
-STOP_LISTENING_AFTER_S = 2.6
-"""Before the third second of a stop, after which no request may be cut."""
-
 SERVING_SLACK_SHARE = 0.9
 """Part of the slack for repeats that the instances named to callers share."""
 
 MIN_OTHERS = 8
 """Instances among which the rest is split while few others are known."""
 
-LAST_MOMENT_S = 0.4
-"""An instance ends so long before it would be killed."""
-
 
 class ProxyInstance:
     """Own every part of one instance and the order in which they start and stop."""
@@ -99,9 +91,8 @@
         self.metrics = Metrics()
         self.knowledge = Knowledge(settings.heartbeat_s)
         self._incarnation = secrets.randbits(INCARNATION_BITS)
-        self._ports: list[Any] = []
+        self._callers_port: Any = None
         self._told_s = float("-inf")
-        self._stop_s: float | None = None
         self.state = "starting"
         self.lifecycle = create_lifecycle(
             LifecycleActions(self._note_state, self._leave, self._exit)
@@ -171,16 +162,19 @@
     def start(self) -> None:
         """Open every listener and begin to learn."""
         settings = self._settings
-        callers = self._listen(settings.callers, self._callers)
-        readiness = self._listen(
-            settings.readiness, Site(readiness_resource(self.is_ready))
+        self._callers_port = self._listen(settings.callers, self._callers)
+        readiness = self._serve_http(
+            settings.readiness, readiness_resource(self.is_ready)
         )
-        directory = self._listen(
-            settings.directory, Site(directory_resource(self._resolve))
+        directory = self._serve_http(
+            settings.directory, directory_resource(self._resolve)
+        )
+        views = self._serve_http(settings.internal, views_resource(self._encode_view))
+        metrics = self._serve_http(
+            settings.metrics, metrics_resource(self._render_metrics)
         )
-        views = self._listen(settings.internal, Site(self._view_resource()))
-        metrics = self._listen(settings.metrics, Site(self._metrics_resource()))
         datagrams = self._listen_for_datagrams(settings.internal)
+        callers = bound_address(self._callers_port)
         self._events.state(
             "listening",
             callers=callers,
@@ -203,22 +197,19 @@
         self._housekeeping.start(now=False)
         self.lifecycle.started()
 
-    def _listen(self, address: Address, factory: Any) -> Address:
-        port = self._reactor.listenTCP(
+    def _listen(self, address: Address, factory: Any) -> Any:
+        return self._reactor.listenTCP(
             address.port, factory, backlog=LISTEN_BACKLOG, interface=address.host
         )
-        return self._bound(port)
+
+    def _serve_http(self, address: Address, resource: Any) -> Address:
+        return bound_address(self._listen(address, Site(resource)))
 
     def _listen_for_datagrams(self, address: Address) -> Address:
         port = self._reactor.listenUDP(
             address.port, self._datagrams, interface=address.host
         )
-        return self._bound(port)
-
-    def _bound(self, port: Any) -> Address:
-        self._ports.append(port)
-        host = port.getHost()
-        return Address(host.host, host.port)
+        return bound_address(port)
 
     # What others ask.
 
@@ -229,27 +220,14 @@
     def _resolve(self, failure_domain: str) -> DirectoryAnswer | None:
         return self._directory.answer(failure_domain, self._reactor.seconds())
 
-    def _view_resource(self) -> Any:
-        app = Klein()
-
-        @app.route(VIEW_PATH)  # type: ignore[untyped-decorator]
-        def view(request: Any) -> bytes:
-            if self.knowledge.view is None:
-                request.setResponseCode(503)
-                return b""
-            age_s = self.knowledge.age_s(self._reactor.seconds())
-            return encode_view(self.knowledge.view, age_s)
-
-        return app.resource()
-
-    def _metrics_resource(self) -> Any:
-        app = Klein()
-
-        @app.route("/metrics")  # type: ignore[untyped-decorator]
-        def metrics(request: Any) -> bytes:
-            return render_metrics(self.metrics, self._gauges()).encode()
+    def _encode_view(self) -> bytes | None:
+        view = self.knowledge.view
+        if view is None:
+            return None
+        return encode_view(view, self.knowledge.age_s(self._reactor.seconds()))
 
-        return app.resource()
+    def _render_metrics(self) -> bytes:
+        return render_metrics(self.metrics, self._gauges()).encode()
 
     def _gauges(self) -> dict[str, float]:
         return {
@@ -375,38 +353,18 @@
         self._events.state("lifecycle", state=state)
 
     def _leave(self) -> None:
-        self._stop_s = self._reactor.seconds()
-        leaving = Deferred.fromCoroutine(self._drain())
+        leaving = Deferred.fromCoroutine(
+            drain(
+                self._reactor,
+                self._callers,
+                self._callers_port,
+                self._registration,
+                self._settings.bounds.shutdown_grace_s,
+            )
+        )
         leaving.addErrback(self._events.failure)
         leaving.addBoth(lambda _: self.lifecycle.drained())
 
-    async def _drain(self) -> None:
-        """Leave the directory, wait out its answers, finish, close."""
-        self._callers.is_leaving = True
-        Deferred.fromCoroutine(self._registration.leave()).addErrback(
-            self._events.failure
-        )
-        await deferLater(self._reactor, CLOSE_IDLE_AFTER_S, lambda: None)
-        self._callers.close_idle()
-        wait_s = STOP_LISTENING_AFTER_S - CLOSE_IDLE_AFTER_S
-        await deferLater(self._reactor, wait_s, lambda: None)
-        self._ports[0].stopListening()
-        self._callers.close_idle()
-        await self._when_idle()
-
-    def _when_idle(self) -> Deferred[None]:
-        idle: Deferred[None] = Deferred()
-        grace_s = self._settings.bounds.shutdown_grace_s - LAST_MOMENT_S
-        assert self._stop_s is not None
-        left_s = self._stop_s + grace_s - self._reactor.seconds()
-        if self._callers.is_busy and left_s > 0:
-            timer = self._reactor.callLater(left_s, self._callers.stop_waiting)
-            idle.addBoth(lambda _: timer.cancel() if timer.active() else None)
-            self._callers.on_idle = lambda: idle.callback(None)
-        else:
-            idle.callback(None)
-        return idle
-
     def _exit(self) -> None:
         for part in (self._refresher, self._registration, self._reports):
             part.stop()
--- /dev/null
+++ b/src/gentianhitch/proxy/messages.py
@@ -0,0 +1,55 @@
+"""Encode requests for backend servers and answers for callers."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from gentianhitch.backend_servers.whole_answers import WholeAnswer
+from gentianhitch.callers.requests import HOP_BY_HOP
+from gentianhitch.callers.whole_requests import CallerRequest
+from gentianhitch.callers.whole_requests import HeaderNames
+
+ANSWER_NOT_FORWARDED = HOP_BY_HOP | {b"content-length"}
+METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
+
+
+def encode_request(
+    request: CallerRequest,
+    names: HeaderNames,
+    *,
+    server_id: str,
+    workspace: str | None,
+    remaining_s: float,
+) -> bytes:
+    """Encode a request for the server that must be the one to run it."""
+    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+    lines += [b"%b: %b" % header for header in request.headers]
+    lines.append(b"%b: %d" % (names.remaining_ms, max(int(remaining_s * 1000), 1)))
+    lines.append(b"%b: %b" % (names.expected_server, server_id.encode()))
+    if workspace is not None:
+        lines.append(b"%b: %b" % (names.workspace, workspace.encode()))
+    if request.body or request.has_length or request.method in METHODS_WITH_BODY:
+        lines.append(b"Content-Length: %d" % len(request.body))
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines) + request.body
+
+
+def encode_answer(answer: WholeAnswer, request: CallerRequest, *, close: bool) -> bytes:
+    """Encode a server's whole answer for the caller of ``request``."""
+    dropped = ANSWER_NOT_FORWARDED
+    listed = answer.header(b"connection")
+    if listed is not None:
+        dropped = dropped | {part.strip() for part in listed.lower().split(b",")}
+    lines = [b"HTTP/1.1 %d %b" % (answer.status, answer.reason)]
+    lines += [
+        b"%b: %b" % header
+        for header in answer.headers
+        if header[0].lower() not in dropped
+    ]
+    if answer.status != HTTPStatus.NO_CONTENT:
+        lines.append(b"Content-Length: %d" % len(answer.body))
+    if close:
+        lines.append(b"Connection: close")
+    lines.append(b"\r\n")
+    head = b"\r\n".join(lines)
+    return head if request.method == b"HEAD" else head + answer.body
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -20,6 +20,7 @@
 from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.store_view import ViewDecoder
 from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.inner_resources import VIEW_PATH
 from gentianhitch.proxy.knowledge import Change
 from gentianhitch.proxy.knowledge import Knowledge
 from gentianhitch.proxy.model import Peer
@@ -29,7 +30,6 @@
 
 TICK_S = 0.1
 TRANSFER_TIMEOUT_S = 1.0
-VIEW_PATH = "/view"
 EVERYTHING = ""
 """The prefix of all keys: one call reads all that an instance must know."""
 
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -15,7 +15,6 @@
 from gentianhitch.instances.datagrams import Seen
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.balancing import Observation
-from gentianhitch.proxy.balancing import Result
 from gentianhitch.proxy.balancing import RunningRequest
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.quotas import Quotas
@@ -124,7 +123,7 @@
         (seen.server, seen.started_ms),
         seen.route,
         seen.latency_ms / 1000,
-        Result(seen.result),
+        seen.result,
     )
 
 
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -14,12 +14,12 @@
 from gentianhitch.callers.refusals import Refusal
 from gentianhitch.callers.refusals import RefusalOutcome
 from gentianhitch.callers.refusals import encode_refusal
-from gentianhitch.callers.requests import HOP_BY_HOP
 from gentianhitch.callers.whole_requests import CallerRequest
 from gentianhitch.proxy.dispatch import Dispatch
 from gentianhitch.proxy.dispatch import DispatchContext
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.messages import encode_answer
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Configuration
 from gentianhitch.proxy.model import Route
@@ -39,8 +39,6 @@
 RETRY_AFTER_S = 0.3
 """When to come back after a refusal that says that nothing ran."""
 
-ANSWER_NOT_FORWARDED = HOP_BY_HOP | {b"content-length"}
-
 
 @attrs.frozen
 class Admitted:
@@ -158,9 +156,7 @@
         """Pass a server's answer on."""
         self._finish(str(answer.status), server)
         close = self._reply.will_close
-        self._reply.send(
-            _encode_answer(answer, self._request, close=close), close=close
-        )
+        self._reply.send(encode_answer(answer, self._request, close=close), close=close)
 
     def dispatch_failed(self, cause: Cause, *, may_have_run: bool) -> None:
         """Refuse, and say whether the request may have run."""
@@ -226,25 +222,3 @@
             configuration=0 if view is None else view.configuration_revision,
         )
         self._server.finished(outcome, workspace, elapsed_s)
-
-
-def _encode_answer(
-    answer: WholeAnswer, request: CallerRequest, *, close: bool
-) -> bytes:
-    dropped = ANSWER_NOT_FORWARDED
-    listed = answer.header(b"connection")
-    if listed is not None:
-        dropped = dropped | {part.strip() for part in listed.lower().split(b",")}
-    lines = [b"HTTP/1.1 %d %b" % (answer.status, answer.reason)]
-    lines += [
-        b"%b: %b" % header
-        for header in answer.headers
-        if header[0].lower() not in dropped
-    ]
-    if answer.status != HTTPStatus.NO_CONTENT:
-        lines.append(b"Content-Length: %d" % len(answer.body))
-    if close:
-        lines.append(b"Connection: close")
-    lines.append(b"\r\n")
-    head = b"\r\n".join(lines)
-    return head if request.method == b"HEAD" else head + answer.body
