Let one instance in eight take requests, two at least

Cause: two instances a failure domain would not carry a fleet of 90. Ruled out for now: a count by load, which all directories would have to know.

--- a/src/gentianhitch/callers/requests.py
+++ b/src/gentianhitch/callers/requests.py
@@ -110,7 +110,7 @@
         reader = _READERS.get(name.lower())
         if reader is not None:
             reader(fields, value)
-    target = _origin_form(url)
+    target = origin_form(url)
     return RequestHead(
         method=method,
         target=target,
@@ -209,7 +209,8 @@
 }
 
 
-def _origin_form(url: bytes) -> bytes:
+def origin_form(url: bytes) -> bytes:
+    """Return the path and query of a request target; raise RequestError."""
     if url.startswith(b"/"):
         return url
     scheme, separator, rest = url.partition(b"://")
--- a/src/gentianhitch/callers/whole_requests.py
+++ b/src/gentianhitch/callers/whole_requests.py
@@ -9,6 +9,7 @@
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.requests import HOP_BY_HOP
 from gentianhitch.callers.requests import Headers
+from gentianhitch.callers.requests import origin_form
 from gentianhitch.proxy.model import CallerLimits
 
 HEADER_OVERHEAD_BYTES = 4
@@ -156,7 +157,7 @@
         host = values.get(b"host", b"").decode("latin-1").lower()
         return CallerRequest(
             method=self._method,
-            target=_origin_form(self._url),
+            target=origin_form(self._url),
             host=host.partition(":")[0],
             headers=[
                 (name, value)
@@ -185,13 +186,3 @@
     if value is None or value[: len(BEARER)].lower() != BEARER:
         return None
     return value[len(BEARER) :].strip().decode("latin-1")
-
-
-def _origin_form(url: bytes) -> bytes:
-    if url.startswith(b"/"):
-        return url
-    scheme, separator, rest = url.partition(b"://")
-    if not separator or scheme.lower() not in (b"http", b"https"):
-        raise RequestError(Cause.MALFORMED, "the request target is no path")
-    _, slash, path = rest.partition(b"/")
-    return slash + path or b"/"
--- a/src/gentianhitch/proxy/steering.py
+++ b/src/gentianhitch/proxy/steering.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.sources import reading_order
 
-INSTANCES_PER_FAILURE_DOMAIN = 2
+MIN_SERVING = 2
+"""A failure domain outlives the death of one instance without a pause."""
 
+INSTANCES_PER_SERVING = 8
+"""One instance in so many takes requests: fleets are sized for much more load."""
 
-def serving_instances(
-    peers: Iterable[Peer], count: int = INSTANCES_PER_FAILURE_DOMAIN
-) -> dict[str, tuple[Peer, ...]]:
+
+def serving_instances(peers: Iterable[Peer]) -> dict[str, tuple[Peer, ...]]:
     """Return the instances that take requests, by failure domain.
 
     They are the last of the order in which instances read the store, so that one
@@ -25,4 +28,9 @@
     by_domain: dict[str, list[Peer]] = {}
     for peer in reversed(reading_order(peers)):
         by_domain.setdefault(peer.failure_domain, []).append(peer)
-    return {domain: tuple(each[:count]) for domain, each in by_domain.items()}
+    return {
+        domain: tuple(
+            each[: max(MIN_SERVING, math.ceil(len(each) / INSTANCES_PER_SERVING))]
+        )
+        for domain, each in by_domain.items()
+    }
--- a/tests/proxy/test_steering.py
+++ b/tests/proxy/test_steering.py
@@ -4,7 +4,8 @@
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.knowledge import Knowledge
 from gentianhitch.proxy.sources import reading_order
-from gentianhitch.proxy.steering import INSTANCES_PER_FAILURE_DOMAIN
+from gentianhitch.proxy.steering import INSTANCES_PER_SERVING
+from gentianhitch.proxy.steering import MIN_SERVING
 from gentianhitch.proxy.steering import serving_instances
 from tests.builders_proxy import make_peer
 from tests.builders_proxy import make_view
@@ -22,9 +23,11 @@
     def test_names_a_few_in_each_failure_domain(self) -> None:
         serving = serving_instances(PEERS)
         assert set(serving) == {"a", "b", "c"}
-        assert {len(each) for each in serving.values()} == {
-            INSTANCES_PER_FAILURE_DOMAIN
-        }
+        assert {len(each) for each in serving.values()} == {MIN_SERVING}
+
+    def test_a_larger_fleet_has_more_of_them(self) -> None:
+        peers = [make_peer(f"a-{n}") for n in range(10 * INSTANCES_PER_SERVING)]
+        assert len(serving_instances(peers)["a"]) == 10
 
     def test_spares_the_reader_of_the_store(self) -> None:
         near = [peer for peer in PEERS if peer.failure_domain == "a"]
@@ -46,7 +49,7 @@
     def test_a_failure_domain_without_instances_gets_the_others(self) -> None:
         answer = make_directory().answer("z", 10.0)
         assert answer is not None
-        assert len(answer.addresses) == 3 * INSTANCES_PER_FAILURE_DOMAIN
+        assert len(answer.addresses) == 3 * MIN_SERVING
 
     def test_an_isolated_instance_sends_callers_on(self) -> None:
         late = 10.0 + ISOLATED_AGE_S + 1
