Pass no status on that promises 'not run' without the server's mark; bound state

Cause: read in a review: a server's unmarked 503, 429 or 408 was passed on, which callers take for a promise, though the request may have run. Ruled out: leaving it to servers; a garbled answer needs none of them to be wrong. Also: latencies, turns, totals and silences of what is gone are forgotten. After: a test that failed first.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -140,6 +140,12 @@
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
 
+    def retain_routes(self, routes: frozenset[str]) -> None:
+        """Forget the latencies of routes that are gone."""
+        for key in tuple(self._latencies_by_route):
+            if key[1] not in routes:
+                del self._latencies_by_route[key]
+
     def _affinity(self, server: BackendServer) -> float:
         """Return where the server stands in this instance's own order, 0 to 1."""
         digest = xxhash.xxh32_intdigest(f"{self._name} {server.id}".encode())
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -42,7 +42,9 @@
 """With less time left, nothing is sent any more."""
 
 MAX_CONNECT_FAILURES = 4
-NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
+DECLINED_STATUSES = frozenset({400, 421, 429, 503})
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Callers take these to say that the request has not run and never will."""
 
 
 class DispatchOwner(Protocol):
@@ -262,12 +264,13 @@
             self._context.balancer.replaced(attempt.server)
         not_executed = misdirected or (
             answer.header(names.not_executed.lower()) is not None
-            and answer.status in NOT_EXECUTED_STATUSES
+            and answer.status in DECLINED_STATUSES
         )
         if not_executed:
             self._declined(attempt, answer)
             return
-        if _is_spoiled(answer, names):
+        if answer.status in NOT_RUN_STATUSES or _is_spoiled(answer, names):
+            # Without the mark, a status that promises "not run" promises nothing.
             self._judge(attempt, Result.FAILED)
             self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
             return
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -310,6 +310,10 @@
             removed=[server.id for server in change.removed],
             peers=len(view.peers_by_name),
         )
+        if change.configuration and view.configuration is not None:
+            routes = view.configuration.route_names()
+            self._balancer.retain_routes(routes)
+            self._server.splits.retain(routes)
         self._apply(now)
 
     def _apply(self, now: float) -> None:
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -77,6 +77,12 @@
     workspaces_by_key: dict[str, Workspace]
     services_by_name: dict[str, Service]
 
+    def route_names(self) -> frozenset[str]:
+        """Return the names of all routes."""
+        return frozenset(
+            route.name for routes in self.routes_by_host.values() for route in routes
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``."""
         for route in self.routes_by_host.get(host, ()):
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -130,6 +130,7 @@
         for name in tuple(self._windows_by_workspace):
             if name not in known:
                 del self._windows_by_workspace[name]
+                self._running_by_workspace.pop(name, None)
         for workspace in known.values():
             self._window(workspace, now)
 
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -25,6 +25,9 @@
 """A fifth of the time after which a silent instance counts as cut off."""
 
 BUSY_WINDOW_S = 2.0
+MAX_TIMES = 16
+"""More reports than come in the window."""
+
 BUSY_REPORTS = 5
 """So many reports in the window come only from an instance that serves callers."""
 
@@ -94,7 +97,8 @@
     def heard(self, report: Report) -> None:
         """Take the report of another instance."""
         now = self._clock.seconds()
-        self._heard_s_by_name.setdefault(report.sender, deque()).append(now)
+        times = self._heard_s_by_name.setdefault(report.sender, deque(maxlen=MAX_TIMES))
+        times.append(now)
         totals = {
             name: Total(*counts) for name, counts in report.totals_by_workspace.items()
         }
--- a/src/gentianhitch/proxy/sources.py
+++ b/src/gentianhitch/proxy/sources.py
@@ -83,6 +83,7 @@
         """Decide what to ask at ``now`` with knowledge of ``age_s``."""
         self._expire(now)
         known = [peer for peer in peers if peer.name != self.name]
+        self._forget_all_but({peer.name for peer in known})
         near = [peer for peer in known if peer.failure_domain == self.failure_domain]
         readers = self._readers(near, now)
         read = not readers and now - self._last_read_s >= REFRESH_INTERVAL_S
@@ -128,6 +129,11 @@
                 self._pass_over(name, now)
                 self._last_ask_s = float("-inf")
 
+    def _forget_all_but(self, names: set[str]) -> None:
+        for name in self._silences_by_name.keys() - names:
+            del self._silences_by_name[name]
+            self._passed_over_until_by_name.pop(name, None)
+
     def _pass_over(self, name: str, now: float) -> None:
         silences = self._silences_by_name.get(name, 0)
         self._silences_by_name[name] = silences + 1
--- a/src/gentianhitch/proxy/traffic_split.py
+++ b/src/gentianhitch/proxy/traffic_split.py
@@ -36,3 +36,8 @@
         chosen = max(destinations, key=lambda each: credits[each.service]).service
         credits[chosen] -= total
         return chosen
+
+    def retain(self, routes: frozenset[str]) -> None:
+        """Forget the turns of routes that are gone."""
+        for name in self._turns_by_route.keys() - routes:
+            del self._turns_by_route[name]
--- a/tests/proxy/test_retry_budget.py
+++ b/tests/proxy/test_retry_budget.py
@@ -50,3 +50,12 @@
     swapped = (WeightedService("one", 0), WeightedService("two", 10))
     chosen = {splits.choose(make_route(destinations=swapped)) for _ in range(10)}
     assert chosen == {"two"}
+
+
+def test_turns_of_routes_that_are_gone_are_forgotten() -> None:
+    splits = TrafficSplits()
+    weights = (WeightedService("one", 90), WeightedService("two", 10))
+    route = make_route(destinations=weights)
+    first = [splits.choose(route) for _ in range(5)]
+    splits.retain(frozenset())
+    assert [splits.choose(route) for _ in range(5)] == first
