--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import subprocess
+import sys
 import time
 from collections.abc import Iterator
 from http.client import HTTPConnection
@@ -194,3 +196,17 @@
             lambda: gone not in call("GET", address, path)["addresses"],
             "it is left out",
         )
+
+
+class TestDemo:
+    def test_shows_answers_and_stops(self) -> None:
+        shown = subprocess.run(
+            [sys.executable, "-m", "standins.platform_demo"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        assert "a read: 200" in shown
+        assert "an unknown key: 401" in shown
+        assert "exit codes [0, 0, 0]" in shown
