Hold the parts of departed instances while they may act alone

Instances that were cut off left the list after 3 s and admitted their parts until their proof was 5 s old, while the others shared the whole limit. Ruled out: a START_SHARE too small (no instance had restarted).

--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -104,7 +104,9 @@
         self._datagrams = Datagrams(self._receive, self.metrics.count)
         self._store = KeyValueStore(self._reactor, settings.store)
         self._balancer = Balancer(settings.name, settings.failure_domain, self._random)
-        self._quotas = Quotas(settings.name, _overshoot(settings))
+        self._quotas = Quotas(
+            settings.name, _overshoot(settings), settings.bounds.revocation_s
+        )
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id
         )
@@ -320,7 +322,8 @@
         servers = self.knowledge.servers(now)
         self._balancer.update(servers.values(), now)
         self._connections.retain(frozenset(each.key for each in servers.values()))
-        self._quotas.sharers = frozenset(peer.name for peer in self._serving_peers())
+        serving = frozenset(peer.name for peer in self._serving_peers())
+        self._quotas.share_among(serving, now)
         configuration = self.knowledge.configuration
         if configuration is not None:
             self._quotas.prepare(configuration.workspaces_by_key.values(), now)
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -5,7 +5,8 @@
 two reports it admits at most its even part of what is left, or of the permitted
 overshoot, so that instances that know the same rest do not spend it many times over.
 For an instance that isn't heard, its even part counts as spent, so that instances
-that are cut off from each other stay within the limit together.
+that are cut off from each other stay within the limit together. That holds on for one
+that is no longer listed: cut off, it goes on until its own knowledge is too old.
 """
 
 from __future__ import annotations
@@ -106,6 +107,14 @@
         return Total(self.count, self.count - int(sum(a.count for a in self.recent)))
 
 
+@attrs.frozen
+class _Departed:
+    """An instance that is no longer listed, and may spend its part for a while."""
+
+    part: float
+    until_s: float
+
+
 @attrs.define
 class _Reporter:
     incarnation: int
@@ -115,15 +124,32 @@
 
 @attrs.define
 class Quotas:
-    """Admit requests of workspaces; ``sharers`` names who takes requests."""
+    """Admit requests of workspaces; ``sharers`` names who takes requests.
+
+    An instance that is cut off admits requests for ``acts_alone_s`` at most.
+    """
 
     name: str
     overshoot: Overshoot
+    acts_alone_s: float
     sharers: frozenset[str] = frozenset()
+    _departed_by_name: dict[str, _Departed] = attrs.Factory(dict)
     _windows_by_workspace: dict[str, _Window] = attrs.Factory(dict)
     _running_by_workspace: dict[str, _Running] = attrs.Factory(dict)
     _reporters_by_name: dict[str, _Reporter] = attrs.Factory(dict)
 
+    def share_among(self, sharers: frozenset[str], now: float) -> None:
+        """Take the instances that share the limits from now on."""
+        if self.sharers and sharers != self.sharers:
+            part = 1.0 / len(self.sharers)
+            until_s = now + self.acts_alone_s
+            for name in self.sharers - sharers - {self.name}:
+                self._departed_by_name[name] = _Departed(part, until_s)
+        self.sharers = sharers
+        for name, departed in tuple(self._departed_by_name.items()):
+            if name in sharers or departed.until_s <= now:
+                del self._departed_by_name[name]
+
     def prepare(self, workspaces: Iterable[Workspace], now: float) -> None:
         """Start the windows of new workspaces and drop those of removed ones."""
         known = {workspace.name: workspace for workspace in workspaces}
@@ -216,7 +242,16 @@
             limit -= START_SHARE * allowed
         if not self.sharers:
             return limit
-        return limit * self._heard(now) / len(self.sharers)
+        own = 1.0 / len(self.sharers)
+        heard = self._heard(now) / len(self.sharers)
+        return limit * max(heard - self._held_for_departed(now), min(own, heard))
+
+    def _held_for_departed(self, now: float) -> float:
+        return sum(
+            departed.part
+            for name, departed in self._departed_by_name.items()
+            if now < departed.until_s and not self._is_heard(name, now)
+        )
 
     def _heard(self, now: float) -> int:
         return sum(self._is_heard(name, now) for name in self.sharers)
--- a/tests/proxy/test_quotas.py
+++ b/tests/proxy/test_quotas.py
@@ -12,11 +12,12 @@
 
 NAMES = ("e-1", "e-2", "e-3")
 REPORT_INTERVAL_S = 0.2
+ALONE_S = 5.0
 
 
 class TestOneInstance:
     def test_admits_a_workspace_within_its_limit(self) -> None:
-        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        quotas = Quotas("e-1", OVERSHOOT, ALONE_S, frozenset({"e-1"}))
         workspace = make_workspace(10.0, 10.0)
         quotas.prepare([workspace], 0.0)
         refused = 0
@@ -26,20 +27,20 @@
         assert refused == 0
 
     def test_refusal_tells_when_to_come_back(self) -> None:
-        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        quotas = Quotas("e-1", OVERSHOOT, ALONE_S, frozenset({"e-1"}))
         workspace = make_workspace(2.0, 2.0)
         waits = [quotas.admit(workspace, 100.0) for _ in range(40)]
         assert waits[0] == 0
         assert waits[-1] > 0
 
     def test_a_lowered_limit_holds_at_once(self) -> None:
-        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        quotas = Quotas("e-1", OVERSHOOT, ALONE_S, frozenset({"e-1"}))
         for _ in range(40):
             quotas.admit(make_workspace(10.0, 10.0), 100.0)
         assert quotas.admit(make_workspace(1.0, 1.0), 100.1) > 0
 
     def test_a_request_that_did_not_run_is_given_back(self) -> None:
-        quotas = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        quotas = Quotas("e-1", OVERSHOOT, ALONE_S, frozenset({"e-1"}))
         workspace = make_workspace(1.0, 1.0)
         while quotas.admit(workspace, 100.0) == 0:
             pass
@@ -48,14 +49,14 @@
         assert quotas.admit(workspace, 100.0) == 0
 
     def test_an_unlimited_workspace_is_never_refused(self) -> None:
-        quotas = Quotas("e-1", OVERSHOOT)
+        quotas = Quotas("e-1", OVERSHOOT, ALONE_S)
         workspace = make_workspace(0.0, 0.0)
         assert not any(quotas.admit(workspace, 1.0) for _ in range(1_000))
 
     def test_a_small_burst_is_not_refused_below_the_limit(self) -> None:
         # Cause: an even part of nine tokens over six instances rounded to one.
         names = frozenset(f"e-{number}" for number in range(6))
-        quotas = Quotas("e-0", OVERSHOOT, names)
+        quotas = Quotas("e-0", OVERSHOOT, ALONE_S, names)
         for name in names - {"e-0"}:
             quotas.hear(name, 1, {}, 100.0)
         workspace = make_workspace(9.0, 9.0)
@@ -69,24 +70,49 @@
     def test_requests_are_admitted_before_the_others_are_heard(self) -> None:
         # Cause: after a power loss, half the limit counted as spent against the even
         # part of one instance, and all requests were refused until reports came.
-        quotas = Quotas("e-0", OVERSHOOT, self.names)
+        quotas = Quotas("e-0", OVERSHOOT, ALONE_S, self.names)
         workspace = make_workspace(20.0, 20.0)
         quotas.prepare([workspace], 100.0)
         assert [quotas.admit(workspace, 100.1) for _ in range(3)] == [0, 0, 0]
 
     def test_what_others_admitted_long_ago_does_not_count(self) -> None:
         # Cause: the first report heard counted all admissions of its sender's life.
-        running = Quotas("e-1", OVERSHOOT, frozenset({"e-1"}))
+        running = Quotas("e-1", OVERSHOOT, ALONE_S, frozenset({"e-1"}))
         workspace = make_workspace(20.0, 20.0)
         for step in range(1_000):
             running.admit(workspace, step * 0.1)
             running.report(step * 0.1)
-        quotas = Quotas("e-0", OVERSHOOT, frozenset({"e-0", "e-1"}))
+        quotas = Quotas("e-0", OVERSHOOT, ALONE_S, frozenset({"e-0", "e-1"}))
         quotas.prepare([workspace], 99.9)
         quotas.hear("e-1", 1, running.report(100.0), 100.0)
         assert quotas.admit(workspace, 100.0) == 0
 
 
+class TestDeparture:
+    def test_the_part_of_a_lost_instance_is_held_while_it_may_act_alone(self) -> None:
+        # Cause: QUOTA in a hunted scale-2 (seed 628596781737): instances that were
+        # cut off left the list after 3 s and went on admitting their parts until 5 s.
+        first = frozenset({"e-0", "e-1", "e-2"})
+        quotas = Quotas("e-0", OVERSHOOT, ALONE_S, first)
+        workspace = make_workspace(20.0, 20.0)
+        quotas.prepare([workspace], 90.0)
+        quotas.share_among(frozenset({"e-0", "e-3", "e-4"}), 100.0)
+
+        def admitted(now: float) -> int:
+            quotas.hear("e-3", 1, {}, now)
+            quotas.hear("e-4", 1, {}, now)
+            count = 0
+            for _ in range(60):
+                quotas.report(now)
+                while quotas.admit(workspace, now) == 0:
+                    count += 1
+            return count
+
+        whole = OVERSHOOT.allowed(workspace) + OVERSHOOT.extra(workspace)
+        assert admitted(100.1) <= whole / 3
+        assert admitted(100.0 + ALONE_S + OVERSHOOT.window_s) > whole / 2
+
+
 class QuotaMachine(RuleBasedStateMachine):
     """Three instances admit all they may, under cuts, lost reports and restarts."""
 
@@ -100,7 +126,7 @@
         self.admitted: list[float] = []
 
     def _start(self, name: str) -> Quotas:
-        quotas = Quotas(name, OVERSHOOT, frozenset(NAMES))
+        quotas = Quotas(name, OVERSHOOT, ALONE_S, frozenset(NAMES))
         quotas.prepare([self.workspace], self.now)
         return quotas
 
