--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -12,8 +12,6 @@
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.proxy.balancing import Result
 
-MAX_DATAGRAM_BYTES = 32 * 1024
-
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Ask how fresh the receiver's knowledge is; ``sent_s`` is the asker's clock."""
