Count each admission of a workspace once while reports are late

A request given back late lowered the count until after its own admission had left the window, here and at those that heard of it. Each own report began a new part of the rest, whether reports of the others came or not. A report that lay in the socket of a frozen process counted as just heard. Besides, a restarted instance knew nothing of what its predecessor and departed instances had admitted.

Conclusion: what is admitted after the oldest of the last reports is bounded by the even part; a new instance is told the window by the first reports.

--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -52,13 +52,16 @@
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """What an instance did since its last report.
 
-    ``totals_by_workspace`` holds the admissions of its incarnation: all, and all but
-    those of the last moments.
+    ``sent_s`` is the sender's clock. ``totals_by_workspace`` holds the admissions of
+    its incarnation, those of them that are older than the window, and those of all
+    instances in the window; ``is_briefed`` tells whether the latter are complete.
     """
 
     sender: str
     incarnation: int
-    totals_by_workspace: dict[str, tuple[int, int]]
+    sent_s: float
+    is_briefed: bool
+    totals_by_workspace: dict[str, tuple[int, int, int]]
     running: list[Running]
     seen: list[Seen]
 
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -35,6 +35,7 @@
 from gentianhitch.platform.node_settings import NodeSettingsError
 from gentianhitch.platform.node_settings import load_node_settings
 from gentianhitch.platform.store import KeyValueStore
+from gentianhitch.proxy.admission_windows import Overshoot
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryAnswer
@@ -48,7 +49,6 @@
 from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
-from gentianhitch.proxy.quotas import Overshoot
 from gentianhitch.proxy.quotas import Quotas
 from gentianhitch.proxy.refresh import Refresher
 from gentianhitch.proxy.registration import Registration
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -1,110 +1,48 @@
 """Keep workspaces within their limit over all instances together.
 
 In any window, a workspace may send as many requests as its rate and burst allow.
-Every instance counts its own admissions and those that the others report. Between
-two reports it admits at most its even part of what is left, or of the permitted
-overshoot, so that instances that know the same rest do not spend it many times over.
-For an instance that isn't heard, its even part counts as spent, so that instances
-that are cut off from each other stay within the limit together. That holds on for one
-that is no longer listed: cut off, it goes on until its own knowledge is too old.
+Every instance counts its own admissions and those that the others report. What it
+admits after the oldest of their last reports is at most its even part of the rest, so
+that instances that know the same rest do not spend it many times over, however late
+the next reports come. For an instance that isn't heard, its even part counts as spent,
+so that instances that are cut off from each other stay within the limit together. That
+holds on for one that is no longer listed: cut off, it goes on until its own knowledge
+is too old. A new instance learns from the first reports what the window holds.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 
 import attrs
 
+from gentianhitch.proxy.admission_windows import AdmissionWindow
+from gentianhitch.proxy.admission_windows import Overshoot
+from gentianhitch.proxy.admission_windows import RunningTotal
+from gentianhitch.proxy.admission_windows import Total
 from gentianhitch.proxy.model import Workspace
 
 SILENT_AFTER_S = 1.0
 """Reports come five times a second; an instance unheard so long counts as cut off."""
 
 START_SHARE = 0.5
-"""Part of the limit that counts as spent in the window before an instance's start."""
+"""Part of the limit for an instance that no other can tell what the window holds."""
 
-ADMITTED_SHARE = 0.5
-"""Part of the permitted overshoot that is admitted; the rest covers late reports."""
+RESERVED_SHARE = 0.5
+"""Part of the permitted overshoot that covers what isn't reported yet."""
 
 UNREPORTED_SHARE = 0.4
 """Part of the permitted overshoot that may be spent between two reports."""
 
 MIN_RETRY_S = 0.05
-TOTALS_REPEATED_S = 1.0
-"""A running total is reported for so long after it changed: reports may be lost."""
 
 
 @attrs.frozen
-class Overshoot:
-    """By how much a workspace may exceed its limit over all instances.
-
-    In any ``window_s`` seconds, ``ratio`` of what the limit allows and ``slack``
-    requests more.
-    """
-
-    window_s: float
-    ratio: float
-    slack: float
-
-    def allowed(self, workspace: Workspace) -> float:
-        """Return the requests that the limit allows in one window."""
-        return workspace.rate_per_s * self.window_s + workspace.burst
-
-    def extra(self, workspace: Workspace) -> float:
-        """Return the requests above the limit in one window."""
-        return self.ratio * self.allowed(workspace) + self.slack
-
-
-@attrs.frozen
-class _Admissions:
-    at_s: float
-    count: float
-
-
-@attrs.define
-class _Window:
-    """Admissions of all instances in the last window, as far as heard."""
-
-    started_s: float
-    entries: deque[_Admissions] = attrs.Factory(deque)
-    count: float = 0.0
-    unreported: int = 0
-
-    def add(self, now: float, count: float) -> None:
-        self.entries.append(_Admissions(now, count))
-        self.count += count
-
-    def expire(self, before_s: float) -> None:
-        while self.entries and self.entries[0].at_s <= before_s:
-            self.count -= self.entries.popleft().count
+class Account:
+    """What one instance reports: its totals, and whether it knows the whole window."""
 
-
-@attrs.frozen
-class Total:
-    """Admissions of one incarnation: all, and all but those of the last moments."""
-
-    count: int
-    earlier: int
-
-
-@attrs.define
-class _Running:
-    """A running total; ``recent`` holds the times of what was added lately."""
-
-    count: int = 0
-    recent: deque[_Admissions] = attrs.Factory(deque)
-
-    def add(self, now: float, count: int) -> None:
-        self.count += count
-        self.recent.append(_Admissions(now, count))
-
-    def total(self, now: float) -> Total | None:
-        while self.recent and self.recent[0].at_s <= now - TOTALS_REPEATED_S:
-            self.recent.popleft()
-        if not self.recent:
-            return None
-        return Total(self.count, self.count - int(sum(a.count for a in self.recent)))
+    totals_by_workspace: dict[str, Total]
+    is_briefed: bool
 
 
 @attrs.frozen
@@ -133,9 +71,11 @@
     overshoot: Overshoot
     acts_alone_s: float
     sharers: frozenset[str] = frozenset()
+    _started_s: float | None = None
+    _was_briefed: bool = False
     _departed_by_name: dict[str, _Departed] = attrs.Factory(dict)
-    _windows_by_workspace: dict[str, _Window] = attrs.Factory(dict)
-    _running_by_workspace: dict[str, _Running] = attrs.Factory(dict)
+    _windows_by_workspace: dict[str, AdmissionWindow] = attrs.Factory(dict)
+    _totals_by_workspace: dict[str, RunningTotal] = attrs.Factory(dict)
     _reporters_by_name: dict[str, _Reporter] = attrs.Factory(dict)
 
     def share_among(self, sharers: frozenset[str], now: float) -> None:
@@ -152,100 +92,134 @@
 
     def prepare(self, workspaces: Iterable[Workspace], now: float) -> None:
         """Start the windows of new workspaces and drop those of removed ones."""
+        if self._started_s is None:
+            self._started_s = now
         known = {workspace.name: workspace for workspace in workspaces}
         for name in tuple(self._windows_by_workspace):
             if name not in known:
                 del self._windows_by_workspace[name]
-                self._running_by_workspace.pop(name, None)
+                self._totals_by_workspace.pop(name, None)
         for workspace in known.values():
-            self._window(workspace, now)
+            self._window(workspace.name, now)
 
     def admit(self, workspace: Workspace, now: float) -> float:
         """Count a request; return 0, or the seconds until one may be admitted."""
         if workspace.rate_per_s <= 0:
             return 0.0
-        window = self._window(workspace, now)
-        rest = self._limit(workspace, window, now) - window.count
+        window = self._window(workspace.name, now)
+        rest = self._limit(workspace, now) - window.count
+        unreported = self._unreported(workspace.name, now)
         extra = UNREPORTED_SHARE * self.overshoot.extra(workspace)
         part = max(
-            (rest + window.unreported) / max(self._heard(now), 1),
+            (rest + unreported) / max(self._heard(now), 1),
             extra / max(len(self.sharers), 1),
             1.0,
         )
-        if rest < 1.0 or window.unreported + 1 > part:
+        if rest < 1.0 or unreported + 1 > part:
             return max((1.0 - rest) / workspace.rate_per_s, MIN_RETRY_S)
-        window.add(now, 1.0)
-        window.unreported += 1
-        self._add_total(workspace.name, 1, now)
+        window.add(now, 1)
+        self._total(workspace.name).add(now, 1)
         return 0.0
 
     def describe(self, workspace: Workspace, now: float) -> str:
         """Return what decided about a request of ``workspace``."""
-        window = self._window(workspace, now)
-        limit = self._limit(workspace, window, now)
+        window = self._window(workspace.name, now)
+        limit = self._limit(workspace, now)
         return (
-            f"{workspace.name}: {window.count:g} of {limit:g}"
-            f" in {self.overshoot.window_s:g} s, {window.unreported} unreported,"
+            f"{workspace.name}: {window.count} of {limit:g}"
+            f" in {self.overshoot.window_s:g} s,"
+            f" {self._unreported(workspace.name, now)} unreported,"
             f" {self._heard(now)} of {len(self.sharers)} sharers heard"
         )
 
-    def give_back(self, workspace: Workspace, now: float) -> None:
-        """Forget a request that certainly did not run."""
-        if workspace.rate_per_s > 0:
-            self._window(workspace, now).add(now, -1.0)
-            self._add_total(workspace.name, -1, now)
-
-    def report(self, now: float) -> dict[str, Total]:
-        """Return running totals that changed lately, and begin a new interval."""
-        for window in self._windows_by_workspace.values():
-            window.unreported = 0
-        totals = {
-            name: running.total(now)
-            for name, running in self._running_by_workspace.items()
-        }
-        return {name: total for name, total in totals.items() if total is not None}
+    def give_back(self, workspace: Workspace, admitted_s: float, now: float) -> None:
+        """Forget a request of ``admitted_s`` that certainly did not run."""
+        if workspace.rate_per_s <= 0 or admitted_s <= now - self.overshoot.window_s:
+            return
+        self._window(workspace.name, now).give_back(1)
+        self._total(workspace.name).add(now, -1)
+
+    def report(self, now: float) -> Account:
+        """Return what the others need to know."""
+        before_s = now - self.overshoot.window_s
+        totals = {}
+        for name in self._windows_by_workspace:
+            known = self._window(name, now).count
+            running = self._totals_by_workspace.get(name)
+            if known or (running is not None and running.recent):
+                totals[name] = self._total(name).total(before_s, known)
+        return Account(totals, self._is_briefed(now))
 
     def hear(
-        self, name: str, incarnation: int, totals: dict[str, Total], now: float
+        self, name: str, incarnation: int, account: Account, sent_s: float, now: float
     ) -> None:
-        """Count what another instance has admitted since its last report."""
+        """Count what another instance, in a report of ``sent_s``, has admitted."""
         reporter = self._reporters_by_name.get(name)
-        if reporter is None or reporter.incarnation != incarnation:
-            reporter = _Reporter(incarnation, now, {})
+        is_new = reporter is None or reporter.incarnation != incarnation
+        if reporter is None or is_new:
+            reporter = _Reporter(incarnation, sent_s, {})
             self._reporters_by_name[name] = reporter
-        for workspace, total in totals.items():
-            window = self._windows_by_workspace.get(workspace)
-            # What is not known from earlier reports was admitted before them.
+        for workspace, total in account.totals_by_workspace.items():
+            if workspace not in self._windows_by_workspace:
+                continue
+            # What is not known from earlier reports was admitted in the window.
             before = reporter.counts_by_workspace.get(workspace, total.earlier)
-            if window is not None and total.count != before:
-                window.add(now, total.count - before)
+            self._count_reported(workspace, total.count - before, now)
+            if is_new:
+                missing = total.known - self._window(workspace, now).count
+                self._count_reported(workspace, max(missing, 0), now)
             reporter.counts_by_workspace[workspace] = total.count
-        reporter.heard_s = now
+        reporter.heard_s = max(reporter.heard_s, sent_s)
+        self._was_briefed = self._was_briefed or account.is_briefed
 
-    def _add_total(self, workspace: str, count: int, now: float) -> None:
-        running = self._running_by_workspace.setdefault(workspace, _Running())
-        running.add(now, count)
+    def _count_reported(self, workspace: str, count: int, now: float) -> None:
+        window = self._window(workspace, now)
+        if count > 0:
+            window.add(now, count)
+        else:
+            window.give_back(-count)
+
+    def _total(self, workspace: str) -> RunningTotal:
+        return self._totals_by_workspace.setdefault(workspace, RunningTotal())
 
-    def _window(self, workspace: Workspace, now: float) -> _Window:
-        window = self._windows_by_workspace.get(workspace.name)
+    def _window(self, workspace: str, now: float) -> AdmissionWindow:
+        window = self._windows_by_workspace.get(workspace)
         if window is None:
-            window = self._windows_by_workspace[workspace.name] = _Window(now)
+            window = self._windows_by_workspace[workspace] = AdmissionWindow()
         window.expire(now - self.overshoot.window_s)
         return window
 
-    def _limit(self, workspace: Workspace, window: _Window, now: float) -> float:
+    def _unreported(self, workspace: str, now: float) -> int:
+        """Return the own admissions that some instance may not know of."""
+        reporters = (self._reporters_by_name.get(name) for name in self.sharers)
+        heard = [
+            reporter.heard_s
+            for reporter in reporters
+            if reporter is not None and now - reporter.heard_s <= SILENT_AFTER_S
+        ]
+        return self._total(workspace).since(min(heard, default=now - SILENT_AFTER_S))
+
+    def _limit(self, workspace: Workspace, now: float) -> float:
         """Return what this instance and those heard may admit in one window."""
         overshoot = self.overshoot
         allowed = overshoot.allowed(workspace)
-        limit = allowed + ADMITTED_SHARE * overshoot.extra(workspace)
-        if now - window.started_s < overshoot.window_s:
-            limit -= START_SHARE * allowed
+        extra = overshoot.extra(workspace)
+        # Each instance may admit one request between two reports.
+        reserved = min(max(RESERVED_SHARE * extra, len(self.sharers)), extra)
+        limit = allowed + extra - reserved
+        if not self._is_briefed(now):
+            limit -= (1.0 - START_SHARE) * allowed
         if not self.sharers:
             return limit
         own = 1.0 / len(self.sharers)
         heard = self._heard(now) / len(self.sharers)
         return limit * max(heard - self._held_for_departed(now), min(own, heard))
 
+    def _is_briefed(self, now: float) -> bool:
+        """Tell whether all admissions of the window are known."""
+        started_s = now if self._started_s is None else self._started_s
+        return self._was_briefed or now - started_s >= self.overshoot.window_s
+
     def _held_for_departed(self, now: float) -> float:
         return sum(
             departed.part
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -13,12 +13,14 @@
 from gentianhitch.instances.datagrams import Report
 from gentianhitch.instances.datagrams import Running
 from gentianhitch.instances.datagrams import Seen
+from gentianhitch.proxy.admission_windows import Total
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.balancing import Observation
 from gentianhitch.proxy.balancing import RunningRequest
+from gentianhitch.proxy.clock_offsets import ClockOffsets
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.quotas import Account
 from gentianhitch.proxy.quotas import Quotas
-from gentianhitch.proxy.quotas import Total
 from gentianhitch.repeating import Repeating
 
 REPORT_INTERVAL_S = 0.2
@@ -54,6 +56,7 @@
         self._quotas = quotas
         self._receivers = receivers
         self._heard_s_by_name: dict[str, deque[float]] = {}
+        self._offsets = ClockOffsets()
         self._loop = Repeating(clock, REPORT_INTERVAL_S, self._send, on_error)
 
     def start(self) -> None:
@@ -79,7 +82,7 @@
     def _send(self) -> None:
         now = self._clock.seconds()
         observations, self._balancer.observations = self._balancer.observations, []
-        totals = self._quotas.report(now)
+        account = self._quotas.report(now)
         receivers = [peer for peer in self._receivers() if peer.name != self._name]
         # Only silence of an instance that callers are told to use means anything.
         if not (observations or self._name in self._quotas.sharers):
@@ -87,7 +90,12 @@
         report = Report(
             self._name,
             self._incarnation,
-            {name: (total.count, total.earlier) for name, total in totals.items()},
+            now,
+            account.is_briefed,
+            {
+                name: (total.count, total.earlier, total.known)
+                for name, total in account.totals_by_workspace.items()
+            },
             _encode_running(self._balancer.running(), now),
             [_encode(observation) for observation in observations],
         )
@@ -99,14 +107,19 @@
         now = self._clock.seconds()
         times = self._heard_s_by_name.setdefault(report.sender, deque(maxlen=MAX_TIMES))
         times.append(now)
+        # A report may have lain in the socket while this process stood still.
+        sent_s = self._offsets.own_time(
+            report.sender, report.incarnation, report.sent_s, now
+        )
         totals = {
             name: Total(*counts) for name, counts in report.totals_by_workspace.items()
         }
-        self._quotas.hear(report.sender, report.incarnation, totals, now)
+        account = Account(totals, report.is_briefed)
+        self._quotas.hear(report.sender, report.incarnation, account, sent_s, now)
         self._balancer.reported_running(
             report.sender,
-            _decode_running(report.running, now),
-            now,
+            _decode_running(report.running, sent_s),
+            sent_s,
         )
         for seen in report.seen:
             self._balancer.reported(_decode(seen), now)
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -168,7 +168,7 @@
         admitted = self._admitted
         if admitted is not None and admitted.workspace is not None:
             now = self._server.clock.seconds()
-            self._server.quotas.give_back(admitted.workspace, now)
+            self._server.quotas.give_back(admitted.workspace, self._began_s, now)
         if cause.status != HTTPStatus.SERVICE_UNAVAILABLE:
             cause = Cause.NO_CAPACITY
         self._refuse(Refusal(cause, retry_after_s=RETRY_AFTER_S))
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -5,6 +5,7 @@
 import attrs
 
 from gentianhitch.addresses import Address
+from gentianhitch.proxy.admission_windows import Overshoot
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Configuration
@@ -15,7 +16,6 @@
 from gentianhitch.proxy.model import WeightedService
 from gentianhitch.proxy.model import Workspace
 from gentianhitch.proxy.model import digest_of
-from gentianhitch.proxy.quotas import Overshoot
 
 OVERSHOOT = Overshoot(window_s=5.0, ratio=0.1, slack=20.0)
 HOST = "shop.example"
