Take the window of others only once, from an instance that knows all of it

Cause: whoever met another instance for the first time took its count of the window for new, stamped it anew and told it on.

Ruled out: cut instances (all sharers were heard), a shorter part between reports.

Conclusion: only an instance that has run for a whole window tells it, and only one that does not know it takes it, once.

--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -54,13 +54,13 @@
 
     ``sent_s`` is the sender's clock. ``totals_by_workspace`` holds the admissions of
     its incarnation, those of them that are older than the window, and those of all
-    instances in the window; ``is_briefed`` tells whether the latter are complete.
+    instances in the window, which is complete once it has run for a window (``is_complete``).
     """
 
     sender: str
     incarnation: int
     sent_s: float
-    is_briefed: bool
+    is_complete: bool
     totals_by_workspace: dict[str, tuple[int, int, int]]
     running: list[Running]
     seen: list[Seen]
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -39,10 +39,10 @@
 
 @attrs.frozen
 class Account:
-    """What one instance reports: its totals, and whether it knows the whole window."""
+    """What one instance reports; ``is_complete`` if it has run for a whole window."""
 
     totals_by_workspace: dict[str, Total]
-    is_briefed: bool
+    is_complete: bool
 
 
 @attrs.frozen
@@ -72,7 +72,7 @@
     acts_alone_s: float
     sharers: frozenset[str] = frozenset()
     _started_s: float | None = None
-    _was_briefed: bool = False
+    _is_briefed: bool = False
     _departed_by_name: dict[str, _Departed] = attrs.Factory(dict)
     _windows_by_workspace: dict[str, AdmissionWindow] = attrs.Factory(dict)
     _totals_by_workspace: dict[str, RunningTotal] = attrs.Factory(dict)
@@ -148,15 +148,14 @@
             running = self._totals_by_workspace.get(name)
             if known or (running is not None and running.recent):
                 totals[name] = self._total(name).total(before_s, known)
-        return Account(totals, self._is_briefed(now))
+        return Account(totals, self._ran_for_a_window(now))
 
     def hear(
         self, name: str, incarnation: int, account: Account, sent_s: float, now: float
     ) -> None:
         """Count what another instance, in a report of ``sent_s``, has admitted."""
         reporter = self._reporters_by_name.get(name)
-        is_new = reporter is None or reporter.incarnation != incarnation
-        if reporter is None or is_new:
+        if reporter is None or reporter.incarnation != incarnation:
             reporter = _Reporter(incarnation, sent_s, {})
             self._reporters_by_name[name] = reporter
         for workspace, total in account.totals_by_workspace.items():
@@ -165,12 +164,18 @@
             # What is not known from earlier reports was admitted in the window.
             before = reporter.counts_by_workspace.get(workspace, total.earlier)
             self._count_reported(workspace, total.count - before, now)
-            if is_new:
-                missing = total.known - self._window(workspace, now).count
-                self._count_reported(workspace, max(missing, 0), now)
             reporter.counts_by_workspace[workspace] = total.count
         reporter.heard_s = max(reporter.heard_s, sent_s)
-        self._was_briefed = self._was_briefed or account.is_briefed
+        if account.is_complete and not self._knows_the_window(now):
+            self._take_the_window(account, now)
+
+    def _take_the_window(self, account: Account, now: float) -> None:
+        """Count what no report of others will tell: they may have ended."""
+        self._is_briefed = True
+        for workspace, total in account.totals_by_workspace.items():
+            if workspace in self._windows_by_workspace:
+                missing = total.known - self._window(workspace, now).count
+                self._count_reported(workspace, max(missing, 0), now)
 
     def _count_reported(self, workspace: str, count: int, now: float) -> None:
         window = self._window(workspace, now)
@@ -207,7 +212,7 @@
         # Each instance may admit one request between two reports.
         reserved = min(max(RESERVED_SHARE * extra, len(self.sharers)), extra)
         limit = allowed + extra - reserved
-        if not self._is_briefed(now):
+        if not self._knows_the_window(now):
             limit -= (1.0 - START_SHARE) * allowed
         if not self.sharers:
             return limit
@@ -215,10 +220,12 @@
         heard = self._heard(now) / len(self.sharers)
         return limit * max(heard - self._held_for_departed(now), min(own, heard))
 
-    def _is_briefed(self, now: float) -> bool:
-        """Tell whether all admissions of the window are known."""
+    def _knows_the_window(self, now: float) -> bool:
+        return self._is_briefed or self._ran_for_a_window(now)
+
+    def _ran_for_a_window(self, now: float) -> bool:
         started_s = now if self._started_s is None else self._started_s
-        return self._was_briefed or now - started_s >= self.overshoot.window_s
+        return now - started_s >= self.overshoot.window_s
 
     def _held_for_departed(self, now: float) -> float:
         return sum(
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -91,7 +91,7 @@
             self._name,
             self._incarnation,
             now,
-            account.is_briefed,
+            account.is_complete,
             {
                 name: (total.count, total.earlier, total.known)
                 for name, total in account.totals_by_workspace.items()
@@ -114,7 +114,7 @@
         totals = {
             name: Total(*counts) for name, counts in report.totals_by_workspace.items()
         }
-        account = Account(totals, report.is_briefed)
+        account = Account(totals, report.is_complete)
         self._quotas.hear(report.sender, report.incarnation, account, sent_s, now)
         self._balancer.reported_running(
             report.sender,
