Prefer a sound server's free slots to a doubtful server; try idle ones again

Change: load costs 0.15 for a whole server and 0.4 beyond its slots; a server that was idle for a second or more is preferred, unless it is likely gray; an error of the server's own weighs a fifth of a hang and clears the path. Reports tell all windows only while an instance is new.

Ruled out: less spreading alone (test_sound_servers_all_get_requests went red).

--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -53,8 +53,8 @@
     """What an instance did since its last report.
 
     ``sent_s`` is the sender's clock. ``totals_by_workspace`` holds the admissions of
-    its incarnation, those of them that are older than the window, and those of all
-    instances in the window, which is complete once it has run for a window (``is_complete``).
+    its incarnation, those of them that are older than the window, and, if the report
+    ``is_complete``, those of all instances in the window.
     """
 
     sender: str
--- a/src/gentianhitch/proxy/admission_windows.py
+++ b/src/gentianhitch/proxy/admission_windows.py
@@ -101,6 +101,10 @@
             count += each.count
         return max(count, 0)
 
+    def changed_since(self, began_s: float) -> bool:
+        """Tell whether anything was counted after ``began_s``."""
+        return bool(self.recent) and self.recent[-1].at_s > began_s
+
     def total(self, before_s: float, known: int) -> Total:
         """Return what to tell others; admissions until ``before_s`` are old."""
         while self.recent and self.recent[0].at_s <= before_s:
--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -19,8 +19,14 @@
 SLOW_SURVIVAL = 0.03
 """An answer slower than all but this share counts as slow."""
 
-LOAD_WEIGHT = 0.5
-FULL_WEIGHT = 1.5
+LOAD_WEIGHT = 0.15
+FULL_WEIGHT = 0.4
+"""A queue as long as the slots costs one service time, a third of the objective."""
+
+IDLE_BONUS_PER_S = 0.1
+MAX_IDLE_BONUS = 0.15
+"""Above the cost of an unknown server with a new connection; less than a gray one."""
+
 FAR_PENALTY = 0.03
 COLD_PENALTY = 0.15
 NEW_CONNECTION_PENALTY = 0.05
@@ -75,6 +81,7 @@
     running_by_token: dict[int, RunningRequest] = attrs.Factory(dict)
     remote_by_instance: dict[str, _Remote] = attrs.Factory(dict)
     warm_at_s: float = 0.0
+    used_s: float = 0.0
     is_replaced: bool = False
     affinity: float = 0.0
 
@@ -96,12 +103,16 @@
 
 
 class Result(IntEnum):
-    """How an attempt ended; DECLINED tells nothing of a server's answers."""
+    """How an attempt ended; DECLINED tells nothing of a server's answers.
+
+    ERROR is a whole answer of the server's own that says that it failed.
+    """
 
     GOOD = 0
     FAILED = 1
     GIVEN_UP = 2
     DECLINED = 3
+    ERROR = 4
 
 
 @attrs.frozen
@@ -139,6 +150,7 @@
             if record is None:
                 record = ServerRecord(server, GrayFilter(now, PATH_BROKEN_SHARE))
                 record.warm_at_s = now + server.warmup_s
+                record.used_s = now
                 record.affinity = self._affinity(server)
                 self._records_by_key[key] = record
             record.server = server
@@ -209,6 +221,7 @@
         if record is not None:
             running = RunningRequest(route.name, now)
             record.running_by_token[self._next_token] = running
+            record.used_s = now
         return self._next_token
 
     def ended(
@@ -245,6 +258,7 @@
         """Learn from an attempt of another instance."""
         record = self._records_by_key.get(observation.server)
         if record is not None:
+            record.used_s = max(record.used_s, now - observation.latency_s)
             self._learn(record, observation, now, own=False)
 
     def reported_running(
@@ -258,6 +272,7 @@
             requests = requests_by_server.get(key)
             if requests:
                 record.remote_by_instance[instance] = _Remote(requests, now)
+                record.used_s = max(record.used_s, now)
             else:
                 record.remote_by_instance.pop(instance, None)
 
@@ -272,18 +287,15 @@
     def _learn(
         self, record: ServerRecord, observation: Observation, now: float, *, own: bool
     ) -> None:
-        pooled = record.pooled(observation.route, now)
-        filters = (pooled, record.path) if own else (pooled,)
         latency_s = observation.latency_s
         known = self._latencies_by_route.get((record.server.service, observation.route))
         survival = 0.5 if known is None else known.survival(latency_s)
-        for each in filters:
-            if observation.result is Result.FAILED:
-                each.failed(now, latency_s)
-            elif observation.result is Result.GIVEN_UP:
-                each.unanswered(now, Unanswered(latency_s, survival))
-            else:
-                each.succeeded(now, latency_s, slow=survival < SLOW_SURVIVAL)
+        result = observation.result
+        _judge(record.pooled(observation.route, now), result, latency_s, survival, now)
+        if own:
+            # An error of the server's own shows that the path works.
+            on_path = Result.GOOD if result is Result.ERROR else result
+            _judge(record.path, on_path, latency_s, survival, now)
         if known is not None and observation.result is Result.GOOD:
             known.add(latency_s)
 
@@ -321,6 +333,7 @@
         gray = self._gray(record, route.name, now)
         cost = gray * FAILS_WHEN_GRAY + LOAD_WEIGHT * load
         cost += FULL_WEIGHT * max(load - 1.0, 0.0)
+        cost -= min(IDLE_BONUS_PER_S * (now - record.used_s), MAX_IDLE_BONUS)
         cost += TIE_BREAK * self._random.random()
         cost -= AFFINITY_WEIGHT * record.affinity
         if server.failure_domain != self._failure_domain:
@@ -328,3 +341,17 @@
         if now < record.warm_at_s:
             cost += COLD_PENALTY
         return cost
+
+
+def _judge(
+    judged: GrayFilter, result: Result, latency_s: float, survival: float, now: float
+) -> None:
+    """Have a filter learn from an attempt that took longer than ``survival``."""
+    if result is Result.FAILED:
+        judged.failed(now, latency_s)
+    elif result is Result.ERROR:
+        judged.answered_with_error(now, latency_s)
+    elif result is Result.GIVEN_UP:
+        judged.unanswered(now, Unanswered(latency_s, survival))
+    else:
+        judged.succeeded(now, latency_s, slow=survival < SLOW_SURVIVAL)
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -275,10 +275,10 @@
             self._judge(attempt, Result.FAILED)
             self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
             return
-        failed = answer.status >= 500
-        self._judge(attempt, Result.FAILED if failed else Result.GOOD)
+        result = _result_of(answer)
+        self._judge(attempt, result)
         others_run = len(self._running) > 1
-        if failed and (others_run or self._may_repeat()):
+        if result is not Result.GOOD and (others_run or self._may_repeat()):
             self._last_answer = (answer, attempt.server)
             self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
             return
@@ -356,8 +356,7 @@
         if self._ended:
             return
         for attempt in self._running:
-            # A request cut short by its own deadline still shows a slow server.
-            self._judge(attempt, Result.FAILED)
+            self._judge(attempt, Result.GIVEN_UP)
         self._fail(Cause.SILENT if self._writes else Cause.NO_CAPACITY)
 
     def _conclude(self) -> None:
@@ -386,6 +385,14 @@
             attempt.cancel()
 
 
+def _result_of(answer: WholeAnswer) -> Result:
+    if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+        # The server worked on the request until its deadline.
+        return Result.FAILED
+    failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    return Result.ERROR if failed else Result.GOOD
+
+
 def _is_spoiled(answer: WholeAnswer, names: HeaderNames) -> bool:
     """Tell whether an answer is not what the server itself wrote."""
     if answer.header(b"content-encoding") is not None:
--- a/src/gentianhitch/proxy/gray_filter.py
+++ b/src/gentianhitch/proxy/gray_filter.py
@@ -23,6 +23,9 @@
 """Part of the requests that a gray server is assumed to fail."""
 
 FAILS_WHEN_HEALTHY = 0.015
+ERRORS_WHEN_GRAY = 0.15
+"""Gray servers hang more often than they answer with an error."""
+
 SLOW_WHEN_HEALTHY = 0.05
 SLOW_WHEN_GRAY = 0.35
 MIN_SURVIVAL = 0.002
@@ -32,6 +35,7 @@
 _MAX_PROBABILITY = 0.999
 
 _FAILED = FAILS_WHEN_GRAY / FAILS_WHEN_HEALTHY
+_ERROR = ERRORS_WHEN_GRAY / FAILS_WHEN_HEALTHY
 _SLOW = (1.0 - FAILS_WHEN_GRAY) * SLOW_WHEN_GRAY / SLOW_WHEN_HEALTHY
 _GOOD = (1.0 - FAILS_WHEN_GRAY) * (1.0 - SLOW_WHEN_GRAY) / (1.0 - SLOW_WHEN_HEALTHY)
 
@@ -76,6 +80,10 @@
         """Learn from the failure of a request that was sent ``age_s`` ago."""
         self._update(_FAILED, age_s, now)
 
+    def answered_with_error(self, now: float, age_s: float) -> None:
+        """Learn from an error of the server's own, which healthy ones make too."""
+        self._update(_ERROR, age_s, now)
+
     def unanswered(self, now: float, request: Unanswered) -> None:
         """Learn from a request that was given up before its answer came."""
         self._update(_unanswered_ratio(request), request.age_s, now)
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -35,11 +35,13 @@
 """Part of the permitted overshoot that may be spent between two reports."""
 
 MIN_RETRY_S = 0.05
+TOTALS_REPEATED_S = 1.0
+"""A running total is reported for so long after it changed: reports may be lost."""
 
 
 @attrs.frozen
 class Account:
-    """What one instance reports; ``is_complete`` if it has run for a whole window."""
+    """What one instance reports; ``is_complete`` if it tells all of the window."""
 
     totals_by_workspace: dict[str, Total]
     is_complete: bool
@@ -56,6 +58,7 @@
 @attrs.define
 class _Reporter:
     incarnation: int
+    first_heard_s: float
     heard_s: float
     counts_by_workspace: dict[str, int]
 
@@ -121,12 +124,15 @@
         self._total(workspace.name).add(now, 1)
         return 0.0
 
+    def admitted(self, workspace: Workspace, now: float) -> int:
+        """Return the known admissions of all instances in the window."""
+        return self._window(workspace.name, now).count
+
     def describe(self, workspace: Workspace, now: float) -> str:
         """Return what decided about a request of ``workspace``."""
-        window = self._window(workspace.name, now)
         limit = self._limit(workspace, now)
         return (
-            f"{workspace.name}: {window.count} of {limit:g}"
+            f"{workspace.name}: {self.admitted(workspace, now)} of {limit:g}"
             f" in {self.overshoot.window_s:g} s,"
             f" {self._unreported(workspace.name, now)} unreported,"
             f" {self._heard(now)} of {len(self.sharers)} sharers heard"
@@ -140,15 +146,19 @@
         self._total(workspace.name).add(now, -1)
 
     def report(self, now: float) -> Account:
-        """Return what the others need to know."""
+        """Return what the others need to know: all, while one of them is new."""
         before_s = now - self.overshoot.window_s
+        tell_all = any(
+            reporter.first_heard_s > before_s
+            for reporter in self._reporters_by_name.values()
+        )
         totals = {}
         for name in self._windows_by_workspace:
-            known = self._window(name, now).count
-            running = self._totals_by_workspace.get(name)
-            if known or (running is not None and running.recent):
-                totals[name] = self._total(name).total(before_s, known)
-        return Account(totals, self._ran_for_a_window(now))
+            known = self._window(name, now).count if tell_all else 0
+            running = self._total(name)
+            if known or running.changed_since(now - TOTALS_REPEATED_S):
+                totals[name] = running.total(before_s, known)
+        return Account(totals, tell_all and self._ran_for_a_window(now))
 
     def hear(
         self, name: str, incarnation: int, account: Account, sent_s: float, now: float
@@ -156,7 +166,7 @@
         """Count what another instance, in a report of ``sent_s``, has admitted."""
         reporter = self._reporters_by_name.get(name)
         if reporter is None or reporter.incarnation != incarnation:
-            reporter = _Reporter(incarnation, sent_s, {})
+            reporter = _Reporter(incarnation, now, sent_s, {})
             self._reporters_by_name[name] = reporter
         for workspace, total in account.totals_by_workspace.items():
             if workspace not in self._windows_by_workspace:
--- a/tests/proxy/test_quotas.py
+++ b/tests/proxy/test_quotas.py
@@ -105,8 +105,7 @@
         quotas = Quotas("e-0", OVERSHOOT, ALONE_S, frozenset({"e-0", "e-1"}))
         quotas.prepare([workspace], 100.0)
         quotas.hear("e-1", 1, old.report(100.2), 100.2, 100.2)
-        account = quotas.report(100.2)
-        assert account.totals_by_workspace["north"].known == admitted
+        assert quotas.admitted(workspace, 100.2) == admitted
 
     def test_new_instances_do_not_keep_old_admissions_alive(self) -> None:
         # Cause: whoever met another for the first time took its window for new and
@@ -124,7 +123,7 @@
             newer.prepare([workspace], now)
             newer.hear(known.name, 1, known.report(now), now, now)
             known = newer
-        assert not known.report(112.0).totals_by_workspace
+        assert known.admitted(workspace, 112.0) == 0
 
 
 class TestGivenBack:
@@ -168,11 +167,11 @@
         for _ in range(10):
             sender.give_back(workspace, 100.0, 104.0)
         receiver.hear("e-1", 1, sender.report(104.0), 104.0, 104.0)
-        assert not receiver.report(104.0).totals_by_workspace
+        assert receiver.admitted(workspace, 104.0) == 0
         for _ in range(5):
             sender.admit(workspace, 105.5)
         receiver.hear("e-1", 1, sender.report(105.5), 105.5, 105.5)
-        assert receiver.report(105.6).totals_by_workspace["north"].known == 5
+        assert receiver.admitted(workspace, 105.6) == 5
 
 
 class TestLostReports:
