--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -6,17 +6,20 @@
 from typing import Any
 
 import attrs
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.endpoints import TCP6ClientEndpoint
 from twisted.internet.error import ConnectError
 from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import URI
 from twisted.web.client import Agent
 from twisted.web.client import FileBodyProducer
 from twisted.web.client import HTTPConnectionPool
-from twisted.web.client import readBody
+from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
@@ -68,6 +71,34 @@
     body: bytes
 
 
+class _BodyReader(Protocol):
+    """Read one body; twisted's own reader fails when it is cancelled."""
+
+    transport: Any = None
+
+    def __init__(self) -> None:
+        self.finished: Deferred[bytes] = Deferred(self._cancel)
+        self._parts: list[bytes] = []
+        self._cancelled = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._parts.append(data)
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        if self._cancelled:
+            return
+        if reason is None or reason.check(ResponseDone):
+            self.finished.callback(b"".join(self._parts))
+        else:
+            self.finished.errback(reason)
+
+    def _cancel(self, _: object) -> None:
+        self._cancelled = True
+        # The transport of a body that has ended is gone.
+        if self.transport is not None and hasattr(self.transport, "abortConnection"):
+            self.transport.abortConnection()
+
+
 async def call(agent: Any, method: str, url: str, body: bytes | None = None) -> Answer:
     """Send one request, with a JSON body if there is one, and read its answer."""
     headers = Headers()
@@ -76,4 +107,6 @@
         headers.addRawHeader("Content-Type", "application/json")
         producer = FileBodyProducer(BytesIO(body))
     response = await agent.request(method.encode(), url.encode(), headers, producer)
-    return Answer(response.code, await readBody(response))
+    reader = _BodyReader()
+    response.deliverBody(reader)
+    return Answer(response.code, await reader.finished)
