--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -89,10 +89,12 @@
             page = await self._store.read_range(EVERYTHING)
             view = self._decoder.decode(page.items, page.revision)
         except PlatformError as error:
+            self._plan.read_ended(succeeded=False)
             self._note_store(reachable=False, detail=str(error))
             return
         finally:
             self._reading = False
+        self._plan.read_ended(succeeded=True)
         self._note_store(reachable=True)
         self._note_rejected()
         self._take(view, began_s)
--- a/src/gentianhitch/proxy/registration.py
+++ b/src/gentianhitch/proxy/registration.py
@@ -19,6 +19,8 @@
 """A dead instance is told to callers for at most so long."""
 
 RENEW_INTERVAL_S = 1.0
+MAX_SKIPPED = 3
+"""Intervals to wait after failures in a row, one more each: a call is paid for."""
 
 
 class Registration:
@@ -31,6 +33,8 @@
         self._busy = False
         self._left = False
         self._listed = False
+        self._failures = 0
+        self._to_skip = 0
         self._loop = Repeating(clock, RENEW_INTERVAL_S, self._tick, events.failure)
 
     def start(self, peer: Peer) -> None:
@@ -56,7 +60,9 @@
             self._events.state("lease_not_ended", detail=str(error))
 
     def _tick(self) -> None:
-        if not self._busy:
+        if self._to_skip > 0:
+            self._to_skip -= 1
+        elif not self._busy:
             self._busy = True
             Deferred.fromCoroutine(self._hold()).addErrback(self._events.failure)
 
@@ -67,11 +73,14 @@
             else:
                 await self._store.renew_lease(self._lease)
             self._note_listed(listed=True)
+            self._failures = 0
         except LeaseEndedError:
             self._lease = None
             self._note_listed(listed=False, detail="the lease ended")
         except PlatformError as error:
             self._note_listed(listed=False, detail=str(error))
+            self._to_skip = min(self._failures, MAX_SKIPPED)
+            self._failures += 1
         finally:
             self._busy = False
 
--- a/src/gentianhitch/proxy/sources.py
+++ b/src/gentianhitch/proxy/sources.py
@@ -37,6 +37,12 @@
 """Past this age an instance reads for itself, whatever its place in the order."""
 
 OWN_READ_INTERVAL_S = 0.7
+MAX_READ_INTERVAL_S = 2.8
+"""The interval doubles with each failed read: refused calls are paid for too."""
+
+MAX_DOUBLINGS = 8
+"""Enough to reach the longest interval."""
+
 FAR_PEERS_ASKED = 2
 
 
@@ -67,6 +73,7 @@
     _silences_by_name: dict[str, int] = attrs.Factory(dict)
     _asked_by_name: dict[str, float] = attrs.Factory(dict)
     _last_read_s: float = float("-inf")
+    _failed_reads: int = 0
     _last_ask_s: float = float("-inf")
     _turn: int = 0
 
@@ -79,6 +86,12 @@
             self._passed_over_until_by_name.pop(name, None)
             self._silences_by_name.pop(name, None)
 
+    def read_ended(self, *, succeeded: bool) -> None:
+        """Note how a read of the store ended."""
+        self._failed_reads = (
+            0 if succeeded else min(self._failed_reads + 1, MAX_DOUBLINGS)
+        )
+
     def next_step(self, peers: Iterable[Peer], age_s: float, now: float) -> Step:
         """Decide what to ask at ``now`` with knowledge of ``age_s``."""
         self._expire(now)
@@ -86,9 +99,13 @@
         self._forget_all_but({peer.name for peer in known})
         near = [peer for peer in known if peer.failure_domain == self.failure_domain]
         readers = self._readers(near, now)
-        read = not readers and now - self._last_read_s >= REFRESH_INTERVAL_S
-        if age_s > OWN_READ_AGE_S and now - self._last_read_s >= OWN_READ_INTERVAL_S:
-            read = True
+        interval_s = REFRESH_INTERVAL_S if not readers else OWN_READ_INTERVAL_S
+        if self._failed_reads:
+            interval_s = min(
+                OWN_READ_INTERVAL_S * 2 ** (self._failed_reads - 1), MAX_READ_INTERVAL_S
+            )
+        due = now - self._last_read_s >= interval_s
+        read = due and (not readers or age_s > OWN_READ_AGE_S)
         asked: tuple[Peer, ...] = ()
         if now - self._last_ask_s >= ASK_INTERVAL_S:
             asked = self._to_ask(readers, known, age_s)
--- /dev/null
+++ b/tests/proxy/test_registration.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.task import Clock
+
+from gentianhitch.platform.interface import UnavailableError
+from gentianhitch.proxy.registration import RENEW_INTERVAL_S
+from gentianhitch.proxy.registration import Registration
+from tests.builders_proxy import make_peer
+
+
+class _Store:
+    def __init__(self) -> None:
+        self.refuses = False
+        self.calls: list[str] = []
+
+    async def _answer(self, name: str) -> None:
+        self.calls.append(name)
+        if self.refuses:
+            raise UnavailableError("status 503")
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        await self._answer("grant")
+        return 7
+
+    async def put(self, key: str, value: bytes, *, lease: int) -> None:
+        await self._answer("put")
+
+    async def renew_lease(self, lease: int) -> None:
+        await self._answer("renew")
+
+
+class _Events:
+    def state(self, event: str, **inputs: Any) -> None:
+        pass
+
+    def failure(self, failure: Any) -> None:
+        raise failure.value
+
+
+def start() -> tuple[Clock, _Store]:
+    clock, store = Clock(), _Store()
+    registration = Registration(clock, store, _Events())  # type: ignore[arg-type]
+    registration.start(make_peer("e-1"))
+    return clock, store
+
+
+class TestRenewal:
+    def test_holds_the_entry(self) -> None:
+        clock, store = start()
+        clock.pump([RENEW_INTERVAL_S] * 3)
+        assert store.calls == ["grant", "put", "renew", "renew", "renew"]
+
+    def test_asks_less_often_while_the_store_refuses(self) -> None:
+        # Cause: each of the instances that the store turned away paid a call a second.
+        clock, store = start()
+        store.refuses = True
+        store.calls.clear()
+        clock.pump([RENEW_INTERVAL_S] * 20)
+        assert len(store.calls) <= 8
+
+    def test_one_lost_renewal_is_made_up_at_once(self) -> None:
+        clock, store = start()
+        store.refuses = True
+        clock.pump([RENEW_INTERVAL_S])
+        store.refuses = False
+        store.calls.clear()
+        clock.pump([RENEW_INTERVAL_S])
+        assert store.calls == ["renew"]
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from gentianhitch.proxy.sources import MAX_READ_INTERVAL_S
 from gentianhitch.proxy.sources import PASSED_OVER_S
 from gentianhitch.proxy.sources import REFRESH_INTERVAL_S
 from gentianhitch.proxy.sources import SourcePlan
@@ -80,3 +81,25 @@
             asked |= {peer.name for peer in step.peers}
         assert reads >= 4
         assert "f-1" in asked
+
+
+class TestRefusedReads:
+    def test_reads_less_and_less_while_the_store_refuses(self) -> None:
+        # Cause: on trouble-1 of ivn-gateway-grown a third of the instances was turned
+        # away for 9 s and asked on at full rate; half of all paid calls were refused.
+        plan = SourcePlan(FIRST, "a")
+        reads = 0
+        for tick in range(100):
+            if plan.next_step(PEERS, 2.0 + tick * 0.1, 100.0 + tick * 0.1).read_store:
+                reads += 1
+                plan.read_ended(succeeded=False)
+        assert reads <= 3 + 10 / MAX_READ_INTERVAL_S
+
+    def test_one_good_read_restores_the_usual_interval(self) -> None:
+        plan = SourcePlan(FIRST, "a")
+        plan.next_step(PEERS, 2.0, 100.0)
+        for _ in range(20):
+            plan.read_ended(succeeded=False)
+        plan.read_ended(succeeded=True)
+        later = 100.0 + REFRESH_INTERVAL_S + 0.01
+        assert plan.next_step(PEERS, 0.1, later).read_store
