Soak the real programs under random faults

Six proxies, six servers, a store and links are separate processes; faults come from outside: signals, links that delay, refuse, cut one way, reset or go silent, a store that refuses, is slow, silent or loses answers, servers that err, hang or decline, and planned work. Checked from callers' and servers' side: TWICE, REFUSED, MIXED, UNASKED, QUOTA, withdrawn keys, drained servers, exit codes, service after the faults.

Not covered: datagrams between instances (no link can stand between them), clocks (a process's own can't be set from outside without root).

--- /dev/null
+++ b/standins/fault_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs under random faults and check what the platform promises."""
--- /dev/null
+++ b/standins/fault_soak/checks.py
@@ -0,0 +1,160 @@
+"""Check what the platform promises, from what callers and servers saw."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from standins.fault_soak.callers import Seen
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+WINDOW_S = 5.0
+QUOTA_OVERSHOOT = 0.1
+QUOTA_SLACK = 20.0
+REVOCATION_S = 3.0
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+SERVED_AFTER_RECOVERY = 0.9
+
+
+@attrs.frozen
+class Moment:
+    """Something that the operator or a server had acknowledged at ``at_s``."""
+
+    what: str
+    at_s: float
+
+
+@attrs.frozen
+class Disturbance:
+    """A time in which some instance may have been out of touch with the store."""
+
+    began_s: float
+    ended_s: float
+
+
+@attrs.frozen
+class Limit:
+    """What a workspace may send."""
+
+    workspace: str
+    rate_per_s: float
+    burst: float
+
+    def most(self) -> float:
+        """Return how many requests may run in one window."""
+        allowed = self.rate_per_s * WINDOW_S + self.burst
+        return allowed * (1.0 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+
+
+@attrs.define
+class History:
+    """All that was seen: by callers, by servers, and what was acknowledged."""
+
+    seen: list[Seen]
+    runs: list[dict[str, Any]]
+    withdrawn_keys: list[Moment]
+    drained_servers: list[Moment]
+    limits: list[Limit]
+    disturbances: list[Disturbance]
+
+    def broken(self) -> list[str]:
+        """Return a line for each broken promise."""
+        return [
+            *self._run_twice(),
+            *self._falsely_refused(),
+            *self._mixed(),
+            *self._unasked(),
+            *self._over_limit(),
+            *self._withdrawn(),
+            *self._drained(),
+        ]
+
+    def _run_twice(self) -> Iterable[str]:
+        counts = Counter(run["request"] for run in self.runs)
+        for seen in self.seen:
+            if seen.kind.method == "POST" and counts[seen.request] > 1:
+                yield f"TWICE {seen.request} ran {counts[seen.request]} times"
+
+    def _falsely_refused(self) -> Iterable[str]:
+        ran = {run["request"] for run in self.runs}
+        for seen in self.seen:
+            refused = seen.status in NOT_RUN_STATUSES and seen.kind.method == "POST"
+            if refused and seen.request in ran:
+                yield f"REFUSED {seen.request} got {seen.status} and ran"
+
+    def _mixed(self) -> Iterable[str]:
+        for seen in self.seen:
+            if seen.status != 200:
+                continue
+            if not seen.signed or seen.answer.get("request") != seen.request:
+                yield f"MIXED {seen.request} got the answer {seen.answer}"
+
+    def _unasked(self) -> Iterable[str]:
+        by_request = {seen.request: seen for seen in self.seen}
+        for run in self.runs:
+            seen = by_request.get(run["request"])
+            if seen is None:
+                yield f"UNASKED {run['request']} was sent by nobody"
+            elif run["path"] != f"{seen.kind.prefix}{seen.request}":
+                yield f"UNASKED {run['request']} ran as {run['path']}"
+            elif run["workspace"] != seen.kind.workspace or run["authorization"]:
+                yield f"UNASKED {run['request']} ran for {run['workspace']!r}"
+
+    def _over_limit(self) -> Iterable[str]:
+        sent_s_by_request = {seen.request: seen.sent_s for seen in self.seen}
+        for limit in self.limits:
+            spans = sorted(
+                (run["at_s"], sent_s_by_request.get(run["request"], run["at_s"]))
+                for run in self.runs
+                if run["workspace"] == limit.workspace
+            )
+            for index, (end_s, _) in enumerate(spans):
+                begin_s = end_s - WINDOW_S
+                earlier = spans[: index + 1]
+                count = sum(at > begin_s and sent > begin_s for at, sent in earlier)
+                if count > limit.most():
+                    yield f"QUOTA {limit.workspace}: {count} of {limit.most():g}"
+                    break
+
+    def _withdrawn(self) -> Iterable[str]:
+        ran = {run["request"] for run in self.runs}
+        for key in self.withdrawn_keys:
+            for seen in self.seen:
+                late = seen.sent_s > key.at_s + REVOCATION_S
+                if seen.kind.key == key.what and late and seen.request in ran:
+                    after_s = seen.sent_s - key.at_s
+                    yield f"CONFIG {seen.request} ran {after_s:.1f} s after its key"
+
+    def _drained(self) -> Iterable[str]:
+        for server in self.drained_servers:
+            for run in self.runs:
+                late_s = run["at_s"] - server.at_s
+                if run["server"] != server.what or late_s <= DRAIN_S:
+                    continue
+                # Only instances in touch are bound, as the platform's rules say.
+                if self._in_touch(server.at_s, run["at_s"]):
+                    yield f"DRAIN {run['request']} ran after {late_s:.1f} s"
+                    break
+
+    def _in_touch(self, began_s: float, ended_s: float) -> bool:
+        return not any(
+            each.began_s < ended_s and each.ended_s + CONTACT_S > began_s
+            for each in self.disturbances
+        )
+
+
+def recovered(seen: Iterable[Seen], since_s: float) -> str | None:
+    """Return what is wrong if too few requests are served after ``since_s``."""
+    owed = [
+        each
+        for each in seen
+        if each.sent_s > since_s and not each.left and each.status not in (401, 429)
+    ]
+    served = sum(each.status == 200 for each in owed)
+    if not owed or served < SERVED_AFTER_RECOVERY * len(owed):
+        return f"RECOVER {served} of {len(owed)} requests were served at the end"
+    return None
--- /dev/null
+++ b/standins/fault_soak/faults.py
@@ -0,0 +1,180 @@
+"""The faults of one soak: what may strike, and how each ends."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import attrs
+
+from standins.deployment import call
+from standins.fault_soak.deployment import SoakDeployment
+
+SHORT_S = (0.5, 2.5)
+STORE_FAULTS: tuple[dict[str, Any], ...] = (
+    {"outage": "busy"},
+    {"outage": "many"},
+    {"outage": "reset"},
+    {"outage": "silent"},
+    {"slow_ms": 300},
+    {"lost_answers": 5},
+)
+STORE_WELL: dict[str, Any] = {"outage": "none", "slow_ms": 0, "lost_answers": 0}
+LINK_MODES = ("silent", "no-requests", "no-answers", "refuse")
+SERVER_FAULTS = ("errors", "hang", "decline")
+
+
+@attrs.frozen
+class Fault:
+    """One fault: a line for the log, how long it lasts, how it begins and ends.
+
+    ``cuts_off`` tells whether an instance may be out of touch with the store.
+    """
+
+    what: str
+    for_s: float
+    begin: Callable[[], None]
+    end: Callable[[], None]
+    cuts_off: bool = True
+
+
+def nothing() -> None:
+    """End a fault that ends by itself."""
+
+
+@attrs.define
+class FaultPlan:
+    """Choose faults at random; what a seed chooses, it chooses again."""
+
+    deployment: SoakDeployment
+    random: Random
+
+    def choose(self) -> Fault:
+        """Return the next fault."""
+        kinds = (
+            self._pause,
+            self._kill,
+            self._terminate,
+            self._store,
+            self._cut_from_store,
+            self._harm_store_connections,
+            self._server,
+            self._cut_server,
+            self._harm_server_connections,
+        )
+        return self.random.choice(kinds)()
+
+    def _duration(self) -> float:
+        return self.random.uniform(*SHORT_S)
+
+    def _proxy(self) -> int:
+        return self.random.randrange(len(self.deployment.proxies))
+
+    def _server_id(self) -> str:
+        return self.random.choice(sorted(self.deployment.servers_by_id))
+
+    def _signal(self, number: int, sent: signal.Signals) -> Callable[[], None]:
+        return lambda: self.deployment.send_signal(number, sent)
+
+    def _pause(self) -> Fault:
+        number = self._proxy()
+        return Fault(
+            f"pause proxy-{number}",
+            self._duration(),
+            self._signal(number, signal.SIGSTOP),
+            self._signal(number, signal.SIGCONT),
+        )
+
+    def _kill(self) -> Fault:
+        number = self._proxy()
+        return Fault(
+            f"kill proxy-{number}",
+            self._duration(),
+            self._signal(number, signal.SIGKILL),
+            lambda: self._start_again(number),
+        )
+
+    def _terminate(self) -> Fault:
+        number = self._proxy()
+
+        def begin() -> None:
+            # A paused process can't leave in time.
+            self.deployment.send_signal(number, signal.SIGCONT)
+            self.deployment.send_signal(number, signal.SIGTERM)
+
+        return Fault(
+            f"terminate proxy-{number}",
+            self._duration(),
+            begin,
+            lambda: self._start_again(number),
+        )
+
+    def _start_again(self, number: int) -> None:
+        deployment = self.deployment
+        deployment.send_signal(number, signal.SIGCONT)
+        # Two faults may end the same process: whoever comes first starts it again.
+        if deployment.is_ending(number):
+            deployment.restart(number)
+
+    def _store(self) -> Fault:
+        fault = self.random.choice(STORE_FAULTS)
+        return Fault(
+            f"store {fault}",
+            self._duration(),
+            lambda: self.deployment.set_store_fault(**fault),
+            lambda: self.deployment.set_store_fault(**STORE_WELL),
+        )
+
+    def _link(self, what: str, address: str, *, cuts_off: bool) -> Fault:
+        mode = self.random.choice((*LINK_MODES, "slow"))
+        delay_ms = self.random.randrange(50, 400) if mode == "slow" else 0
+        changed = "open" if mode == "slow" else mode
+        return Fault(
+            f"{what} {mode}",
+            self._duration(),
+            lambda: self.deployment.set_link(address, changed, delay_ms),
+            lambda: self.deployment.set_link(address, "open"),
+            cuts_off,
+        )
+
+    def _cut_from_store(self) -> Fault:
+        name = self.deployment.proxies[self._proxy()].name
+        return self._link(
+            f"{name} to store", self.deployment.links_by_proxy[name], cuts_off=True
+        )
+
+    def _cut_server(self) -> Fault:
+        server = self._server_id()
+        link = self.deployment.links_by_server[server]
+        return self._link(f"to {server}", link, cuts_off=False)
+
+    def _harm(self, what: str, address: str) -> Fault:
+        how = self.random.choice(("reset", "silence"))
+        return Fault(
+            f"{how} connections {what}",
+            0.0,
+            lambda: self.deployment.harm_link(address, how),
+            nothing,
+        )
+
+    def _harm_store_connections(self) -> Fault:
+        name = self.deployment.proxies[self._proxy()].name
+        return self._harm(f"{name} to store", self.deployment.links_by_proxy[name])
+
+    def _harm_server_connections(self) -> Fault:
+        server = self._server_id()
+        return self._harm(f"to {server}", self.deployment.links_by_server[server])
+
+    def _server(self) -> Fault:
+        server = self._server_id()
+        kind = self.random.choice(SERVER_FAULTS)
+        address = self.deployment.servers_by_id[server]
+
+        def switch(fault: str) -> Callable[[], None]:
+            return lambda: call("PUT", address, f"/admin/fault?kind={fault}")
+
+        return Fault(
+            f"{server} {kind}", self._duration(), switch(kind), switch("none"), False
+        )
--- /dev/null
+++ b/standins/fault_soak/soak.py
@@ -0,0 +1,200 @@
+"""One soak: callers and faults over the real programs, then the checks."""
+
+from __future__ import annotations
+
+import heapq
+import threading
+import time
+from pathlib import Path
+from random import Random
+
+import attrs
+
+from standins.deployment import DeploymentError
+from standins.deployment import scratch_folder
+from standins.fault_soak.callers import Caller
+from standins.fault_soak.callers import Kind
+from standins.fault_soak.checks import Disturbance
+from standins.fault_soak.checks import History
+from standins.fault_soak.checks import Limit
+from standins.fault_soak.checks import Moment
+from standins.fault_soak.checks import recovered
+from standins.fault_soak.deployment import SMALL_BURST
+from standins.fault_soak.deployment import SMALL_KEY
+from standins.fault_soak.deployment import SMALL_RATE_PER_S
+from standins.fault_soak.deployment import SMALL_WORKSPACE
+from standins.fault_soak.deployment import SoakDeployment
+from standins.fault_soak.faults import STORE_WELL
+from standins.fault_soak.faults import Fault
+from standins.fault_soak.faults import FaultPlan
+from standins.platform_deployment import ROUTES
+from standins.platform_deployment import WORKSPACE
+
+GAP_S = (0.1, 1.2)
+PLANNED_WORK_SHARE = 0.25
+RECOVERY_S = 15.0
+CALM_S = 3.0
+RESOLVE_INTERVAL_S = 0.5
+LAST_ANSWERS_S = 7.0
+
+
+Running = tuple[float, float, Fault]
+"""When a fault ends, when it began, and the fault."""
+
+
+@attrs.frozen
+class Options:
+    """What one soak runs; ``faults_s`` is how long faults strike."""
+
+    seed: int
+    proxies: int = 6
+    callers: int = 8
+    faults_s: float = 12.0
+
+
+@attrs.define
+class Soak:
+    """Hold what one soak knows of its own doings."""
+
+    options: Options
+    deployment: SoakDeployment
+    random: Random
+    lines: list[str] = attrs.Factory(list)
+    addresses: list[str] = attrs.Factory(list)
+    withdrawn: list[Moment] = attrs.Factory(list)
+    drained: list[Moment] = attrs.Factory(list)
+    disturbances: list[Disturbance] = attrs.Factory(list)
+    callers: list[Caller] = attrs.Factory(list)
+    _began_s: float = attrs.Factory(time.monotonic)
+    _stopped: threading.Event = attrs.Factory(threading.Event)
+
+    def run(self) -> list[str]:
+        """Run the soak and return a line for each broken promise."""
+        threads = [threading.Thread(target=self._resolve, daemon=True)]
+        for number in range(self.options.callers):
+            name = f"c{number}"
+            random = Random(f"{self.options.seed}/{name}")
+            caller = Caller(name, random, self._kinds, lambda: self.addresses)
+            self.callers.append(caller)
+            threads.append(threading.Thread(target=caller.run, daemon=True))
+        for thread in threads:
+            thread.start()
+        self._strike()
+        time.sleep(RECOVERY_S)
+        calm_s = time.monotonic()
+        time.sleep(CALM_S)
+        for caller in self.callers:
+            caller.stopped.set()
+        self._stopped.set()
+        for thread in threads:
+            thread.join(LAST_ANSWERS_S)
+        return self._check(calm_s)
+
+    def _note(self, line: str) -> None:
+        self.lines.append(f"{time.monotonic() - self._began_s:7.2f} s  {line}")
+
+    def _strike(self) -> None:
+        """Begin and end faults; several may last at once."""
+        plan = FaultPlan(self.deployment, self.random)
+        until_s = time.monotonic() + self.options.faults_s
+        ends: list[Running] = []
+        while time.monotonic() < until_s:
+            if self.random.random() < PLANNED_WORK_SHARE:
+                self._change_configuration()
+            else:
+                fault = plan.choose()
+                self._note(f"{fault.what} for {fault.for_s:.1f} s")
+                fault.begin()
+                began_s = time.monotonic()
+                heapq.heappush(ends, (began_s + fault.for_s, began_s, fault))
+            time.sleep(self.random.uniform(*GAP_S))
+            self._end_faults(ends, time.monotonic())
+        self._end_faults(ends, float("inf"))
+        self.deployment.set_store_fault(**STORE_WELL)
+        self._note("all faults have ended")
+
+    def _end_faults(
+        self, ends: list[tuple[float, float, Fault]], until_s: float
+    ) -> None:
+        while ends and ends[0][0] <= until_s:
+            due_s, began_s, fault = heapq.heappop(ends)
+            time.sleep(max(due_s - time.monotonic(), 0.0))
+            fault.end()
+            if fault.cuts_off:
+                self.disturbances.append(Disturbance(began_s, time.monotonic()))
+
+    def _change_configuration(self) -> None:
+        """Withdraw a key and give a new one, or drain a server."""
+        deployment = self.deployment
+        kind = self.random.choice(("key", "drain", "route"))
+        if kind == "key":
+            old = deployment.keys.pop(0)
+            deployment.keys.append(f"key-north-{deployment.version}")
+            deployment.publish()
+            self.withdrawn.append(Moment(old, time.monotonic()))
+        elif kind == "drain" and len(self.drained) < 2:
+            service = ("stock", "orders")[len(self.drained)]
+            server = f"{service}-0"
+            deployment.set_server_fault(server, "drain")
+            self.drained.append(Moment(server, time.monotonic()))
+        else:
+            deployment.extra_routes.append(f"/extra-{deployment.version}/")
+            deployment.publish()
+        self._note(f"planned: {kind}")
+
+    def _kinds(self) -> list[Kind]:
+        read, order, everyone = ROUTES["read"], ROUTES["order"], ROUTES["open"]
+        key = self.deployment.keys[0]
+        kinds = [
+            Kind("read", "GET", read, key, WORKSPACE),
+            Kind("order", "POST", order, key, WORKSPACE),
+            Kind("open", "GET", everyone, None, ""),
+            Kind("small", "GET", read, SMALL_KEY, SMALL_WORKSPACE),
+        ]
+        kinds += [
+            Kind("withdrawn", "POST", order, moment.what, WORKSPACE)
+            for moment in self.withdrawn[-1:]
+        ]
+        return kinds
+
+    def _resolve(self) -> None:
+        """Ask the directory as callers do, and keep the last answer."""
+        while not self._stopped.is_set():
+            for proxy in tuple(self.deployment.proxies):
+                found = self.deployment.resolve(proxy)
+                if found:
+                    self.addresses = found
+                    break
+            self._stopped.wait(RESOLVE_INTERVAL_S)
+
+    def _check(self, calm_s: float) -> list[str]:
+        seen = [each for caller in self.callers for each in caller.seen]
+        history = History(
+            seen,
+            self.deployment.runs(),
+            self.withdrawn,
+            self.drained,
+            [Limit(SMALL_WORKSPACE, SMALL_RATE_PER_S, SMALL_BURST)],
+            self.disturbances,
+        )
+        broken = [*history.broken(), *self.deployment.bad_exits]
+        withdrawn = {moment.what for moment in self.withdrawn}
+        calm = [each for each in seen if each.kind.key not in withdrawn]
+        missing = recovered(calm, calm_s)
+        served = sum(each.status == 200 for each in seen)
+        self._note(f"{len(seen)} requests, {served} served, {len(history.runs)} runs")
+        return broken if missing is None else [*broken, missing]
+
+
+def run_soak(options: Options, folder: Path | None = None) -> tuple[list[str], Soak]:
+    """Run one seed in a folder of its own; return what broke, and the soak."""
+    if folder is None:
+        with scratch_folder() as scratch:
+            return run_soak(options, Path(scratch))
+    with SoakDeployment(folder) as deployment:
+        deployment.start_proxies(options.proxies)
+        soak = Soak(options, deployment, Random(options.seed))
+        soak.addresses = deployment.resolve(deployment.proxies[0])
+        if not soak.addresses:
+            raise DeploymentError("the directory names no instance")
+        return soak.run(), soak
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -79,8 +79,8 @@
 
     @property
     def addresses(self) -> dict[str, str]:
-        """Return where it listens."""
-        event: dict[str, str] = self.events("listening")[0]
+        """Return where it listens since its last start."""
+        event: dict[str, str] = self.events("listening")[-1]
         return event
 
     def stop(self) -> int:
@@ -95,18 +95,23 @@
     """Hold the processes of one deployment; use it as a context manager."""
 
     folder: Path
+    server_arguments: tuple[str, ...] = ()
     store: str = ""
     servers_by_id: dict[str, str] = attrs.Factory(dict)
+    links_by_server: dict[str, str] = attrs.Factory(dict)
     proxies: list[Proxy] = attrs.Factory(list)
     _standins: list[subprocess.Popen[str]] = attrs.Factory(list)
 
     def __enter__(self) -> PlatformDeployment:
-        self.store = self._start_standin("standins.key_value_store")["address"]
+        self.store = self.start_standin("standins.key_value_store")["address"]
         for service in ("stock", "orders"):
-            ready = self._start_standin(
-                "standins.platform_server", "--store", self.store, "--service", service
+            ready = self.start_standin(
+                "standins.platform_server",
+                *("--store", self.store, "--service", service),
+                *self.server_arguments,
             )
             self.servers_by_id.update(ready["addresses"])
+            self.links_by_server.update(ready["listed"])
         self.configure(make_document(1))
         return self
 
@@ -134,7 +139,7 @@
     def start_proxies(self, count: int = 3) -> None:
         """Start proxies in turn over the zones and wait until they are ready."""
         for number in range(count):
-            self.proxies.append(self._start_proxy(f"proxy-{number}", ZONES[number % 3]))
+            self.proxies.append(self.start_proxy(f"proxy-{number}", ZONES[number % 3]))
         for proxy in self.proxies:
             wait_until(lambda proxy=proxy: self._is_ready(proxy), f"{proxy.name} ready")  # type: ignore[misc]
 
@@ -156,11 +161,18 @@
         changes = proxy.events("view_changed")
         return [event for event in changes if event["peers"] == expected]
 
-    def _start_proxy(self, name: str, zone: str) -> Proxy:
+    def store_address(self, proxy: str) -> str:
+        """Return where a proxy finds the store."""
+        return self.store
+
+    def start_proxy(self, name: str, zone: str) -> Proxy:
+        """Start one proxy; the log of an earlier one of that name goes on."""
         settings = self.folder / f"{name}.json"
-        settings.write_text(json.dumps(_node_settings(name, zone, self.store)))
+        settings.write_text(
+            json.dumps(_node_settings(name, zone, self.store_address(name)))
+        )
         log = self.folder / f"{name}.log"
-        with log.open("wb") as output:
+        with log.open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", "gentianhitch.proxy"],
                 env={**os.environ, wire_names.SETTINGS_VARIABLE: str(settings)},
@@ -169,7 +181,8 @@
             )
         return Proxy(name, process, log)
 
-    def _start_standin(self, module: str, *arguments: str) -> dict[str, Any]:
+    def start_standin(self, module: str, *arguments: str) -> dict[str, Any]:
+        """Start a stand-in and return what it announces."""
         process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdout=subprocess.PIPE,
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -23,6 +23,7 @@
 from standins import serving
 
 HEARTBEAT_S = 0.5
+LINK_TIMEOUT_S = 10.0
 SLOTS = 6
 _loops: list[LoopingCall] = []
 _reactor: Any = reactor
@@ -37,11 +38,14 @@
     store: str
     zone: str
     address: str = ""
+    listed_address: str = ""
     started_ms: int = attrs.field(factory=lambda: time.time_ns() // 1_000_000)
+    work_s: float = 0.0
     fault: str = "none"
     state: str = "ready"
     beats: int = 0
     ran: list[str] = attrs.Factory(list)
+    runs: list[dict[str, Any]] = attrs.Factory(list)
 
     def listen(self) -> None:
         """Open a free port."""
@@ -49,15 +53,23 @@
         route: Any = app.route
         route("/admin/fault", methods=["PUT"])(self._set_fault)
         route("/admin/ran")(self._show_ran)
+        route("/admin/runs")(self._show_runs)
         route("/", branch=True)(self._answer)
-        self.address = serving.listen(app, 0)
+        self.address = self.listed_address = serving.listen(app, 0)
+
+    def listen_behind(self, links: str) -> None:
+        """Have callers come through a link of ``standins.faulty_links``."""
+        url = f"http://{links}/links?target={self.address}"
+        request = urllib.request.Request(url, method="POST")
+        with urllib.request.urlopen(request, timeout=LINK_TIMEOUT_S) as answer:
+            self.listed_address = json.load(answer)["address"]
 
     def beat(self) -> None:
         """Write the entry again."""
         self.beats += 1
         entry = {
             "service": self.service,
-            "address": self.address,
+            "address": self.listed_address,
             "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
@@ -83,14 +95,26 @@
             request.setResponseCode(503)
             return b""
         self.ran.append(request_id.decode())
+        workspace = headers.getRawHeaders(wire_names.WORKSPACE, [b""])[0].decode()
+        self.runs.append(
+            {
+                "request": request_id.decode(),
+                "at_s": time.monotonic(),
+                "workspace": workspace,
+                "path": request.uri.decode(),
+                "server": self.id,
+                "authorization": headers.hasHeader("authorization"),
+            }
+        )
         if self.fault == "hang":
             await serving.never()
         request.setHeader(wire_names.SIGNATURE, b"signed-by-" + self.id.encode())
         if self.fault == "errors":
             request.setResponseCode(500)
-        workspace = headers.getRawHeaders(wire_names.WORKSPACE, [b""])[0].decode()
+        await serving.after(self.work_s)
         shown = {
             "server": self.id,
+            "request": request_id.decode(),
             "service": self.service,
             "path": request.uri.decode(),
             "workspace": workspace,
@@ -108,6 +132,9 @@
             self.fault = kind
         return b""
 
+    def _show_runs(self, request: Any) -> bytes:
+        return serving.answer_json(request, self.runs)
+
     def _show_ran(self, request: Any) -> bytes:
         return serving.answer_json(request, self.ran)
 
@@ -124,6 +151,8 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--zone", default="d1")
     parser.add_argument("--count", type=int, default=3)
+    parser.add_argument("--work-ms", type=float, default=0.0)
+    parser.add_argument("--links", help="address of standins.faulty_links")
     arguments = parser.parse_args()
     servers = [
         Server(
@@ -131,15 +160,21 @@
             arguments.service,
             arguments.store,
             arguments.zone,
+            work_s=arguments.work_ms / 1000,
         )
         for number in range(arguments.count)
     ]
     for server in servers:
         server.listen()
+        if arguments.links:
+            server.listen_behind(arguments.links)
         loop = LoopingCall(server.beat)
         loop.start(HEARTBEAT_S)
         _loops.append(loop)
-    serving.announce(addresses={server.id: server.address for server in servers})
+    serving.announce(
+        addresses={server.id: server.address for server in servers},
+        listed={server.id: server.listed_address for server in servers},
+    )
     serving.serve()
 
 
--- /dev/null
+++ b/tests/standins/test_fault_soak_checks.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from standins.fault_soak.callers import Kind
+from standins.fault_soak.callers import Seen
+from standins.fault_soak.checks import Disturbance
+from standins.fault_soak.checks import History
+from standins.fault_soak.checks import Limit
+from standins.fault_soak.checks import Moment
+from standins.fault_soak.checks import recovered
+
+ORDER = Kind("order", "POST", "/orders/", "key-1", "north")
+READ = Kind("read", "GET", "/stock/", "key-1", "north")
+
+
+def make_seen(kind: Kind = ORDER, **changes: Any) -> Seen:
+    seen = Seen("r-1", kind, "127.0.0.1:1", 100.0, 100.1, 200, True, {"request": "r-1"})
+    return attrs.evolve(seen, **changes)
+
+
+def make_run(kind: Kind = ORDER, **changes: Any) -> dict[str, Any]:
+    run = {
+        "request": "r-1",
+        "at_s": 100.0,
+        "workspace": kind.workspace,
+        "path": f"{kind.prefix}r-1",
+        "server": "orders-0",
+        "authorization": False,
+    }
+    return {**run, **changes}
+
+
+def broken(seen: list[Seen], runs: list[dict[str, Any]], **changes: Any) -> list[str]:
+    history = History(seen, runs, [], [], [], [])
+    return [line.split()[0] for line in attrs.evolve(history, **changes).broken()]
+
+
+class TestPromises:
+    def test_nothing_is_broken_by_one_served_request(self) -> None:
+        assert broken([make_seen()], [make_run()]) == []
+
+    def test_an_order_that_ran_twice(self) -> None:
+        assert broken([make_seen()], [make_run(), make_run()]) == ["TWICE"]
+
+    def test_a_read_may_run_twice(self) -> None:
+        assert broken([make_seen(READ)], [make_run(READ), make_run(READ)]) == []
+
+    def test_a_false_refusal(self) -> None:
+        assert broken([make_seen(status=503)], [make_run()]) == ["REFUSED"]
+
+    def test_another_requests_answer(self) -> None:
+        seen = make_seen(answer={"request": "r-2"})
+        assert broken([seen], [make_run()]) == ["MIXED"]
+
+    def test_a_request_that_nobody_sent(self) -> None:
+        assert broken([], [make_run()]) == ["UNASKED"]
+
+    def test_a_run_for_another_workspace(self) -> None:
+        assert broken([make_seen()], [make_run(workspace="south")]) == ["UNASKED"]
+
+    def test_a_key_that_reached_a_server(self) -> None:
+        assert broken([make_seen()], [make_run(authorization=True)]) == ["UNASKED"]
+
+    def test_too_many_requests_of_a_workspace(self) -> None:
+        numbers = range(60)
+        seen = [make_seen(READ, request=f"r-{n}", answer={}) for n in numbers]
+        runs = [make_run(READ, request=f"r-{n}", path=f"/stock/r-{n}") for n in numbers]
+        found = broken(seen, runs, limits=[Limit("north", 4, 4)])
+        assert "QUOTA" in found
+
+    def test_a_withdrawn_key(self) -> None:
+        withdrawn = [Moment("key-1", 90.0)]
+        assert broken([make_seen()], [make_run()], withdrawn_keys=withdrawn) == [
+            "CONFIG"
+        ]
+
+    def test_a_server_that_left(self) -> None:
+        drained = [Moment("orders-0", 90.0)]
+        assert broken([make_seen()], [make_run()], drained_servers=drained) == ["DRAIN"]
+
+    def test_an_instance_out_of_touch_may_use_a_server_that_left(self) -> None:
+        drained = [Moment("orders-0", 90.0)]
+        disturbances = [Disturbance(89.0, 95.0)]
+        found = broken(
+            [make_seen()],
+            [make_run()],
+            drained_servers=drained,
+            disturbances=disturbances,
+        )
+        assert found == []
+
+    def test_too_few_served_after_the_faults(self) -> None:
+        failed = [make_seen(status=503) for _ in range(3)]
+        assert recovered(failed, 90.0) is not None
+        assert recovered([make_seen()], 90.0) is None
