--- a/src/gentianhitch/proxy/__main__.py
+++ b/src/gentianhitch/proxy/__main__.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import signal
 import sys
+from types import FrameType
+
+
+def _stop_before_start(_number: int, _frame: FrameType | None) -> None:
+    sys.exit(0)
 
-from gentianhitch.proxy.command import proxy
 
 if __name__ == "__main__":
+    # Imports take most of the start; a stop amid them ends nothing that was served.
+    signal.signal(signal.SIGTERM, _stop_before_start)
+
+    from gentianhitch.proxy.command import proxy
+
     sys.exit(proxy())
