Give the servers back to all serving instances

Log of 14 s: a single instance sent four or five orders to its hung server, 0.25 to 0.5 s apart; so what several instances choose at once was not the cause.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -9,7 +9,6 @@
 import attrs
 import xxhash
 
-from gentianhitch.decisions.rendezvous import ranked
 from gentianhitch.proxy.gray_filter import FAILS_WHEN_GRAY
 from gentianhitch.proxy.gray_filter import GrayFilter
 from gentianhitch.proxy.gray_filter import Unanswered
@@ -20,27 +19,19 @@
 SLOW_SURVIVAL = 0.03
 """An answer slower than all but this share counts as slow."""
 
-LOAD_WEIGHT = 0.3
+LOAD_WEIGHT = 0.15
 FULL_WEIGHT = 0.4
 """A queue as long as the slots costs one service time, a third of the objective."""
 
-IDLE_BONUS_PER_S = 0.2
-MAX_IDLE_BONUS = 0.25
+IDLE_BONUS_PER_S = 0.1
+MAX_IDLE_BONUS = 0.15
 """Above the cost of an unknown server with a new connection; less than a gray one."""
 
-OWN_BONUS = 0.08
-"""Worth one or two running requests more than at a server of another instance."""
-
-OWNER_TRIES_FIRST_S = 1.0
-"""For so long an idle server is left to the instance that prefers it."""
-
-FAR_PENALTY = 0.1
-"""Bytes between failure domains are paid for."""
-
+FAR_PENALTY = 0.03
 COLD_PENALTY = 0.15
 NEW_CONNECTION_PENALTY = 0.05
-AFFINITY_WEIGHT = 0.03
-"""Among servers of others, each instance prefers some by a fixed order."""
+AFFINITY_WEIGHT = 0.06
+"""Instances that know the same prefer different servers, by a fixed order of each."""
 
 TIE_BREAK = 0.01
 MAX_DIGEST = 2**32 - 1
@@ -92,7 +83,6 @@
     warm_at_s: float = 0.0
     used_s: float = 0.0
     is_replaced: bool = False
-    is_own: bool = False
     affinity: float = 0.0
 
     def pooled(self, route: str, now: float) -> GrayFilter:
@@ -146,7 +136,6 @@
         self._by_service: dict[str, list[ServerRecord]] = {}
         self._latencies_by_route: dict[tuple[str, str], Latencies] = {}
         self._next_token = 0
-        self._sharers_by_domain: dict[str, tuple[str, ...]] = {}
         self.observations: list[Observation] = []
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
@@ -163,7 +152,6 @@
                 record.warm_at_s = now + server.warmup_s
                 record.used_s = now
                 record.affinity = self._affinity(server)
-                record.is_own = self._is_own(server)
                 self._records_by_key[key] = record
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
@@ -177,24 +165,6 @@
             for route in record.pooled_by_route.keys() - routes:
                 del record.pooled_by_route[route]
 
-    def share_among(self, sharers_by_domain: dict[str, tuple[str, ...]]) -> None:
-        """Divide the servers among the instances that callers are told to use.
-
-        Whoever knows of a server's running requests without delay chooses it: what
-        several instances choose at once, they lose together when it turns gray.
-        """
-        if sharers_by_domain != self._sharers_by_domain:
-            self._sharers_by_domain = sharers_by_domain
-            for record in self._records_by_key.values():
-                record.is_own = self._is_own(record.server)
-
-    def _is_own(self, server: BackendServer) -> bool:
-        near = self._sharers_by_domain.get(server.failure_domain, ())
-        sharers = near or [
-            name for names in self._sharers_by_domain.values() for name in names
-        ]
-        return ranked(server.id, sharers)[:1] == [self._name]
-
     def _affinity(self, server: BackendServer) -> float:
         """Return where the server stands in this instance's own order, 0 to 1."""
         digest = xxhash.xxh32_intdigest(f"{self._name} {server.id}".encode())
@@ -363,14 +333,9 @@
         gray = self._gray(record, route.name, now)
         cost = gray * FAILS_WHEN_GRAY + LOAD_WEIGHT * load
         cost += FULL_WEIGHT * max(load - 1.0, 0.0)
+        cost -= min(IDLE_BONUS_PER_S * (now - record.used_s), MAX_IDLE_BONUS)
         cost += TIE_BREAK * self._random.random()
-        idle_s = now - record.used_s
-        if record.is_own:
-            cost -= OWN_BONUS
-        else:
-            cost -= AFFINITY_WEIGHT * record.affinity
-            idle_s = max(idle_s - OWNER_TRIES_FIRST_S, 0.0)
-        cost -= min(IDLE_BONUS_PER_S * idle_s, MAX_IDLE_BONUS)
+        cost -= AFFINITY_WEIGHT * record.affinity
         if server.failure_domain != self._failure_domain:
             cost += FAR_PENALTY
         if now < record.warm_at_s:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -284,12 +284,10 @@
     def _heard_any_peer(self, now: float) -> bool:
         return now - self._told_s < HOUSEKEEPING_S * 4
 
-    def _serving_by_domain(self) -> dict[str, tuple[Peer, ...]]:
-        peers = self.knowledge.peers(self._reactor.seconds())
-        return serving_instances(peers.values())
-
     def _serving_peers(self) -> list[Peer]:
-        return [peer for each in self._serving_by_domain().values() for peer in each]
+        peers = self.knowledge.peers(self._reactor.seconds())
+        serving = serving_instances(peers.values())
+        return [peer for each in serving.values() for peer in each]
 
     def _report_receivers(self) -> list[Peer]:
         """Return the instances that callers are told, and those that are busy too."""
@@ -322,12 +320,6 @@
 
     def _apply(self, now: float) -> None:
         servers = self.knowledge.servers(now)
-        self._balancer.share_among(
-            {
-                domain: tuple(peer.name for peer in peers)
-                for domain, peers in self._serving_by_domain().items()
-            }
-        )
         self._balancer.update(servers.values(), now)
         self._connections.retain(frozenset(each.key for each in servers.values()))
         serving = frozenset(peer.name for peer in self._serving_peers())
