Keep starting when settings change amid the start; soak settings and herd kills

Before: test red (exit by signal). After: green.

The soak kills half of the proxies at once, and changes settings files, whole or cut short, with and without SIGHUP.

--- a/src/gentianhitch/proxy/__main__.py
+++ b/src/gentianhitch/proxy/__main__.py
@@ -12,8 +12,10 @@
 
 
 if __name__ == "__main__":
-    # Imports take most of the start; a stop amid them ends nothing that was served.
+    # Imports take most of the start; a stop amid them ends nothing that was served,
+    # and settings that change are read only after them.
     signal.signal(signal.SIGTERM, _stop_before_start)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     from gentianhitch.proxy.command import proxy
 
--- a/standins/fault_soak/deployment.py
+++ b/standins/fault_soak/deployment.py
@@ -99,6 +99,14 @@
             self.bad_exits.append(f"EXIT {old.name} ended with {code}")
         self.proxies[number] = self.start_proxy(old.name, ZONES[number % len(ZONES)])
 
+    def write_settings(self, number: int, *, broken: bool) -> None:
+        """Write the settings file of a proxy anew, whole or cut short."""
+        name = self.proxies[number].name
+        path = self.write_node_settings(name, ZONES[number % len(ZONES)])
+        if broken:
+            text = path.read_text()
+            path.write_text(text[: len(text) // 2])
+
     def runs(self) -> list[dict[str, Any]]:
         """Return every request that a server began to work on."""
         return [
--- a/standins/fault_soak/faults.py
+++ b/standins/fault_soak/faults.py
@@ -24,6 +24,8 @@
 STORE_WELL: dict[str, Any] = {"outage": "none", "slow_ms": 0, "lost_answers": 0}
 LINK_MODES = ("silent", "no-requests", "no-answers", "refuse")
 SERVER_FAULTS = ("errors", "hang", "decline")
+BROKEN_SETTINGS_SHARE = 0.5
+SIGNALLED_SHARE = 0.5
 
 
 @attrs.frozen
@@ -57,6 +59,8 @@
             self._pause,
             self._kill,
             self._terminate,
+            self._kill_half,
+            self._change_settings,
             self._store,
             self._cut_from_store,
             self._harm_store_connections,
@@ -111,6 +115,38 @@
             lambda: self._start_again(number),
         )
 
+    def _kill_half(self) -> Fault:
+        numbers = range(len(self.deployment.proxies))
+        chosen = self.random.sample(numbers, len(numbers) // 2)
+
+        def begin() -> None:
+            for number in chosen:
+                self.deployment.send_signal(number, signal.SIGKILL)
+
+        def end() -> None:
+            for number in chosen:
+                self._start_again(number)
+
+        return Fault(f"kill proxies {sorted(chosen)}", self._duration(), begin, end)
+
+    def _change_settings(self) -> Fault:
+        number = self._proxy()
+        broken = self.random.random() < BROKEN_SETTINGS_SHARE
+        signalled = self.random.random() < SIGNALLED_SHARE
+
+        def begin() -> None:
+            self.deployment.write_settings(number, broken=broken)
+            if signalled:
+                self.deployment.send_signal(number, signal.SIGHUP)
+
+        return Fault(
+            f"settings of proxy-{number}{' broken' if broken else ''}",
+            self._duration(),
+            begin,
+            lambda: self.deployment.write_settings(number, broken=False),
+            cuts_off=False,
+        )
+
     def _start_again(self, number: int) -> None:
         deployment = self.deployment
         deployment.send_signal(number, signal.SIGCONT)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -165,12 +165,16 @@
         """Return where a proxy finds the store."""
         return self.store
 
+    def write_node_settings(self, name: str, zone: str) -> Path:
+        """Write the settings file of a proxy and return its path."""
+        path = self.folder / f"{name}.json"
+        settings = _node_settings(name, zone, self.store_address(name))
+        path.write_text(json.dumps(settings))
+        return path
+
     def start_proxy(self, name: str, zone: str) -> Proxy:
         """Start one proxy; the log of an earlier one of that name goes on."""
-        settings = self.folder / f"{name}.json"
-        settings.write_text(
-            json.dumps(_node_settings(name, zone, self.store_address(name)))
-        )
+        settings = self.write_node_settings(name, zone)
         log = self.folder / f"{name}.log"
         with log.open("ab") as output:
             process = subprocess.Popen(
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -1,31 +1,45 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
+from gentianhitch.errors import ExitCode
+from gentianhitch.platform.wire_names import SETTINGS_VARIABLE
+
 ROOT = Path(__file__).parents[2]
 
-STOP_AMID_IMPORTS = """
+SIGNAL_AMID_IMPORTS = """
 import os, runpy, signal, sys
 
-class Stop:
+class Signal:
     def find_spec(self, name, path=None, target=None):
         if name == "gentianhitch.proxy.command":
-            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), int(sys.argv[1]))
 
-sys.meta_path.insert(0, Stop())
+sys.meta_path.insert(0, Signal())
 runpy.run_module("gentianhitch.proxy", run_name="__main__")
 """
 
 
-class TestStopAmidStart:
+def start_and_signal(number: signal.Signals) -> int:
+    environment = {
+        **os.environ,
+        "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}",
+        SETTINGS_VARIABLE: "/nowhere/node.json",
+    }
+    command = [sys.executable, "-c", SIGNAL_AMID_IMPORTS, str(int(number))]
+    return subprocess.run(command, env=environment, check=False).returncode
+
+
+class TestSignalsAmidStart:
     def test_a_stop_while_modules_load_ends_well(self) -> None:
         # Cause: seed 4 of the fault soak: a SIGTERM before the handlers were there
         # ended the process with the signal in place of exit code 0.
-        environment = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
-        ended = subprocess.run(
-            [sys.executable, "-c", STOP_AMID_IMPORTS], env=environment, check=False
-        )
-        assert ended.returncode == 0
+        assert start_and_signal(signal.SIGTERM) == ExitCode.OK
+
+    def test_changed_settings_do_not_end_a_start(self) -> None:
+        # Cause: found with the one above; the start goes on to read its settings.
+        assert start_and_signal(signal.SIGHUP) == ExitCode.USAGE
