--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -19,6 +19,9 @@
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.whole_requests import CallerRequest
 from gentianhitch.callers.whole_requests import HeaderNames
+from gentianhitch.proxy.answer_kinds import is_declined
+from gentianhitch.proxy.answer_kinds import is_spoiled
+from gentianhitch.proxy.answer_kinds import result_of
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.balancing import Result
 from gentianhitch.proxy.gray_filter import hedge_survival
@@ -42,9 +45,6 @@
 """With less time left, nothing is sent any more."""
 
 MAX_CONNECT_FAILURES = 4
-DECLINED_STATUSES = frozenset({400, 421, 429, 503})
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Callers take these to say that the request has not run and never will."""
 
 
 class DispatchOwner(Protocol):
@@ -263,19 +263,15 @@
         misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
         if misdirected:
             self._context.balancer.replaced(attempt.server)
-        not_executed = misdirected or (
-            answer.header(names.not_executed.lower()) is not None
-            and answer.status in DECLINED_STATUSES
-        )
+        not_executed = misdirected or is_declined(answer, names)
         if not_executed:
             self._declined(attempt, answer)
             return
-        if answer.status in NOT_RUN_STATUSES or _is_spoiled(answer, names):
-            # Without the mark, a status that promises "not run" promises nothing.
+        if is_spoiled(answer, names):
             self._judge(attempt, Result.FAILED)
             self._retry_after_failure(attempt, Cause.WRONG_ANSWER)
             return
-        result = _result_of(answer)
+        result = result_of(answer)
         self._judge(attempt, result)
         others_run = len(self._running) > 1
         if result is not Result.GOOD and (others_run or self._may_repeat()):
@@ -383,19 +379,3 @@
         for attempt in running:
             self._judge(attempt, Result.GIVEN_UP)
             attempt.cancel()
-
-
-def _result_of(answer: WholeAnswer) -> Result:
-    if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
-        # The server worked on the request until its deadline.
-        return Result.FAILED
-    failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    return Result.ERROR if failed else Result.GOOD
-
-
-def _is_spoiled(answer: WholeAnswer, names: HeaderNames) -> bool:
-    """Tell whether an answer is not what the server itself wrote."""
-    if answer.header(b"content-encoding") is not None:
-        return True
-    signed = answer.header(names.signature.lower()) is not None
-    return answer.status < 400 and not signed
