--- a/src/gentianhitch/proxy/command.py
+++ b/src/gentianhitch/proxy/command.py
@@ -9,6 +9,9 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
+from twisted.internet.error import CannotListenError
+
 from gentianhitch.errors import ExitCode
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.platform.node_settings import load_node_settings
@@ -37,10 +40,30 @@
     output.open()
     events = Events(loaded.name, output)
     instance = ProxyInstance(reactor, loaded, path, events)
-    reactor.callWhenRunning(instance.start)  # type: ignore[attr-defined]
+    starting = _Start(reactor, instance, events)
+    reactor.callWhenRunning(starting.run)  # type: ignore[attr-defined]
     _handle_signals(reactor, instance)
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined,call-arg]
-    return int(ExitCode.OK)
+    return int(starting.exit_code)
+
+
+@attrs.define
+class _Start:
+    """Start an instance once the loop runs, or end the loop."""
+
+    _reactor: Any
+    _instance: ProxyInstance
+    _events: Events
+    exit_code: ExitCode = ExitCode.OK
+
+    def run(self) -> None:
+        try:
+            self._instance.start()
+        except CannotListenError as error:
+            # Whoever holds the port may leave it: the platform starts this one again.
+            self._events.state("cannot_listen", detail=str(error))
+            self.exit_code = ExitCode.FAILED
+            self._reactor.stop()
 
 
 def _boot_clock() -> float:
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -217,6 +217,7 @@
             route=admitted.route.name if admitted else "",
             workspace=workspace,
             elapsed_ms=int(elapsed_s * 1000),
+            remaining_ms=int(self._request.remaining_s * 1000),
             detail=detail,
             view_age_ms=self._view_age_ms(),
             configuration=0 if view is None else view.configuration_revision,
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -83,3 +83,42 @@
             for number in range(count)
         )
     )
+
+
+def make_raw_node_settings(host: str = "10.1.0.24") -> dict[str, Any]:
+    """Return the settings of one instance as the platform writes them."""
+    return {
+        "self": {
+            "nodeName": "edge-1",
+            "zone": "a",
+            "region": "r",
+            "ipAddress": host,
+            "limits": {"cpuShare": 0.5, "cpuCores": 3},
+        },
+        "network": {
+            "listenAddresses": {
+                "frontend": f"{host}:8045",
+                "ready": f"{host}:8048",
+                "directory": f"{host}:8044",
+            },
+            "internalPortRange": [7100, 7115],
+        },
+        "provider": {
+            "heartbeatIntervalMs": 1500,
+            "provider": {"address": f"{host}:8041"},
+        },
+        "terms": {
+            "bounds": {
+                "revocationMs": 5000,
+                "drainMs": 2000,
+                "graceS": 6,
+                "retryBudgetRatio": 0.2,
+                "retryBudgetSlack": 56,
+                "budgetWindowS": 10,
+                "ttl_max_s": 5,
+                "quotaWindowS": 5,
+                "quotaOvershoot": 0.1,
+                "quotaSlack": 20,
+            }
+        },
+    }
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -2,7 +2,6 @@
 
 import json
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -10,49 +9,12 @@
 from gentianhitch.platform.node_settings import NodeSettingsError
 from gentianhitch.platform.node_settings import decode_node_settings
 from gentianhitch.platform.node_settings import load_node_settings
-
-
-def make_raw() -> dict[str, Any]:
-    return {
-        "self": {
-            "nodeName": "edge-1",
-            "zone": "a",
-            "region": "r",
-            "ipAddress": "10.1.0.24",
-            "limits": {"cpuShare": 0.5, "cpuCores": 3},
-        },
-        "network": {
-            "listenAddresses": {
-                "frontend": "10.1.0.24:8045",
-                "ready": "10.1.0.24:8048",
-                "directory": "10.1.0.24:8044",
-            },
-            "internalPortRange": [7100, 7115],
-        },
-        "provider": {
-            "heartbeatIntervalMs": 1500,
-            "provider": {"address": "10.200.1.7:8041"},
-        },
-        "terms": {
-            "bounds": {
-                "revocationMs": 5000,
-                "drainMs": 2000,
-                "graceS": 6,
-                "retryBudgetRatio": 0.2,
-                "retryBudgetSlack": 56,
-                "budgetWindowS": 10,
-                "ttl_max_s": 5,
-                "quotaWindowS": 5,
-                "quotaOvershoot": 0.1,
-                "quotaSlack": 20,
-            }
-        },
-    }
+from tests.builders_platform import make_raw_node_settings
 
 
 class TestDecoding:
     def test_reads_addresses_and_bounds(self) -> None:
-        settings = decode_node_settings(make_raw())
+        settings = decode_node_settings(make_raw_node_settings())
         assert str(settings.internal) == "10.1.0.24:7100"
         assert str(settings.metrics) == "10.1.0.24:7101"
         assert settings.heartbeat_s == 1.5
@@ -60,18 +22,20 @@
         assert settings.bounds.shutdown_grace_s == 6.0
 
     def test_capacity_is_what_all_cores_give(self) -> None:
-        assert decode_node_settings(make_raw()).capacity == 1.5
+        assert decode_node_settings(make_raw_node_settings()).capacity == 1.5
 
     def test_a_machine_that_tells_no_limits_counts_as_one_core(self) -> None:
-        raw = make_raw()
+        raw = make_raw_node_settings()
         del raw["self"]["limits"]
         assert decode_node_settings(raw).capacity == 1.0
 
     def test_unknown_fields_are_ignored(self) -> None:
-        raw = make_raw()
+        raw = make_raw_node_settings()
         raw["self"]["colour"] = "blue"
         raw["weather"] = {}
-        assert decode_node_settings(raw) == decode_node_settings(make_raw())
+        assert decode_node_settings(raw) == decode_node_settings(
+            make_raw_node_settings()
+        )
 
 
 class TestErrors:
@@ -88,7 +52,7 @@
     def test_names_the_field(
         self, place: str, name: str, value: object, named: str
     ) -> None:
-        raw = make_raw()
+        raw = make_raw_node_settings()
         if value is None:
             del raw[place][name]
         else:
@@ -103,6 +67,6 @@
 
     def test_a_file_that_is_no_json_is_a_usage_error(self, tmp_path: Path) -> None:
         path = tmp_path / "node.json"
-        path.write_text(json.dumps(make_raw())[:-5])
+        path.write_text(json.dumps(make_raw_node_settings())[:-5])
         with pytest.raises(NodeSettingsError, match="cannot read"):
             load_node_settings(path)
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -1,13 +1,16 @@
 from __future__ import annotations
 
+import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
 
 from gentianhitch.errors import ExitCode
 from gentianhitch.platform.wire_names import SETTINGS_VARIABLE
+from tests.builders_platform import make_raw_node_settings
 
 ROOT = Path(__file__).parents[2]
 
@@ -34,6 +37,36 @@
     return subprocess.run(command, env=environment, check=False).returncode
 
 
+class TestPorts:
+    def test_a_port_in_use_ends_the_start(self, tmp_path: Path) -> None:
+        # Cause: the error was logged, and the process stayed without its listeners.
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            raw = make_raw_node_settings("127.0.0.1")
+            free = "127.0.0.1:0"
+            raw["network"] = {
+                "listenAddresses": {
+                    "frontend": free,
+                    "ready": free,
+                    "directory": f"127.0.0.1:{taken.getsockname()[1]}",
+                },
+                "internalPortRange": [0, 0],
+            }
+            settings = tmp_path / "node.json"
+            settings.write_text(json.dumps(raw))
+            ended = subprocess.run(
+                [sys.executable, "-m", "gentianhitch.proxy"],
+                env={
+                    **os.environ,
+                    "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}",
+                    SETTINGS_VARIABLE: str(settings),
+                },
+                stdout=subprocess.PIPE,
+                check=False,
+            )
+        assert ended.returncode == ExitCode.FAILED
+        assert b"cannot_listen" in ended.stdout
+
+
 class TestSignalsAmidStart:
     def test_a_stop_while_modules_load_ends_well(self) -> None:
         # Cause: seed 4 of the fault soak: a SIGTERM before the handlers were there
