--- a/standins/fault_soak/checks.py
+++ b/standins/fault_soak/checks.py
@@ -30,10 +30,19 @@
 
 @attrs.frozen
 class Disturbance:
-    """A time in which some instance may have been out of touch with the store."""
+    """A fault; ``cuts_off`` if an instance may have been out of touch meanwhile.
+
+    ``stopped`` is the address of an instance that was only told to stop.
+    """
 
     began_s: float
     ended_s: float
+    cuts_off: bool = True
+    stopped: str = ""
+
+    def touches(self, began_s: float, ended_s: float) -> bool:
+        """Tell whether it overlaps a span, or ended shortly before it."""
+        return self.began_s < ended_s and self.ended_s + CONTACT_S > began_s
 
 
 @attrs.frozen
@@ -71,6 +80,7 @@
             *self._over_limit(),
             *self._withdrawn(),
             *self._drained(),
+            *self._lost(),
         ]
 
     def _run_twice(self) -> Iterable[str]:
@@ -142,10 +152,25 @@
 
     def _in_touch(self, began_s: float, ended_s: float) -> bool:
         return not any(
-            each.began_s < ended_s and each.ended_s + CONTACT_S > began_s
+            each.cuts_off and each.touches(began_s, ended_s)
             for each in self.disturbances
         )
 
+    def _lost(self) -> Iterable[str]:
+        """Find requests that a planned stop cut, with no other fault about."""
+        ran = {run["request"] for run in self.runs}
+        for stop in self.disturbances:
+            for seen in self.seen:
+                if seen.address != stop.stopped or seen.status or seen.left:
+                    continue
+                during = stop.began_s <= seen.ended_s <= stop.ended_s
+                alone = not any(
+                    each is not stop and each.touches(seen.sent_s, seen.ended_s)
+                    for each in self.disturbances
+                )
+                if during and alone and seen.request in ran:
+                    yield f"LOST {seen.request} ran and got no answer"
+
 
 def recovered(seen: Iterable[Seen], since_s: float) -> str | None:
     """Return what is wrong if too few requests are served after ``since_s``."""
--- a/standins/fault_soak/faults.py
+++ b/standins/fault_soak/faults.py
@@ -32,7 +32,8 @@
 class Fault:
     """One fault: a line for the log, how long it lasts, how it begins and ends.
 
-    ``cuts_off`` tells whether an instance may be out of touch with the store.
+    ``cuts_off`` tells whether an instance may be out of touch with the store;
+    ``stopped`` is the address of an instance that is told to stop.
     """
 
     what: str
@@ -40,6 +41,7 @@
     begin: Callable[[], None]
     end: Callable[[], None]
     cuts_off: bool = True
+    stopped: str = ""
 
 
 def nothing() -> None:
@@ -113,6 +115,7 @@
             self._duration(),
             begin,
             lambda: self._start_again(number),
+            stopped=self.deployment.proxies[number].addresses["callers"],
         )
 
     def _kill_half(self) -> Fault:
--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -120,8 +120,10 @@
             due_s, began_s, fault = heapq.heappop(ends)
             time.sleep(max(due_s - time.monotonic(), 0.0))
             fault.end()
-            if fault.cuts_off:
-                self.disturbances.append(Disturbance(began_s, time.monotonic()))
+            ended_s = time.monotonic()
+            self.disturbances.append(
+                Disturbance(began_s, ended_s, fault.cuts_off, fault.stopped)
+            )
 
     def _change_configuration(self) -> None:
         """Withdraw a key and give a new one, or drain a server."""
--- a/tests/standins/test_backend_server.py
+++ b/tests/standins/test_backend_server.py
@@ -11,8 +11,8 @@
 from twisted.web.client import ResponseFailed
 from twisted.web.client import ResponseNeverReceived
 
-from gentianhitch.http_client import make_client
 from gentianhitch.http_client import make_pool
+from gentianhitch.treq_client import make_client
 from standins import serving
 from standins.backend_server import BackendServer
 from standins.backend_server import ServerFactory
--- a/tests/standins/test_fault_soak_checks.py
+++ b/tests/standins/test_fault_soak_checks.py
@@ -92,6 +92,21 @@
         )
         assert found == []
 
+    def test_a_planned_stop_that_cut_a_request(self) -> None:
+        stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
+        seen = make_seen(status=0)
+        assert broken([seen], [make_run()], disturbances=[stop]) == ["LOST"]
+
+    def test_a_request_that_a_stop_did_not_pass_on_may_be_sent_again(self) -> None:
+        stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
+        assert broken([make_seen(status=0)], [], disturbances=[stop]) == []
+
+    def test_another_fault_beside_a_stop_excuses_it(self) -> None:
+        stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
+        other = Disturbance(99.0, 100.05, cuts_off=False)
+        seen = make_seen(status=0)
+        assert broken([seen], [make_run()], disturbances=[stop, other]) == []
+
     def test_too_few_served_after_the_faults(self) -> None:
         failed = [make_seen(status=503) for _ in range(3)]
         assert recovered(failed, 90.0) is not None
