Soak: accept the ends that the platform allows

So exit 2 is accepted only of a proxy whose file was cut short and that names it, and the end by SIGTERM only of a process that wrote nothing.

--- a/standins/fault_soak/deployment.py
+++ b/standins/fault_soak/deployment.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from gentianhitch.errors import ExitCode
 from gentianhitch.platform import wire_names
 from standins.deployment import STOP_TIMEOUT_S
 from standins.deployment import DeploymentError
@@ -35,6 +36,7 @@
     keys: list[str] = attrs.Factory(lambda: [KEY])
     extra_routes: list[str] = attrs.Factory(list)
     bad_exits: list[str] = attrs.Factory(list)
+    broken_settings: set[str] = attrs.Factory(set)
     _ending: set[int] = attrs.Factory(set)
 
     def __enter__(self) -> SoakDeployment:
@@ -95,15 +97,25 @@
         """Wait for a stopped proxy and start it again."""
         old = self.proxies[number]
         code = old.process.wait(STOP_TIMEOUT_S)
-        if code not in (0, -signal.SIGKILL):
+        if not self._may_end(old, code):
             self.bad_exits.append(f"EXIT {old.name} ended with {code}")
         self.proxies[number] = self.start_proxy(old.name, ZONES[number % len(ZONES)])
 
+    def _may_end(self, proxy: Proxy, code: int) -> bool:
+        output = proxy.output()
+        if code == -signal.SIGTERM:
+            # The interpreter itself was still starting.
+            return not output
+        if code == ExitCode.USAGE:
+            return proxy.name in self.broken_settings and "cannot read" in output
+        return code in (ExitCode.OK, -signal.SIGKILL)
+
     def write_settings(self, number: int, *, broken: bool) -> None:
         """Write the settings file of a proxy anew, whole or cut short."""
         name = self.proxies[number].name
         path = self.write_node_settings(name, ZONES[number % len(ZONES)])
         if broken:
+            self.broken_settings.add(name)
             text = path.read_text()
             path.write_text(text[: len(text) // 2])
 
--- a/standins/fault_soak/faults.py
+++ b/standins/fault_soak/faults.py
@@ -142,11 +142,17 @@
             if signalled:
                 self.deployment.send_signal(number, signal.SIGHUP)
 
+        def end() -> None:
+            self.deployment.write_settings(number, broken=False)
+            # One that started meanwhile ended; the platform starts it again.
+            if self.deployment.proxies[number].process.poll() is not None:
+                self._start_again(number)
+
         return Fault(
             f"settings of proxy-{number}{' broken' if broken else ''}",
             self._duration(),
             begin,
-            lambda: self.deployment.write_settings(number, broken=False),
+            end,
             cuts_off=False,
         )
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -65,11 +65,12 @@
 
 @attrs.define
 class Proxy:
-    """One proxy process; it writes its log to a file."""
+    """One proxy process; it writes its log to a file, from ``log_start`` on."""
 
     name: str
     process: subprocess.Popen[bytes]
     log: Path
+    log_start: int = 0
 
     def events(self, kind: str) -> list[dict[str, Any]]:
         """Return the log lines of one kind so far."""
@@ -83,6 +84,10 @@
         event: dict[str, str] = self.events("listening")[-1]
         return event
 
+    def output(self) -> str:
+        """Return what this process has written."""
+        return self.log.read_text()[self.log_start :]
+
     def stop(self) -> int:
         """Ask it to stop and return its exit code."""
         if self.process.poll() is None:
@@ -176,6 +181,8 @@
         """Start one proxy; the log of an earlier one of that name goes on."""
         settings = self.write_node_settings(name, zone)
         log = self.folder / f"{name}.log"
+        log.touch()
+        log_start = len(log.read_text())
         with log.open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", "gentianhitch.proxy"],
@@ -183,7 +190,7 @@
                 stdout=output,
                 stderr=output,
             )
-        return Proxy(name, process, log)
+        return Proxy(name, process, log, log_start)
 
     def start_standin(self, module: str, *arguments: str) -> dict[str, Any]:
         """Start a stand-in and return what it announces."""
