--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -104,8 +104,8 @@
             else:
                 fault = plan.choose()
                 self._note(f"{fault.what} for {fault.for_s:.1f} s")
-                fault.begin()
                 began_s = time.monotonic()
+                fault.begin()
                 heapq.heappush(ends, (began_s + fault.for_s, began_s, fault))
             time.sleep(self.random.uniform(*GAP_S))
             self._end_faults(ends, time.monotonic())
@@ -113,9 +113,7 @@
         self.deployment.set_store_fault(**STORE_WELL)
         self._note("all faults have ended")
 
-    def _end_faults(
-        self, ends: list[tuple[float, float, Fault]], until_s: float
-    ) -> None:
+    def _end_faults(self, ends: list[Running], until_s: float) -> None:
         while ends and ends[0][0] <= until_s:
             due_s, began_s, fault = heapq.heappop(ends)
             time.sleep(max(due_s - time.monotonic(), 0.0))
@@ -126,7 +124,7 @@
             )
 
     def _change_configuration(self) -> None:
-        """Withdraw a key and give a new one, or drain a server."""
+        """Withdraw a key and give a new one, drain a server, or add a route."""
         deployment = self.deployment
         kind = self.random.choice(("key", "drain", "route"))
         if kind == "key":
