--- a/standins/fault_soak/deployment.py
+++ b/standins/fault_soak/deployment.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import subprocess
 from typing import Any
 
 import attrs
@@ -96,7 +97,12 @@
     def restart(self, number: int) -> None:
         """Wait for a stopped proxy and start it again."""
         old = self.proxies[number]
-        code = old.process.wait(STOP_TIMEOUT_S)
+        try:
+            code = old.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.bad_exits.append(f"EXIT {old.name} did not end")
+            old.process.kill()
+            code = old.process.wait()
         if not self._may_end(old, code):
             self.bad_exits.append(f"EXIT {old.name} ended with {code}")
         self.proxies[number] = self.start_proxy(old.name, ZONES[number % len(ZONES)])
