End at once when stopped amid imports

Ruled out: SystemExit swallowed by a bare except (none seen in the traceback of the test). Before: test red ('Exception ignored in'). After: green.

--- a/src/gentianhitch/proxy/__main__.py
+++ b/src/gentianhitch/proxy/__main__.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 from types import FrameType
 
 
 def _stop_before_start(_number: int, _frame: FrameType | None) -> None:
-    sys.exit(0)
+    # SystemExit is dropped where the signal meets a weakref's callback, and imports
+    # have many; nothing is open yet that an exit would have to close.
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -15,25 +15,35 @@
 ROOT = Path(__file__).parents[2]
 
 SIGNAL_AMID_IMPORTS = """
-import os, runpy, signal, sys
+import os, runpy, signal, sys, weakref
+
+class Target:
+    pass
+
+def send(_=None):
+    os.kill(os.getpid(), int(sys.argv[1]))
 
 class Signal:
     def find_spec(self, name, path=None, target=None):
-        if name == "gentianhitch.proxy.command":
-            os.kill(os.getpid(), int(sys.argv[1]))
+        if name == "gentianhitch.proxy.command" and sys.argv[2] == "import":
+            send()
+        elif name == "gentianhitch.proxy.command":
+            watched = Target()
+            reference = weakref.ref(watched, send)
+            del watched
 
 sys.meta_path.insert(0, Signal())
 runpy.run_module("gentianhitch.proxy", run_name="__main__")
 """
 
 
-def start_and_signal(number: signal.Signals) -> int:
+def start_and_signal(number: signal.Signals, where: str = "import") -> int:
     environment = {
         **os.environ,
         "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}",
         SETTINGS_VARIABLE: "/nowhere/node.json",
     }
-    command = [sys.executable, "-c", SIGNAL_AMID_IMPORTS, str(int(number))]
+    command = [sys.executable, "-c", SIGNAL_AMID_IMPORTS, str(int(number)), where]
     return subprocess.run(command, env=environment, check=False).returncode
 
 
@@ -73,6 +83,11 @@
         # ended the process with the signal in place of exit code 0.
         assert start_and_signal(signal.SIGTERM) == ExitCode.OK
 
+    def test_a_stop_amid_a_weakrefs_callback_is_not_lost(self) -> None:
+        # Cause: SystemExit is dropped in such a callback. Found while looking for why
+        # a proxy of the soak (seed 329) did not end; not shown to be its cause.
+        assert start_and_signal(signal.SIGTERM, "callback") == ExitCode.OK
+
     def test_changed_settings_do_not_end_a_start(self) -> None:
         # Cause: found with the one above; the start goes on to read its settings.
         assert start_and_signal(signal.SIGHUP) == ExitCode.USAGE
