--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -71,18 +71,27 @@
     body: bytes
 
 
+@attrs.define(eq=False)
+class Progress:
+    """Count the bytes of an answer's body while they come."""
+
+    received: int = 0
+
+
 class _BodyReader(Protocol):
     """Read one body; twisted's own reader fails when it is cancelled."""
 
     transport: Any = None
 
-    def __init__(self) -> None:
+    def __init__(self, progress: Progress) -> None:
         self.finished: Deferred[bytes] = Deferred(self._cancel)
+        self._progress = progress
         self._parts: list[bytes] = []
         self._cancelled = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._parts.append(data)
+        self._progress.received += len(data)
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         if self._cancelled:
@@ -99,7 +108,13 @@
             self.transport.abortConnection()
 
 
-async def call(agent: Any, method: str, url: str, body: bytes | None = None) -> Answer:
+async def call(
+    agent: Any,
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    progress: Progress | None = None,
+) -> Answer:
     """Send one request, with a JSON body if there is one, and read its answer."""
     headers = Headers()
     producer = None
@@ -107,6 +122,6 @@
         headers.addRawHeader("Content-Type", "application/json")
         producer = FileBodyProducer(BytesIO(body))
     response = await agent.request(method.encode(), url.encode(), headers, producer)
-    reader = _BodyReader()
+    reader = _BodyReader(progress or Progress())
     response.deliverBody(reader)
     return Answer(response.code, await reader.finished)
--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -19,6 +19,7 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.http_client import NOT_SENT_ERRORS
+from gentianhitch.http_client import Progress
 from gentianhitch.http_client import call
 from gentianhitch.http_client import make_agent
 from gentianhitch.http_client import make_pool
@@ -94,7 +95,7 @@
         self._agent = make_agent(reactor, self._pool, CONNECT_TIMEOUT_S)
         self.calls = 0
 
-    async def read_range(self, prefix: str) -> Page:
+    async def read_range(self, prefix: str, progress: Progress | None = None) -> Page:
         """Read every item under ``prefix``, page by page, newest state."""
         items: list[Item] = []
         revision = None
@@ -103,7 +104,8 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            body = await self._call("GET", f"/v1/kv-range?{urlencode(query)}")
+            path = f"/v1/kv-range?{urlencode(query)}"
+            body = await self._call("GET", path, progress=progress)
             page = _decode(_range_decoder, body)
             items += [_decode_item(item) for item in page.items]
             # Pages are no snapshot: only the first one's revision covers all.
@@ -136,10 +138,16 @@
         """Close kept connections."""
         return self._pool.closeCachedConnections()
 
-    async def _call(self, method: str, path: str, body: Any = None) -> bytes:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        progress: Progress | None = None,
+    ) -> bytes:
         self.calls += 1
         data = None if body is None else msgspec.json.encode(body)
-        exchange = call(self._agent, method, self._base + path, data)
+        exchange = call(self._agent, method, self._base + path, data, progress)
         calling = Deferred.fromCoroutine(exchange)
         try:
             answer = await calling.addTimeout(CALL_TIMEOUT_S, self._reactor)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -50,6 +50,7 @@
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.quotas import Quotas
+from gentianhitch.proxy.refresh import Origin
 from gentianhitch.proxy.refresh import Refresher
 from gentianhitch.proxy.registration import Registration
 from gentianhitch.proxy.reports import Reports
@@ -227,7 +228,10 @@
         view = self.knowledge.view
         if view is None:
             return None
-        return encode_view(view, self.knowledge.age_s(self._reactor.seconds()))
+        encoded = encode_view(view, self.knowledge.age_s(self._reactor.seconds()))
+        self.metrics.count("views_sent")
+        self.metrics.count("view_bytes_sent", len(encoded))
+        return encoded
 
     def _render_metrics(self) -> bytes:
         return render_metrics(self.metrics, self._gauges()).encode()
@@ -300,7 +304,7 @@
             receivers += [peers[name] for name in busy if name in peers]
         return receivers
 
-    def _note_change(self, change: Change) -> None:
+    def _note_change(self, change: Change, origin: Origin) -> None:
         now = self._reactor.seconds()
         view = self.knowledge.view
         assert view is not None
@@ -312,7 +316,13 @@
             added=[server.id for server in change.added],
             removed=[server.id for server in change.removed],
             peers=len(view.peers_by_name),
+            source=origin.source,
+            size_bytes=origin.size_bytes,
+            elapsed_ms=int(origin.elapsed_s * 1000),
+            age_ms=int(origin.age_s * 1000),
+            kept=sorted(self.knowledge.kept_server_ids(now)),
         )
+        self.metrics.time("view_age", None, origin.age_s)
         if change.configuration and view.configuration is not None:
             routes = view.configuration.route_names()
             self._balancer.retain_routes(routes)
--- a/src/gentianhitch/proxy/knowledge.py
+++ b/src/gentianhitch/proxy/knowledge.py
@@ -88,6 +88,12 @@
             return {**self._kept_peers_by_name, **known}
         return known
 
+    def kept_server_ids(self, now: float) -> frozenset[str]:
+        """Return the servers that are in use although their entries lapsed."""
+        return frozenset(self.servers(now)) - frozenset(
+            () if self.view is None else self.view.backend_servers_by_id
+        )
+
     def _keep_lapsed(
         self, old: StoreView, new: StoreView, began_s: float, now: float
     ) -> None:
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -6,11 +6,13 @@
 from http import HTTPStatus
 from typing import Any
 
+import attrs
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.web.client import ResponseFailed
 
 from gentianhitch.http_client import NOT_SENT_ERRORS
+from gentianhitch.http_client import Progress
 from gentianhitch.http_client import call
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.instances.datagrams import Ask
@@ -34,6 +36,22 @@
 EVERYTHING = ""
 """The prefix of all keys: one call reads all that an instance must know."""
 
+STORE = "store"
+
+
+@attrs.frozen
+class Origin:
+    """Where a view came from, and how long and how large its transfer was.
+
+    ``source`` is the name of an instance or ``STORE``; ``age_s`` counts from the start
+    of the read of the store that showed the view.
+    """
+
+    source: str
+    size_bytes: int
+    elapsed_s: float
+    age_s: float
+
 
 class Refresher:
     """Read the store, ask peers, and take what is newer."""
@@ -48,7 +66,7 @@
         name: str,
         failure_domain: str,
         events: Events,
-        on_change: Callable[[Change], None],
+        on_change: Callable[[Change, Origin], None],
     ) -> None:
         self._clock = clock
         self._store = store
@@ -85,19 +103,25 @@
 
     async def _read_store(self) -> None:
         began_s = self._clock.seconds()
+        progress = Progress()
         try:
-            page = await self._store.read_range(EVERYTHING)
+            page = await self._store.read_range(EVERYTHING, progress)
             view = self._decoder.decode(page.items, page.revision)
         except PlatformError as error:
             self._plan.read_ended(succeeded=False)
-            self._note_store(reachable=False, detail=str(error))
+            self._note_store(
+                reachable=False,
+                detail=str(error),
+                received_bytes=progress.received,
+                elapsed_ms=self._elapsed_ms(began_s),
+            )
             return
         finally:
             self._reading = False
         self._plan.read_ended(succeeded=True)
         self._note_store(reachable=True)
         self._note_rejected()
-        self._take(view, began_s)
+        self._take(view, began_s, STORE, began_s, progress.received)
 
     def told(self, message: Told) -> None:
         """Take a peer's answer: a proof, or a reason to fetch its view."""
@@ -117,8 +141,9 @@
     async def _fetch(self, peer: Peer) -> None:
         began_s = self._clock.seconds()
         url = f"http://{peer.views}{VIEW_PATH}"
+        progress = Progress()
         try:
-            calling = Deferred.fromCoroutine(self._get(url))
+            calling = Deferred.fromCoroutine(self._get(url, progress))
             body = await calling.addTimeout(TRANSFER_TIMEOUT_S, self._clock)
             received = decode_view(body)
             configuration = self._decoder.configuration(
@@ -131,7 +156,14 @@
             PlatformError,
             ResponseFailed,
         ) as error:
-            self._events.state("view_not_fetched", peer=peer.name, detail=repr(error))
+            self._events.state(
+                "view_not_fetched",
+                peer=peer.name,
+                detail=repr(error),
+                received_bytes=progress.received,
+                elapsed_ms=self._elapsed_ms(began_s),
+                transfers=len(self._fetching),
+            )
             return
         finally:
             self._fetching.discard(peer.name)
@@ -144,24 +176,38 @@
             {each.name: each for each in received.peers},
             received.digest,
         )
-        self._take(view, began_s - received.age_s)
+        self._take(
+            view, began_s - received.age_s, peer.name, began_s, progress.received
+        )
 
-    async def _get(self, url: str) -> bytes:
-        answer = await call(self._agent, "GET", url)
+    async def _get(self, url: str, progress: Progress) -> bytes:
+        answer = await call(self._agent, "GET", url, progress=progress)
         if answer.status != HTTPStatus.OK:
             raise MalformedMessageError(f"status {answer.status} from {url}")
         return answer.body
 
-    def _take(self, view: StoreView, began_s: float) -> None:
-        change = self._knowledge.learn(view, began_s, self._clock.seconds())
+    def _take(
+        self,
+        view: StoreView,
+        proved_s: float,
+        source: str,
+        began_s: float,
+        size_bytes: int,
+    ) -> None:
+        now = self._clock.seconds()
+        change = self._knowledge.learn(view, proved_s, now)
         if change is not None:
-            self._on_change(change)
+            origin = Origin(source, size_bytes, now - began_s, now - proved_s)
+            self._on_change(change, origin)
+
+    def _elapsed_ms(self, began_s: float) -> int:
+        return int((self._clock.seconds() - began_s) * 1000)
 
-    def _note_store(self, *, reachable: bool, detail: str = "") -> None:
+    def _note_store(self, *, reachable: bool, **inputs: object) -> None:
         if reachable != self._store_reachable:
             self._store_reachable = reachable
             event = "store_regained" if reachable else "store_lost"
-            self._events.state(event, detail=detail)
+            self._events.state(event, **inputs)
 
     def _note_rejected(self) -> None:
         rejected = self._decoder.rejected_by_key
