--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from io import BytesIO
 from typing import Any
 
 import attrs
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.endpoints import TCP6ClientEndpoint
 from twisted.internet.error import ConnectError
@@ -17,11 +17,11 @@
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import URI
 from twisted.web.client import Agent
-from twisted.web.client import FileBodyProducer
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
 # Raised before any byte of the request was written.
@@ -71,6 +71,28 @@
     body: bytes
 
 
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """Write a short body at once, without a cooperator on the global reactor."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        pass
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        pass
+
+    def stopProducing(self) -> None:  # noqa: N802
+        pass
+
+
 @attrs.define(eq=False)
 class Progress:
     """Count the bytes of an answer's body while they come."""
@@ -120,7 +142,7 @@
     producer = None
     if body is not None:
         headers.addRawHeader("Content-Type", "application/json")
-        producer = FileBodyProducer(BytesIO(body))
+        producer = _BytesProducer(body)
     response = await agent.request(method.encode(), url.encode(), headers, producer)
     reader = _BodyReader(progress or Progress())
     response.deliverBody(reader)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -207,7 +207,8 @@
         )
 
     def _serve_http(self, address: Address, resource: Any) -> Address:
-        return bound_address(self._listen(address, Site(resource)))
+        site = Site(resource, reactor=self._reactor)
+        return bound_address(self._listen(address, site))
 
     def _listen_for_datagrams(self, address: Address) -> Address:
         port = self._reactor.listenUDP(
--- /dev/null
+++ b/tests/builders_deployment.py
@@ -0,0 +1,159 @@
+"""Build a whole deployment of proxy instances on the simulated network."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import attrs
+from twisted.web.server import Site
+
+from gentianhitch.platform.node_settings import decode_node_settings
+from gentianhitch.proxy.instance import ProxyInstance
+from standins.platform_store import Store
+from tests.builders_platform import make_raw_node_settings
+from tests.simulated_network import Network
+from tests.simulated_store import SimulatedStore
+
+STORE_HOST = "10.200.0.1"
+STORE_PORT = 8041
+STORE_BYTES_PER_S = 125e6
+HEARTBEAT_S = 1.5
+
+
+@attrs.define
+class NoOutput:
+    dropped: int = 0
+
+
+@attrs.define(eq=False)
+class RecordedEvents:
+    """Keep what an instance logs."""
+
+    output: NoOutput = attrs.Factory(NoOutput)
+    lines: list[tuple[str, dict[str, Any]]] = attrs.Factory(list)
+    failures: list[Any] = attrs.Factory(list)
+
+    def request(self, event: str, request_id: bytes, **inputs: Any) -> None:
+        self.lines.append((event, inputs))
+
+    def state(self, event: str, **inputs: Any) -> None:
+        self.lines.append((event, inputs))
+
+    def failure(self, failure: Any) -> None:
+        self.failures.append(failure)
+
+
+def make_document(version: int, routes: int, seed: int = 0) -> dict[str, Any]:
+    """Return a configuration as the operator writes it, with random names."""
+    random = Random(f"{seed}")
+    rules = [
+        {
+            "name": f"r-{random.randbytes(6).hex()}",
+            "type": "safe",
+            "match": {"prefix": f"/{random.randbytes(6).hex()}/{number}/"},
+            "action": {"service": "stock", "timeoutMs": 3000, "attempts": 2},
+            "objectiveLatencyMs": 2000,
+            "priority": 2,
+        }
+        for number in range(routes)
+    ]
+    return {
+        "version": version,
+        "listeners": [{"hostname": "shop.example", "rules": rules}],
+        "clusters": [{"name": "stock", "maxConnections": 330}],
+        "tenants": [{"name": "north", "apiKeys": ["k-1"], "ratePerS": 10, "burst": 5}],
+    }
+
+
+def make_server_entry(number: int, state: str = "ready", beat: int = 0) -> Any:
+    return {
+        "service": "stock",
+        "address": f"10.9.{number // 250}.{number % 250 + 1}:8369",
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": state,
+        "warmupRemainingMs": 0,
+        "sequenceNumber": beat,
+        "born": 1_700_000_000_000 + number,
+    }
+
+
+class SimulatedDeployment:
+    """Instances of three failure domains, their store and its backend servers.
+
+    ``bytes_per_s`` lists the link of each instance. Servers renew their entries at
+    every heartbeat, as they do on the platform.
+    """
+
+    def __init__(self, bytes_per_s: list[float], servers: int) -> None:
+        self.network = Network()
+        reactor = self.network.add_host(STORE_HOST, STORE_BYTES_PER_S)
+        self.store = SimulatedStore(Store(self.network.clock.seconds))
+        reactor.listenTCP(STORE_PORT, Site(self.store, reactor=reactor))
+        self._states = dict.fromkeys(range(servers), "ready")
+        self._beat = 0
+        self._renew_servers()
+        self.store.write("op/config", make_document(1, 20))
+        self.instances = [
+            self._add_instance(number, rate) for number, rate in enumerate(bytes_per_s)
+        ]
+
+    def _add_instance(self, number: int, bytes_per_s: float) -> ProxyInstance:
+        host = f"10.1.{number // 250}.{number % 250 + 1}"
+        raw = make_raw_node_settings(host)
+        raw["self"]["nodeName"] = f"edge-{number}"
+        raw["self"]["zone"] = "abc"[number % 3]
+        raw["self"]["limits"]["linkMbps"] = bytes_per_s * 8 / 1e6
+        raw["provider"]["provider"]["address"] = f"{STORE_HOST}:{STORE_PORT}"
+        instance = ProxyInstance(
+            self.network.add_host(host, bytes_per_s),
+            decode_node_settings(raw),
+            Path("no-settings-file.json"),
+            RecordedEvents(),
+        )
+        instance.start()
+        return instance
+
+    def _renew_servers(self) -> None:
+        self._beat += 1
+        for number, state in self._states.items():
+            entry = make_server_entry(number, state, self._beat)
+            self.store.write(f"servers/i-{number}", entry)
+        self.network.clock.callLater(HEARTBEAT_S, self._renew_servers)
+
+    def advance(self, seconds: float) -> None:
+        self.network.advance(seconds)
+
+    def configure(self, document: dict[str, Any]) -> None:
+        self.store.write("op/config", document)
+
+    def drain_server(self, number: int) -> None:
+        self._states[number] = "draining"
+        entry = make_server_entry(number, "draining", self._beat)
+        self.store.write(f"servers/i-{number}", entry)
+
+    def remove_server(self, number: int) -> None:
+        del self._states[number]
+        self.store.remove(f"servers/i-{number}")
+
+    def versions(self) -> list[int]:
+        """Return the version of the configuration in force at each instance."""
+        found = [each.knowledge.configuration for each in self.instances]
+        return [0 if each is None else each.version for each in found]
+
+    def users_of(self, number: int) -> list[str]:
+        """Return the instances that would still send requests to a server."""
+        now = self.network.clock.seconds()
+        return [
+            f"edge-{index}"
+            for index, each in enumerate(self.instances)
+            if (server := each.knowledge.servers(now).get(f"i-{number}")) is not None
+            and not server.draining
+        ]
+
+    def listed(self) -> int:
+        """Return how many instances are listed in the store."""
+        return len(self.store.store.range("", "")) - len(self._states) - 1
