Keep lapsed entries only where the store itself was read

Callers saw: requests to servers that had left (DRAIN). Cause: an instance without a proof for two heartbeats took that for an outage of the store, in which entries lapse, and kept missing servers for 2 s. Its proofs come from other instances, so that failed transfers between instances looked like an outage. Now only the instance that reads the store decides it, and passes the kept entries on in its view; the others use what their source uses. The end of the time is noticed by the clock and changes the view like any other change. Ruled out: a longer gap (an instance can be behind failing transfers for any time). Before: test_a_gap_of_this_instance_alone_is_no_outage fails (learn of a peer's view kept s-1). After: it passes. servers() and peers() lost their time argument, so that the tests of outages now advance with expire(); their bounds are as before.

--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -283,7 +283,7 @@
         sharers = self._quotas.sharers
         if self._settings.name in sharers:
             return SERVING_SLACK_SHARE / len(sharers)
-        peers = self.knowledge.peers(self._reactor.seconds())
+        peers = self.knowledge.peers_by_name
         others = max(len(peers) - len(sharers), MIN_OTHERS)
         return (1.0 - SERVING_SLACK_SHARE) / others
 
@@ -291,7 +291,7 @@
         return now - self._told_s < HOUSEKEEPING_S * 4
 
     def _serving_peers(self) -> list[Peer]:
-        peers = self.knowledge.peers(self._reactor.seconds())
+        peers = self.knowledge.peers_by_name
         serving = serving_instances(peers.values())
         return [peer for each in serving.values() for peer in each]
 
@@ -300,7 +300,7 @@
         receivers = self._serving_peers()
         names = {peer.name for peer in receivers}
         if self._settings.name in names:
-            peers = self.knowledge.peers(self._reactor.seconds())
+            peers = self.knowledge.peers_by_name
             busy = self._reports.busy_senders() - names
             receivers += [peers[name] for name in busy if name in peers]
         return receivers
@@ -321,7 +321,7 @@
             size_bytes=origin.size_bytes,
             elapsed_ms=int(origin.elapsed_s * 1000),
             age_ms=int(origin.age_s * 1000),
-            kept=sorted(self.knowledge.kept_server_ids(now)),
+            kept=sorted(self.knowledge.lapsed_server_ids),
         )
         self.metrics.time("view_age", None, origin.age_s)
         if change.configuration and view.configuration is not None:
@@ -331,7 +331,7 @@
         self._apply(now)
 
     def _apply(self, now: float) -> None:
-        servers = self.knowledge.servers(now)
+        servers = self.knowledge.servers_by_id
         self._balancer.update(servers.values(), now)
         self._connections.retain(frozenset(each.key for each in servers.values()))
         serving = frozenset(peer.name for peer in self._serving_peers())
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -37,13 +37,16 @@
 """The prefix of all keys: one call reads all that an instance must know."""
 
 STORE = "store"
+LAPSE = "lapse"
+"""Sources of changes that come from no other instance."""
 
 
 @attrs.frozen
 class Origin:
     """Where a view came from, and how long and how large its transfer was.
 
-    ``source`` is the name of an instance or ``STORE``; ``age_s`` counts from the start
+    ``source`` is the name of an instance, ``STORE`` or ``LAPSE``; ``age_s`` counts from
+    the start
     of the read of the store that showed the view.
     """
 
@@ -93,7 +96,8 @@
 
     def _tick(self) -> None:
         now = self._clock.seconds()
-        peers = self._knowledge.peers(now).values()
+        self._note_change(self._knowledge.expire(now), Origin(LAPSE, 0, 0.0, 0.0))
+        peers = self._knowledge.peers_by_name.values()
         step = self._plan.next_step(peers, self._knowledge.age_s(now), now)
         for peer in step.peers:
             self._datagrams.send(Ask(self._plan.name, now), peer.datagrams)
@@ -132,7 +136,7 @@
             return
         view = self._knowledge.view
         newer = view is None or message.revision > view.revision
-        peer = self._knowledge.peers(now).get(message.sender)
+        peer = self._knowledge.peers_by_name.get(message.sender)
         if newer and peer is not None and message.sender not in self._fetching:
             self._fetching.add(message.sender)
             fetching = Deferred.fromCoroutine(self._fetch(peer))
@@ -195,9 +199,15 @@
         size_bytes: int,
     ) -> None:
         now = self._clock.seconds()
-        change = self._knowledge.learn(view, proved_s, now)
+        if source == STORE:
+            change = self._knowledge.learn_read(view, proved_s, now)
+        else:
+            change = self._knowledge.learn(view, proved_s)
+        origin = Origin(source, size_bytes, now - began_s, now - proved_s)
+        self._note_change(change, origin)
+
+    def _note_change(self, change: Change | None, origin: Origin) -> None:
         if change is not None:
-            origin = Origin(source, size_bytes, now - began_s, now - proved_s)
             self._on_change(change, origin)
 
     def _elapsed_ms(self, began_s: float) -> int:
--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -146,11 +146,10 @@
 
     def users_of(self, number: int) -> list[str]:
         """Return the instances that would still send requests to a server."""
-        now = self.network.clock.seconds()
         return [
             f"edge-{index}"
             for index, each in enumerate(self.instances)
-            if (server := each.knowledge.servers(now).get(f"i-{number}")) is not None
+            if (server := each.knowledge.servers_by_id.get(f"i-{number}")) is not None
             and not server.draining
         ]
 
--- a/tests/proxy/test_steering.py
+++ b/tests/proxy/test_steering.py
@@ -17,7 +17,7 @@
 
 def make_directory(*, heard: bool = True) -> Directory:
     knowledge = Knowledge(1.5)
-    knowledge.learn(make_view(5, peers=PEERS), 10.0, 10.0)
+    knowledge.learn(make_view(5, peers=PEERS), 10.0)
     return Directory(knowledge, lambda now: heard)
 
 
