--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -24,6 +24,11 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from gentianhitch.errors import GentianhitchError
+
+MAX_CALL_S = 10.0
+"""Ends an answer that never ends; far above the time that the largest one takes."""
+
 # Raised before any byte of the request was written.
 NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError, RequestNotSent)
 
@@ -93,6 +98,10 @@
         pass
 
 
+class StalledError(GentianhitchError):
+    """No byte of an answer came for too long, or not all of it in time."""
+
+
 @attrs.define(eq=False)
 class Progress:
     """Count the bytes of an answer's body while they come."""
@@ -147,3 +156,62 @@
     reader = _BodyReader(progress or Progress())
     response.deliverBody(reader)
     return Answer(response.code, await reader.finished)
+
+
+async def call_within(
+    clock: Any,
+    stall_s: float,
+    agent: Any,
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    progress: Progress | None = None,
+) -> Answer:
+    """Call as :func:`call` does; raise StalledError when no byte comes for a while.
+
+    How long an answer takes depends on its size and its link, which a time-out for the
+    whole of it would have to know.
+    """
+    followed = progress or Progress()
+    calling = Deferred.fromCoroutine(call(agent, method, url, body, followed))
+    watch = _StallWatch(clock, stall_s, followed, calling)
+    try:
+        return await calling
+    except Exception as error:
+        if watch.fired:
+            detail = f"no progress after {followed.received} bytes"
+            raise StalledError(f"{method} {url}: {detail}") from error
+        raise
+    finally:
+        watch.stop()
+
+
+class _StallWatch:
+    """Cancel a call when its progress stands still, or when it takes far too long."""
+
+    def __init__(
+        self, clock: Any, stall_s: float, progress: Progress, calling: Deferred[Answer]
+    ) -> None:
+        self._clock = clock
+        self._stall_s = stall_s
+        self._progress = progress
+        self._calling = calling
+        self._ends_s = clock.seconds() + MAX_CALL_S
+        self.fired = False
+        self._watch()
+
+    def stop(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _watch(self) -> None:
+        received = self._progress.received
+        self._timer = self._clock.callLater(self._stall_s, self._check, received)
+
+    def _check(self, received_before: int) -> None:
+        has_progress = self._progress.received > received_before
+        if has_progress and self._clock.seconds() < self._ends_s:
+            self._watch()
+        else:
+            self.fired = True
+            self._calling.cancel()
--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -14,20 +14,36 @@
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Ask how fresh the receiver's knowledge is; ``sent_s`` is the asker's clock."""
+    """Ask how fresh the receiver's knowledge is, and for what differs.
+
+    ``sent_s`` is the asker's clock; ``revision`` that of its listing. With the digests
+    of its buckets it asks for those that differ.
+    """
 
     sender: str
     sent_s: float
+    revision: int
+    digests: bytes = b""
 
 
 class Told(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Answer an :class:`Ask`: what is known, and how long ago it was proved."""
+    """Answer an :class:`Ask`: what is known, and how long ago each part was proved.
+
+    ``digest`` is that of the whole listing. ``buckets`` holds as many of the differing
+    buckets as fit in a datagram, each encoded, by their numbers; ``remaining`` counts
+    those left out.
+    """
 
     sender: str
     asked_s: float
-    age_s: float
-    revision: int
-    digest: int
+    listing_age_s: float
+    listing_revision: int
+    digest: bytes
+    configuration_age_s: float
+    configuration_revision: int
+    is_compared: bool = False
+    buckets: list[tuple[int, bytes]] = []
+    remaining: int = 0
 
 
 class Seen(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -11,6 +11,9 @@
 from gentianhitch.addresses import Address
 from gentianhitch.errors import UsageError
 
+DEFAULT_LINK_MBPS = 1000.0
+"""A usual link of a data center."""
+
 
 class NodeSettingsError(UsageError):
     """The settings file can't be read; the message names the field."""
@@ -47,6 +50,7 @@
     store: Address
     heartbeat_s: float
     capacity: float
+    link_mbps: float
     bounds: Bounds
 
 
@@ -113,6 +117,7 @@
         metrics=Address(host, metrics_port),
         store=provider.table("provider").address("address"),
         capacity=_decode_capacity(own),
+        link_mbps=_decode_link(own),
         heartbeat_s=provider.get("heartbeatIntervalMs", float) / 1000,
         bounds=_decode_bounds(fields.table("terms").table("bounds")),
     )
@@ -126,6 +131,13 @@
     return float(limits.get("cpuShare", float) * limits.get("cpuCores", int))
 
 
+def _decode_link(own: _Fields) -> float:
+    """Return the bandwidth of the link; fast where the settings do not tell."""
+    if not own.has("limits") or not own.table("limits").has("linkMbps"):
+        return DEFAULT_LINK_MBPS
+    return float(own.table("limits").get("linkMbps", float))
+
+
 def _decode_bounds(bounds: _Fields) -> Bounds:
     return Bounds(
         revocation_s=bounds.get("revocationMs", float) / 1000,
--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -10,8 +10,6 @@
 import attrs
 import msgspec
 from twisted.internet.defer import CancelledError
-from twisted.internet.defer import Deferred
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionLost
 from twisted.internet.error import TimeoutError as TwistedTimeoutError
@@ -19,8 +17,10 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.http_client import NOT_SENT_ERRORS
+from gentianhitch.http_client import Answer
 from gentianhitch.http_client import Progress
-from gentianhitch.http_client import call
+from gentianhitch.http_client import StalledError
+from gentianhitch.http_client import call_within
 from gentianhitch.http_client import make_agent
 from gentianhitch.http_client import make_pool
 from gentianhitch.platform.interface import OutcomeUnknownError
@@ -28,14 +28,18 @@
 from gentianhitch.platform.interface import UnavailableError
 
 CONNECT_TIMEOUT_S = 0.5
-CALL_TIMEOUT_S = 1.0
-MAX_CONNECTIONS = 2
+STALL_TIMEOUT_S = 1.0
+"""Without a byte for so long, an answer is taken for lost."""
+
+MAX_CONNECTIONS = 3
+"""The listing, the configuration and the lease are called for at the same time."""
+
 LOST_ERRORS = (
     CancelledError,
     ConnectionDone,
     ConnectionLost,
-    DeferredTimeoutError,
     ResponseFailed,
+    StalledError,
     TwistedTimeoutError,
 )
 
@@ -81,6 +85,13 @@
     ttl_ms: float
 
 
+class _WireConflict(msgspec.Struct):
+    # The current state of the keys that the call expected at another revision.
+    items: list[_WireItem]
+
+
+_item_decoder = msgspec.json.Decoder(_WireItem)
+_conflict_decoder = msgspec.json.Decoder(_WireConflict)
 _range_decoder = msgspec.json.Decoder(_WireRange)
 _lease_decoder = msgspec.json.Decoder(_WireLease)
 
@@ -95,18 +106,19 @@
         self._agent = make_agent(reactor, self._pool, CONNECT_TIMEOUT_S)
         self.calls = 0
 
-    async def read_range(self, prefix: str, progress: Progress | None = None) -> Page:
-        """Read every item under ``prefix``, page by page, newest state."""
+    async def read_range(
+        self, prefix: str, after: str = "", progress: Progress | None = None
+    ) -> Page:
+        """Read every item under ``prefix`` past ``after``, page by page."""
         items: list[Item] = []
         revision = None
-        after = ""
         while True:
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
             path = f"/v1/kv-range?{urlencode(query)}"
-            body = await self._call("GET", path, progress=progress)
-            page = _decode(_range_decoder, body)
+            answer = await self._call("GET", path, progress=progress)
+            page = _decode(_range_decoder, _body(answer, path))
             items += [_decode_item(item) for item in page.items]
             # Pages are no snapshot: only the first one's revision covers all.
             revision = page.at if revision is None else revision
@@ -114,25 +126,56 @@
                 return Page(tuple(items), revision)
             after = page.items[-1].key
 
+    async def read(self, key: str, progress: Progress | None = None) -> Item | None:
+        """Read one item, newest state; None if there is none."""
+        path = f"/v1/kv-key?{urlencode({'key': key})}"
+        answer = await self._call("GET", path, progress=progress)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        return _decode_item(_decode(_item_decoder, _body(answer, path)))
+
+    async def read_if_changed(
+        self, key: str, revision: int, progress: Progress | None = None
+    ) -> Item | None:
+        """Read one item unless it is still at ``revision``; None if it is.
+
+        A transaction that writes nothing answers with the item only if it changed.
+        """
+        path = "/v1/kv-txn"
+        expect = [{"key": key, "revision": revision}]
+        body = {"expect": expect, "puts": [], "deletes": []}
+        answer = await self._call("POST", path, body, progress=progress)
+        if answer.status != HTTPStatus.PRECONDITION_FAILED:
+            _body(answer, path)
+            return None
+        for item in _decode(_conflict_decoder, answer.body).items:
+            if item.key == key:
+                return _decode_item(item)
+        raise UnavailableError(f"{path}: the changed item {key} is missing")
+
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
-        body = await self._call("POST", "/v1/kv-lease", {"ttlMs": int(ttl_s * 1000)})
-        granted: _WireLease = _decode(_lease_decoder, body)
+        path = "/v1/kv-lease"
+        answer = await self._call("POST", path, {"ttlMs": int(ttl_s * 1000)})
+        granted: _WireLease = _decode(_lease_decoder, _body(answer, path))
         return granted.lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise LeaseEndedError when it has ended."""
-        await self._call("POST", f"/v1/kv-keep/{lease}")
+        path = f"/v1/kv-keep/{lease}"
+        _lease_body(await self._call("POST", path), path)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease, which removes its keys."""
-        await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+        path = f"/v1/kv-lease-end/{lease}"
+        _lease_body(await self._call("DELETE", path), path)
 
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
         """Write one item under a lease; raise LeaseEndedError when it has ended."""
         put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
         body = {"expect": [], "puts": [put], "deletes": []}
-        await self._call("POST", "/v1/kv-txn", body)
+        path = "/v1/kv-txn"
+        _lease_body(await self._call("POST", path, body), path)
 
     def close(self) -> Any:
         """Close kept connections."""
@@ -144,22 +187,30 @@
         path: str,
         body: Any = None,
         progress: Progress | None = None,
-    ) -> bytes:
+    ) -> Answer:
         self.calls += 1
         data = None if body is None else msgspec.json.encode(body)
-        exchange = call(self._agent, method, self._base + path, data, progress)
-        calling = Deferred.fromCoroutine(exchange)
+        url = self._base + path
         try:
-            answer = await calling.addTimeout(CALL_TIMEOUT_S, self._reactor)
+            return await call_within(
+                self._reactor, STALL_TIMEOUT_S, self._agent, method, url, data, progress
+            )
         except NOT_SENT_ERRORS as error:
             raise UnavailableError(f"{method} {path}: {error!r}") from error
         except LOST_ERRORS as error:
             raise OutcomeUnknownError(f"{method} {path}: {error!r}") from error
-        if answer.status == HTTPStatus.OK:
-            return answer.body
-        if answer.status == HTTPStatus.NOT_FOUND:
-            raise LeaseEndedError(f"{method} {path}: not found")
-        raise UnavailableError(f"{method} {path}: status {answer.status}")
+
+
+def _body(answer: Answer, path: str) -> bytes:
+    if answer.status != HTTPStatus.OK:
+        raise UnavailableError(f"{path}: status {answer.status}")
+    return answer.body
+
+
+def _lease_body(answer: Answer, path: str) -> bytes:
+    if answer.status == HTTPStatus.NOT_FOUND:
+        raise LeaseEndedError(f"{path}: not found")
+    return _body(answer, path)
 
 
 def _decode(decoder: Any, body: bytes) -> Any:
--- a/src/gentianhitch/platform/store_view.py
+++ b/src/gentianhitch/platform/store_view.py
@@ -7,17 +7,18 @@
 import msgspec
 
 from gentianhitch.addresses import Address
+from gentianhitch.http_client import Progress
 from gentianhitch.platform.configuration import decode_configuration
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.platform.store import Item
+from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.wire_names import CONFIGURATION_KEY
 from gentianhitch.platform.wire_names import PEERS_PREFIX
 from gentianhitch.platform.wire_names import SERVERS_PREFIX
 from gentianhitch.proxy.model import BackendServer
-from gentianhitch.proxy.model import Configuration
+from gentianhitch.proxy.model import Listing
 from gentianhitch.proxy.model import Peer
-from gentianhitch.proxy.model import StoreView
-from gentianhitch.proxy.model import digest_of
+from gentianhitch.proxy.model import StoredConfiguration
 
 STATES = frozenset({"ready", "draining"})
 
@@ -110,29 +111,45 @@
     return PEERS_PREFIX + name
 
 
-class ViewDecoder:
-    """Decode whole reads of the store; the configuration only when it changes.
+class StoreReader:
+    """Read what an instance must know of the store, part by part.
 
-    ``rejected_by_key`` holds the reason for each item of the last read that can't
+    ``rejected_by_key`` holds the reason for each item of the last listing that can't
     be used.
     """
 
-    def __init__(self) -> None:
-        self._revision = -1
-        self._configuration: Configuration | None = None
+    def __init__(self, store: KeyValueStore) -> None:
+        self._store = store
         self.rejected_by_key: dict[str, str] = {}
 
-    def decode(self, items: Iterable[Item], revision: int) -> StoreView:
-        """Decode one read; raise MalformedConfigurationError."""
+    async def read_listing(self, progress: Progress) -> Listing:
+        """Read the servers and instances without the configuration."""
+        # In the order of keys, both stand behind the configuration.
+        page = await self._store.read_range("", CONFIGURATION_KEY, progress)
+        return self.decode_listing(page.items, page.revision)
+
+    async def read_configuration(
+        self, progress: Progress
+    ) -> StoredConfiguration | None:
+        """Read the configuration; None until the operator has written one."""
+        item = await self._store.read(CONFIGURATION_KEY, progress)
+        return None if item is None else decode_stored(item.revision, item.value)
+
+    async def read_configuration_if_changed(
+        self, revision: int, progress: Progress
+    ) -> StoredConfiguration | None:
+        """Read the configuration unless it is still at ``revision``."""
+        item = await self._store.read_if_changed(CONFIGURATION_KEY, revision, progress)
+        return None if item is None else decode_stored(item.revision, item.value)
+
+    def decode_listing(self, items: Iterable[Item], revision: int) -> Listing:
+        """Decode one read; entries that can't be read leave the others in force."""
         servers: dict[str, BackendServer] = {}
         peers: dict[str, Peer] = {}
-        source, configuration_revision = b"", 0
         self.rejected_by_key = {}
         for item in items:
             try:
-                if item.key == CONFIGURATION_KEY:
-                    source, configuration_revision = item.value, item.revision
-                elif item.key.startswith(SERVERS_PREFIX):
+                if item.key.startswith(SERVERS_PREFIX):
                     server = decode_backend_server(item)
                     servers[server.id] = server
                 elif item.key.startswith(PEERS_PREFIX):
@@ -140,21 +157,9 @@
                     peers[peer.name] = peer
             except MalformedEntryError as error:
                 self.rejected_by_key[item.key] = str(error)
-        return StoreView(
-            revision=revision,
-            configuration_revision=configuration_revision,
-            configuration_source=source,
-            configuration=self.configuration(source, configuration_revision),
-            backend_servers_by_id=servers,
-            peers_by_name=peers,
-            digest=digest_of(configuration_revision, servers.values(), peers.values()),
-        )
+        return Listing(revision, servers, peers)
+
 
-    def configuration(self, source: bytes, revision: int) -> Configuration | None:
-        """Decode the configuration written at ``revision``; None if there is none."""
-        if not revision:
-            return None
-        if revision != self._revision:
-            self._configuration = decode_configuration(source)
-            self._revision = revision
-        return self._configuration
+def decode_stored(revision: int, source: bytes) -> StoredConfiguration:
+    """Decode a configuration; raise MalformedConfigurationError."""
+    return StoredConfiguration(revision, source, decode_configuration(source))
--- a/src/gentianhitch/platform/wire_names.py
+++ b/src/gentianhitch/platform/wire_names.py
@@ -17,4 +17,5 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
-PEERS_PREFIX = "instances/"
+# Behind CONFIGURATION_KEY in the order of keys, as the servers are.
+PEERS_PREFIX = "peers/"
--- /dev/null
+++ b/src/gentianhitch/proxy/configuration_fetch.py
@@ -0,0 +1,132 @@
+"""Fetch newer configurations from other instances, one transfer at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from random import Random
+from typing import Any
+from urllib.parse import urlencode
+
+from twisted.internet.defer import Deferred
+from twisted.web.client import ResponseFailed
+
+from gentianhitch.http_client import NOT_SENT_ERRORS
+from gentianhitch.http_client import Answer
+from gentianhitch.http_client import Progress
+from gentianhitch.http_client import StalledError
+from gentianhitch.http_client import call_within
+from gentianhitch.instances.codec import MalformedMessageError
+from gentianhitch.instances.configuration_transfer import decode_busy
+from gentianhitch.instances.configuration_transfer import decode_transfer
+from gentianhitch.instances.configuration_transfer import decompress
+from gentianhitch.platform.interface import PlatformError
+from gentianhitch.platform.store_view import decode_stored
+from gentianhitch.proxy.configuration_source import ConfigurationSource
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.inner_resources import CONFIGURATION_PATH
+from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.model import StoredConfiguration
+from gentianhitch.proxy.origin import Origin
+
+STALL_TIMEOUT_S = 0.5
+"""Many round trips: without a byte for so long, the connection has gone silent."""
+
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 2.0
+"""The pause after failures doubles, and varies so that not all come back at once."""
+
+
+class ConfigurationFetcher:
+    """Fetch from the instance that offers more, or from one that it names."""
+
+    def __init__(
+        self,
+        clock: Any,
+        agent: Any,
+        knowledge: Knowledge,
+        name: str,
+        source: ConfigurationSource,
+        events: Events,
+        take: Callable[[StoredConfiguration, float, Origin], None],
+    ) -> None:
+        self._clock = clock
+        self._agent = agent
+        self._knowledge = knowledge
+        self._name = name
+        self._source = source
+        self._events = events
+        self._take = take
+        self._random = Random(name)
+        self._failures = 0
+        self._paused_until_s = 0.0
+        self.is_fetching = False
+
+    def offered(self, peer: Peer) -> None:
+        """Fetch from ``peer``, which has a newer configuration."""
+        if self.is_fetching or self._clock.seconds() < self._paused_until_s:
+            return
+        self.is_fetching = True
+        fetching = Deferred.fromCoroutine(self._fetch(peer))
+        fetching.addErrback(self._events.failure)
+
+    async def _fetch(self, peer: Peer) -> None:
+        began_s = self._clock.seconds()
+        progress = Progress()
+        try:
+            holder = await self._fetch_from(peer, began_s, progress)
+            if holder is not None:
+                await self._fetch_from(holder, self._clock.seconds(), progress)
+            self._failures = 0
+        except (
+            *NOT_SENT_ERRORS,
+            MalformedMessageError,
+            PlatformError,
+            ResponseFailed,
+            StalledError,
+        ) as error:
+            self._pause()
+            self._events.state(
+                "configuration_not_fetched",
+                peer=peer.name,
+                detail=repr(error),
+                received_bytes=progress.received,
+                elapsed_ms=int((self._clock.seconds() - began_s) * 1000),
+                failures=self._failures,
+            )
+        finally:
+            self.is_fetching = False
+
+    async def _fetch_from(
+        self, peer: Peer, began_s: float, progress: Progress
+    ) -> Peer | None:
+        """Fetch and take; return another instance to ask where this one is busy."""
+        query = {"base": self._knowledge.configuration_revision, "for": self._name}
+        url = f"http://{peer.views}{CONFIGURATION_PATH}?{urlencode(query)}"
+        answer = await call_within(
+            self._clock, STALL_TIMEOUT_S, self._agent, "GET", url, progress=progress
+        )
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            return self._knowledge.peers_by_name.get(decode_busy(answer.body).holder)
+        self._take_answer(answer, peer, began_s, progress)
+        return None
+
+    def _take_answer(
+        self, answer: Answer, peer: Peer, began_s: float, progress: Progress
+    ) -> None:
+        if answer.status != HTTPStatus.OK:
+            raise MalformedMessageError(f"status {answer.status}")
+        transfer = decode_transfer(answer.body)
+        base = self._source.source_of(transfer.base_revision)
+        stored = decode_stored(transfer.revision, decompress(transfer.compressed, base))
+        proved_s = began_s - transfer.age_s
+        now = self._clock.seconds()
+        origin = Origin(peer.name, progress.received, now - began_s, now - proved_s)
+        self._take(stored, proved_s, origin)
+
+    def _pause(self) -> None:
+        pause_s = min(MIN_PAUSE_S * 2**self._failures, MAX_PAUSE_S)
+        self._failures += 1
+        pause_s *= self._random.uniform(0.5, 1.5)
+        self._paused_until_s = self._clock.seconds() + pause_s
--- a/src/gentianhitch/proxy/directory.py
+++ b/src/gentianhitch/proxy/directory.py
@@ -37,7 +37,7 @@
     def answer(self, failure_domain: str, now: float) -> DirectoryAnswer | None:
         """Return addresses near ``failure_domain``; None when nothing is known."""
         peers = self._knowledge.peers_by_name
-        isolated = self._knowledge.age_s(now) > ISOLATED_AGE_S
+        isolated = self._knowledge.listing_age_s(now) > ISOLATED_AGE_S
         if isolated and not self._heard_any_peer(now):
             return None
         serving = serving_instances(peers.values())
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -16,14 +16,15 @@
 
 STATE_EVENTS = frozenset(
     {
+        "configuration_changed",
+        "configuration_not_fetched",
         "lifecycle",
+        "listing_changed",
         "registered",
         "registration_lost",
         "reloaded",
         "store_lost",
         "store_regained",
-        "view_changed",
-        "view_not_fetched",
     }
 )
 
--- a/src/gentianhitch/proxy/inner_resources.py
+++ b/src/gentianhitch/proxy/inner_resources.py
@@ -3,27 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any
 
 from gentianhitch.addresses import Address
 from gentianhitch.http_resources import OnePathResource
 
-VIEW_PATH = "/view"
+CONFIGURATION_PATH = "/configuration"
 METRICS_PATH = "/metrics"
 
 
-def views_resource(encode: Callable[[], bytes | None]) -> OnePathResource:
-    """Return the resource that hands out the view of the store."""
-
-    def view(request: Any) -> bytes:
-        encoded = encode()
-        if encoded is None:
-            request.setResponseCode(HTTPStatus.SERVICE_UNAVAILABLE)
-            return b""
-        return encoded
-
-    return OnePathResource(VIEW_PATH, view)
+def configuration_resource(answer: Callable[[Any], bytes]) -> OnePathResource:
+    """Return the resource that hands out the configuration."""
+    return OnePathResource(CONFIGURATION_PATH, answer)
 
 
 def metrics_resource(render: Callable[[], bytes]) -> OnePathResource:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -24,7 +24,6 @@
 from gentianhitch.instances.datagrams import Message
 from gentianhitch.instances.datagrams import Report
 from gentianhitch.instances.datagrams import Told
-from gentianhitch.instances.view_transfer import encode_view
 from gentianhitch.lifecycle import LifecycleActions
 from gentianhitch.lifecycle import create_lifecycle
 from gentianhitch.metrics import Metrics
@@ -35,28 +34,32 @@
 from gentianhitch.platform.node_settings import NodeSettingsError
 from gentianhitch.platform.node_settings import load_node_settings
 from gentianhitch.platform.store import KeyValueStore
+from gentianhitch.platform.store_view import StoreReader
 from gentianhitch.proxy.admission_windows import Overshoot
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.configuration_source import ConfigurationSource
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryAnswer
 from gentianhitch.proxy.dispatch import DispatchContext
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.inner_resources import bound_address
+from gentianhitch.proxy.inner_resources import configuration_resource
 from gentianhitch.proxy.inner_resources import metrics_resource
-from gentianhitch.proxy.inner_resources import views_resource
 from gentianhitch.proxy.knowledge import Change
 from gentianhitch.proxy.knowledge import Knowledge
 from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.model import StoredConfiguration
+from gentianhitch.proxy.origin import Origin
 from gentianhitch.proxy.quotas import Quotas
-from gentianhitch.proxy.refresh import Origin
 from gentianhitch.proxy.refresh import Refresher
 from gentianhitch.proxy.registration import Registration
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.retry_budget import RetryBudget
 from gentianhitch.proxy.shutdown import drain
+from gentianhitch.proxy.sources import SourcePlan
 from gentianhitch.proxy.steering import serving_instances
 from gentianhitch.proxy.traffic_split import TrafficSplits
 from gentianhitch.repeating import Repeating
@@ -111,20 +114,26 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id
         )
+        self._configuration_source = ConfigurationSource(
+            settings.link_mbps,
+            lambda: self.knowledge.configuration_age_s(clock.seconds()),
+            self.metrics.count,
+        )
         self._refresher = Refresher(
             clock,
-            self._store,
+            StoreReader(self._store),
+            self._datagrams,
+            self.knowledge,
+            SourcePlan(settings.name, settings.failure_domain),
+            self._configuration_source,
             make_agent(
                 self._reactor,
                 make_pool(self._reactor, PEER_CONNECTIONS),
                 PEER_CONNECT_TIMEOUT_S,
             ),
-            self._datagrams,
-            self.knowledge,
-            settings.name,
-            settings.failure_domain,
             events,
             self._note_change,
+            self._note_configuration,
         )
         self._registration = Registration(clock, self._store, events)
         self._reports = Reports(
@@ -172,7 +181,10 @@
         directory = self._serve_http(
             settings.directory, directory_resource(self._resolve)
         )
-        views = self._serve_http(settings.internal, views_resource(self._encode_view))
+        views = self._serve_http(
+            settings.internal,
+            configuration_resource(self._configuration_source.answer),
+        )
         metrics = self._serve_http(
             settings.metrics, metrics_resource(self._render_metrics)
         )
@@ -225,23 +237,16 @@
     def _resolve(self, failure_domain: str) -> DirectoryAnswer | None:
         return self._directory.answer(failure_domain, self._reactor.seconds())
 
-    def _encode_view(self) -> bytes | None:
-        view = self.knowledge.view
-        if view is None:
-            return None
-        encoded = encode_view(view, self.knowledge.age_s(self._reactor.seconds()))
-        self.metrics.count("views_sent")
-        self.metrics.count("view_bytes_sent", len(encoded))
-        return encoded
-
     def _render_metrics(self) -> bytes:
         return render_metrics(self.metrics, self._gauges()).encode()
 
     def _gauges(self) -> dict[str, float]:
+        now = self._reactor.seconds()
         return {
             "store_calls": self._store.calls,
             "server_connections_opened": self._connections.opened,
-            "view_age_seconds": self.knowledge.age_s(self._reactor.seconds()),
+            "configuration_age_seconds": self.knowledge.configuration_age_s(now),
+            "listing_age_seconds": self.knowledge.listing_age_s(now),
             "log_lines_dropped": self._events.output.dropped,
         }
 
@@ -255,12 +260,8 @@
             self._reports.heard(message)
 
     def _tell(self, ask: Ask, to: Address) -> None:
-        view = self.knowledge.view
-        if view is not None:
-            age_s = self.knowledge.age_s(self._reactor.seconds())
-            told = Told(
-                self._settings.name, ask.sent_s, age_s, view.revision, view.digest
-            )
+        told = self._refresher.answer(ask)
+        if told is not None:
             self._datagrams.send(told, to)
 
     # What the parts need of each other.
@@ -306,29 +307,33 @@
         return receivers
 
     def _note_change(self, change: Change, origin: Origin) -> None:
-        now = self._reactor.seconds()
-        view = self.knowledge.view
-        assert view is not None
+        knowledge = self.knowledge
         self._events.state(
-            "view_changed",
-            revision=view.revision,
-            configuration=view.configuration_revision,
-            configuration_changed=change.configuration,
+            "listing_changed",
+            revision=knowledge.registry.revision,
             added=[server.id for server in change.added],
             removed=[server.id for server in change.removed],
-            peers=len(view.peers_by_name),
-            source=origin.source,
-            size_bytes=origin.size_bytes,
-            elapsed_ms=int(origin.elapsed_s * 1000),
-            age_ms=int(origin.age_s * 1000),
-            kept=sorted(self.knowledge.lapsed_server_ids),
+            draining=[server.id for server in change.draining],
+            kept=sorted(knowledge.lapsed_server_ids),
+            peers=len(knowledge.peers_by_name),
+            **origin.as_fields(),
         )
-        self.metrics.time("view_age", None, origin.age_s)
-        if change.configuration and view.configuration is not None:
-            routes = view.configuration.route_names()
-            self._balancer.retain_routes(routes)
-            self._server.splits.retain(routes)
-        self._apply(now)
+        self.metrics.time("listing_age", None, origin.age_s)
+        self._apply(self._reactor.seconds())
+
+    def _note_configuration(self, stored: StoredConfiguration, origin: Origin) -> None:
+        self._events.state(
+            "configuration_changed",
+            configuration=stored.revision,
+            version=stored.configuration.version,
+            routes=len(stored.configuration.route_names()),
+            **origin.as_fields(),
+        )
+        self.metrics.time("configuration_age", None, origin.age_s)
+        routes = stored.configuration.route_names()
+        self._balancer.retain_routes(routes)
+        self._server.splits.retain(routes)
+        self._apply(self._reactor.seconds())
 
     def _apply(self, now: float) -> None:
         servers = self.knowledge.servers_by_id
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import attrs
-import xxhash
 
 from gentianhitch.addresses import Address
 
@@ -132,34 +129,24 @@
 
 
 @attrs.frozen
-class StoreView:
-    """What one read of the store showed; ``revision`` orders views.
+class Listing:
+    """The servers and instances that one read of the store showed.
 
-    ``configuration_source`` holds the bytes that ``configuration`` was decoded
-    from, for peers that the store turns away.
+    ``revision`` is that of the whole store; it orders listings.
     """
 
     revision: int
-    configuration_revision: int
-    configuration_source: bytes
-    configuration: Configuration | None
     backend_servers_by_id: dict[str, BackendServer]
     peers_by_name: dict[str, Peer]
-    digest: int = 0
-
-
-def digest_of(
-    configuration_revision: int,
-    backend_servers: Iterable[BackendServer],
-    peers: Iterable[Peer],
-) -> int:
-    """Return a hash that two instances share if they know the same."""
-    state = xxhash.xxh64(b"%d;" % configuration_revision)
-    for server in sorted(backend_servers, key=lambda each: each.id):
-        state.update(
-            f"{server.id} {server.started_ms} {server.service} {server.address}"
-            f" {server.slots} {server.draining};".encode()
-        )
-    for peer in sorted(peers, key=lambda each: each.name):
-        state.update(f"{peer.name} {peer.incarnation} {peer.callers};".encode())
-    return state.intdigest()
+
+
+@attrs.frozen
+class StoredConfiguration:
+    """A configuration, the revision of its last write, and the bytes it came as.
+
+    The bytes are handed to instances that can't read them from the store.
+    """
+
+    revision: int
+    source: bytes
+    configuration: Configuration
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -3,57 +3,44 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any
 
-import attrs
 from twisted.internet.defer import Deferred
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
-from twisted.web.client import ResponseFailed
 
-from gentianhitch.http_client import NOT_SENT_ERRORS
 from gentianhitch.http_client import Progress
-from gentianhitch.http_client import call
+from gentianhitch.instances.bucket_codec import decode_bucket
+from gentianhitch.instances.bucket_codec import pack_buckets
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.instances.datagrams import Ask
 from gentianhitch.instances.datagrams import Datagrams
 from gentianhitch.instances.datagrams import Told
-from gentianhitch.instances.view_transfer import decode_view
 from gentianhitch.platform.interface import PlatformError
-from gentianhitch.platform.store import KeyValueStore
-from gentianhitch.platform.store_view import ViewDecoder
+from gentianhitch.platform.store_view import StoreReader
+from gentianhitch.proxy.configuration_fetch import ConfigurationFetcher
+from gentianhitch.proxy.configuration_source import ConfigurationSource
 from gentianhitch.proxy.events import Events
-from gentianhitch.proxy.inner_resources import VIEW_PATH
+from gentianhitch.proxy.knowledge import NO_REVISION
 from gentianhitch.proxy.knowledge import Change
 from gentianhitch.proxy.knowledge import Knowledge
 from gentianhitch.proxy.model import Peer
-from gentianhitch.proxy.model import StoreView
+from gentianhitch.proxy.model import StoredConfiguration
+from gentianhitch.proxy.origin import LAPSE
+from gentianhitch.proxy.origin import STORE
+from gentianhitch.proxy.origin import Origin
 from gentianhitch.proxy.sources import SourcePlan
 from gentianhitch.repeating import Repeating
 
 TICK_S = 0.1
-TRANSFER_TIMEOUT_S = 1.0
-EVERYTHING = ""
-"""The prefix of all keys: one call reads all that an instance must know."""
 
-STORE = "store"
-LAPSE = "lapse"
-"""Sources of changes that come from no other instance."""
+MIN_READ_AGE_S = 0.4
+"""A part that was proved since then is not read again."""
 
+CONDITIONAL_READ_BYTES = 16 * 1024
+"""A larger configuration is read only if it changed.
 
-@attrs.frozen
-class Origin:
-    """Where a view came from, and how long and how large its transfer was.
-
-    ``source`` is the name of an instance, ``STORE`` or ``LAPSE``; ``age_s`` counts from
-    the start
-    of the read of the store that showed the view.
-    """
-
-    source: str
-    size_bytes: int
-    elapsed_s: float
-    age_s: float
+Smaller ones are read whole: the answer to a conditional read is lost where the store
+loses the answers to writes.
+"""
 
 
 class Refresher:
@@ -62,27 +49,31 @@
     def __init__(
         self,
         clock: Any,
-        store: KeyValueStore,
-        agent: Any,
+        reader: StoreReader,
         datagrams: Datagrams,
         knowledge: Knowledge,
-        name: str,
-        failure_domain: str,
+        plan: SourcePlan,
+        source: ConfigurationSource,
+        agent: Any,
         events: Events,
         on_change: Callable[[Change, Origin], None],
+        on_configuration: Callable[[StoredConfiguration, Origin], None],
     ) -> None:
         self._clock = clock
-        self._store = store
-        self._agent = agent
+        self._reader = reader
         self._datagrams = datagrams
         self._knowledge = knowledge
-        self._plan = SourcePlan(name, failure_domain)
+        self._plan = plan
+        self._source = source
         self._events = events
         self._on_change = on_change
-        self._decoder = ViewDecoder()
-        self._reading = False
-        self._fetching: set[str] = set()
-        self._store_reachable = True
+        self._on_configuration = on_configuration
+        self._fetcher = ConfigurationFetcher(
+            clock, agent, knowledge, plan.name, source, events, self._take_configuration
+        )
+        self._reading: set[str] = set()
+        self._lost: set[str] = set()
+        self._conditional_read_failed = False
         self._rejected: dict[str, str] = {}
         self._loop = Repeating(clock, TICK_S, self._tick, events.failure)
 
@@ -100,127 +91,169 @@
         peers = self._knowledge.peers_by_name.values()
         step = self._plan.next_step(peers, self._knowledge.age_s(now), now)
         for peer in step.peers:
-            self._datagrams.send(Ask(self._plan.name, now), peer.datagrams)
-        if step.read_store and not self._reading:
-            self._reading = True
-            Deferred.fromCoroutine(self._read_store()).addErrback(self._events.failure)
+            self._datagrams.send(self._ask(now), peer.datagrams)
+        if step.read_store:
+            self._read_store(now)
+
+    # The store.
 
-    async def _read_store(self) -> None:
+    def _read_store(self, now: float) -> None:
+        if self._knowledge.listing_age_s(now) >= MIN_READ_AGE_S:
+            self._read("listing", self._read_listing)
+        is_old = self._knowledge.configuration_age_s(now) >= MIN_READ_AGE_S
+        if is_old and not self._fetcher.is_fetching:
+            self._read("configuration", self._read_configuration)
+
+    def _read(self, part: str, read: Callable[[Progress], Any]) -> None:
+        if part not in self._reading:
+            self._reading.add(part)
+            reading = Deferred.fromCoroutine(self._read_part(part, read))
+            reading.addErrback(self._events.failure)
+
+    async def _read_part(self, part: str, read: Callable[[Progress], Any]) -> None:
         began_s = self._clock.seconds()
         progress = Progress()
         try:
-            page = await self._store.read_range(EVERYTHING, progress)
-            view = self._decoder.decode(page.items, page.revision)
+            await read(progress)
         except PlatformError as error:
             self._plan.read_ended(succeeded=False)
-            self._note_store(
-                reachable=False,
-                detail=str(error),
-                received_bytes=progress.received,
-                elapsed_ms=self._elapsed_ms(began_s),
-            )
-            return
+            if part not in self._lost:
+                self._lost.add(part)
+                self._events.state(
+                    "store_lost",
+                    part=part,
+                    detail=str(error),
+                    received_bytes=progress.received,
+                    elapsed_ms=int((self._clock.seconds() - began_s) * 1000),
+                )
+        else:
+            self._plan.read_ended(succeeded=True)
+            if part in self._lost:
+                self._lost.discard(part)
+                self._events.state("store_regained", part=part)
         finally:
-            self._reading = False
-        self._plan.read_ended(succeeded=True)
-        self._note_store(reachable=True)
-        self._note_rejected()
-        self._take(view, began_s, STORE, began_s, progress.received)
+            self._reading.discard(part)
 
-    def told(self, message: Told) -> None:
-        """Take a peer's answer: a proof, or a reason to fetch its view."""
+    async def _read_listing(self, progress: Progress) -> None:
+        began_s = self._clock.seconds()
+        listing = await self._reader.read_listing(progress)
+        self._note_rejected()
         now = self._clock.seconds()
-        self._plan.answered(message.sender, message.age_s, now)
-        began_s = message.asked_s - message.age_s
-        if self._knowledge.confirm(message.digest, began_s):
-            return
-        view = self._knowledge.view
-        newer = view is None or message.revision > view.revision
-        peer = self._knowledge.peers_by_name.get(message.sender)
-        if newer and peer is not None and message.sender not in self._fetching:
-            self._fetching.add(message.sender)
-            fetching = Deferred.fromCoroutine(self._fetch(peer))
-            fetching.addErrback(self._events.failure)
+        change = self._knowledge.learn_listing(listing, began_s, now)
+        elapsed_s = now - began_s
+        origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
+        self._note_change(change, origin)
 
-    async def _fetch(self, peer: Peer) -> None:
+    async def _read_configuration(self, progress: Progress) -> None:
         began_s = self._clock.seconds()
-        url = f"http://{peer.views}{VIEW_PATH}"
-        progress = Progress()
-        try:
-            calling = Deferred.fromCoroutine(self._get(url, progress))
-            body = await calling.addTimeout(TRANSFER_TIMEOUT_S, self._clock)
-            received = decode_view(body)
-            configuration = self._decoder.configuration(
-                received.configuration_source, received.configuration_revision
-            )
-        except (
-            *NOT_SENT_ERRORS,
-            DeferredTimeoutError,
-            MalformedMessageError,
-            PlatformError,
-            ResponseFailed,
-        ) as error:
-            self._events.state(
-                "view_not_fetched",
-                peer=peer.name,
-                detail=repr(error),
-                received_bytes=progress.received,
-                elapsed_ms=self._elapsed_ms(began_s),
-                transfers=len(self._fetching),
+        known = self._knowledge.stored_configuration
+        if (
+            known is None
+            or len(known.source) <= CONDITIONAL_READ_BYTES
+            or self._conditional_read_failed
+        ):
+            stored = await self._reader.read_configuration(progress)
+            self._conditional_read_failed = False
+        else:
+            # Holds until an answer has come.
+            self._conditional_read_failed = True
+            changed = await self._reader.read_configuration_if_changed(
+                known.revision, progress
             )
+            self._conditional_read_failed = False
+            stored = known if changed is None else changed
+        if stored is None:
+            self._knowledge.confirm_configuration(NO_REVISION, began_s)
             return
-        finally:
-            self._fetching.discard(peer.name)
-        view = StoreView(
-            received.revision,
-            received.configuration_revision,
-            received.configuration_source,
-            configuration,
-            {server.id: server for server in received.backend_servers},
-            {each.name: each for each in received.peers},
-            received.digest,
-        )
-        self._take(
-            view, began_s - received.age_s, peer.name, began_s, progress.received
+        elapsed_s = self._clock.seconds() - began_s
+        origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
+        self._take_configuration(stored, began_s, origin)
+
+    # Other instances.
+
+    def _ask(self, now: float, *, compare: bool = False) -> Ask:
+        registry = self._knowledge.registry
+        digests = registry.digests() if compare else b""
+        return Ask(self._plan.name, now, registry.revision, digests)
+
+    def answer(self, ask: Ask) -> Told | None:
+        """Answer a peer; None while nothing is known."""
+        knowledge = self._knowledge
+        registry = knowledge.registry
+        if not registry.revision and not knowledge.configuration_revision:
+            return None
+        now = self._clock.seconds()
+        is_compared = bool(ask.digests) and registry.revision > ask.revision
+        differing = registry.differing(ask.digests) if is_compared else []
+        buckets, remaining = pack_buckets(differing)
+        return Told(
+            self._plan.name,
+            ask.sent_s,
+            knowledge.listing_age_s(now),
+            registry.revision,
+            registry.digest,
+            knowledge.configuration_age_s(now),
+            knowledge.configuration_revision,
+            is_compared,
+            buckets,
+            remaining,
         )
 
-    async def _get(self, url: str, progress: Progress) -> bytes:
-        answer = await call(self._agent, "GET", url, progress=progress)
-        if answer.status != HTTPStatus.OK:
-            raise MalformedMessageError(f"status {answer.status} from {url}")
-        return answer.body
+    def told(self, message: Told) -> None:
+        """Take a peer's answer: proofs, parts that differ, or a reason to get them."""
+        now = self._clock.seconds()
+        self._plan.answered(message.sender, message.listing_age_s, now)
+        peer = self._knowledge.peers_by_name.get(message.sender)
+        self._told_configuration(message, peer)
+        self._told_listing(message, peer, now)
 
-    def _take(
-        self,
-        view: StoreView,
-        proved_s: float,
-        source: str,
-        began_s: float,
-        size_bytes: int,
+    def _told_configuration(self, message: Told, peer: Peer | None) -> None:
+        knowledge = self._knowledge
+        proved_s = message.asked_s - message.configuration_age_s
+        if knowledge.confirm_configuration(message.configuration_revision, proved_s):
+            return
+        newer = message.configuration_revision > knowledge.configuration_revision
+        if newer and peer is not None:
+            self._fetcher.offered(peer)
+
+    def _told_listing(self, message: Told, peer: Peer | None, now: float) -> None:
+        knowledge = self._knowledge
+        proved_s = message.asked_s - message.listing_age_s
+        revision, digest = message.listing_revision, message.digest
+        if knowledge.confirm_listing(revision, digest, proved_s):
+            return
+        if revision <= knowledge.registry.revision:
+            return
+        if message.is_compared:
+            try:
+                buckets = [(n, decode_bucket(data)) for n, data in message.buckets]
+            except MalformedMessageError as error:
+                self._events.state("listing_not_merged", detail=str(error))
+                return
+            change = knowledge.merge(revision, digest, buckets, proved_s)
+            size_bytes = sum(len(data) for _, data in message.buckets)
+            origin = Origin(
+                message.sender, size_bytes, now - message.asked_s, now - proved_s
+            )
+            self._note_change(change, origin)
+        if peer is not None and (message.remaining or not message.is_compared):
+            self._datagrams.send(self._ask(now, compare=True), peer.datagrams)
+
+    # Both.
+
+    def _take_configuration(
+        self, stored: StoredConfiguration, proved_s: float, origin: Origin
     ) -> None:
-        now = self._clock.seconds()
-        if source == STORE:
-            change = self._knowledge.learn_read(view, proved_s, now)
-        else:
-            change = self._knowledge.learn(view, proved_s)
-        origin = Origin(source, size_bytes, now - began_s, now - proved_s)
-        self._note_change(change, origin)
+        if self._knowledge.learn_configuration(stored, proved_s):
+            self._source.take(stored)
+            self._on_configuration(stored, origin)
 
     def _note_change(self, change: Change | None, origin: Origin) -> None:
         if change is not None:
             self._on_change(change, origin)
 
-    def _elapsed_ms(self, began_s: float) -> int:
-        return int((self._clock.seconds() - began_s) * 1000)
-
-    def _note_store(self, *, reachable: bool, **inputs: object) -> None:
-        if reachable != self._store_reachable:
-            self._store_reachable = reachable
-            event = "store_regained" if reachable else "store_lost"
-            self._events.state(event, **inputs)
-
     def _note_rejected(self) -> None:
-        rejected = self._decoder.rejected_by_key
+        rejected = self._reader.rejected_by_key
         for key, reason in rejected.items():
             if key not in self._rejected:
                 self._events.state("entry_rejected", key=key, detail=reason)
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -36,6 +36,9 @@
 ANSWER_MARGIN_S = 0.02
 """A final answer is written so long before the route's timeout."""
 
+MAX_SHOWN_AGE_S = 3600.0
+"""What logs show for a part that was never proved."""
+
 RETRY_AFTER_S = 0.3
 """When to come back after a refusal that says that nothing ran."""
 
@@ -72,7 +75,7 @@
         configuration = self.knowledge.configuration
         if configuration is None:
             return Refusal(Cause.NOT_FRESH, retry_after_s=RETRY_AFTER_S)
-        age_s = self.knowledge.age_s(now)
+        age_s = self.knowledge.configuration_age_s(now)
         route = configuration.find_route(request.host, request.path)
         if route is None:
             return _unknown(Cause.UNKNOWN_ROUTE, age_s)
@@ -181,12 +184,19 @@
             server=server.id,
             service=self._service,
             detail=detail,
-            view_age_ms=self._view_age_ms(),
+            **self._ages_ms(),
         )
 
-    def _view_age_ms(self) -> int:
-        now = self._server.clock.seconds()
-        return int(min(self._server.knowledge.age_s(now), 3600.0) * 1000)
+    def _ages_ms(self) -> dict[str, int]:
+        knowledge, now = self._server.knowledge, self._server.clock.seconds()
+        ages_s = {
+            "configuration_age_ms": knowledge.configuration_age_s(now),
+            "listing_age_ms": knowledge.listing_age_s(now),
+        }
+        return {
+            name: int(min(age_s, MAX_SHOWN_AGE_S) * 1000)
+            for name, age_s in ages_s.items()
+        }
 
     def _refuse(self, refusal: Refusal) -> None:
         self._finish(refusal.cause.label, None, detail=refusal.detail)
@@ -208,7 +218,6 @@
         admitted = self._admitted
         elapsed_s = self._server.clock.seconds() - self._began_s
         workspace = admitted.workspace.name if admitted and admitted.workspace else ""
-        view = self._server.knowledge.view
         self._server.events.request(
             "finished",
             self._request.request_id,
@@ -219,7 +228,7 @@
             elapsed_ms=int(elapsed_s * 1000),
             remaining_ms=int(self._request.remaining_s * 1000),
             detail=detail,
-            view_age_ms=self._view_age_ms(),
-            configuration=0 if view is None else view.configuration_revision,
+            **self._ages_ms(),
+            configuration=self._server.knowledge.configuration_revision,
         )
         self._server.finished(outcome, workspace, elapsed_s)
--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -18,6 +18,7 @@
 from klein import Klein
 
 from standins import serving
+from standins.platform_store import Record
 from standins.platform_store import Store
 from standins.platform_store import StoreConflictError
 
@@ -46,6 +47,7 @@
         self.faults = StoreFaults()
         self.calls = 0
         self.app = Klein()
+        self._serve("GET", "/v1/kv-key", self._key)
         self._serve("GET", "/v1/kv-range", self._range)
         self._serve("POST", "/v1/kv-txn", self._txn)
         self._serve("POST", "/v1/kv-lease", self._grant)
@@ -91,19 +93,18 @@
 
         return guarded
 
+    def _key(self, request: Any) -> bytes:
+        record = self.store.get(request.args[b"key"][0].decode())
+        at = self.store.revision
+        if record is None:
+            return serving.answer_json(request, {"at": at}, 404)
+        return serving.answer_json(request, {**_show(record), "at": at})
+
     def _range(self, request: Any) -> bytes:
         prefix = request.args.get(b"prefix", [b""])[0].decode()
         after = request.args.get(b"after", [b""])[0].decode()
         records = self.store.range(prefix, after)
-        items = [
-            {
-                "key": record.key,
-                "value": record.value,
-                "revision": record.revision,
-                "created": record.created,
-            }
-            for record in records[:PAGE_ITEMS]
-        ]
+        items = [_show(record) for record in records[:PAGE_ITEMS]]
         more = len(records) > PAGE_ITEMS
         at = self.store.revision
         return serving.answer_json(request, {"items": items, "hasMore": more, "at": at})
@@ -113,10 +114,14 @@
         puts = body.get("puts", [])
         if any(put["key"].startswith(NOT_WRITABLE) for put in puts):
             return serving.answer_json(request, {}, 403)
-        for expected in body.get("expect", []):
-            current = self.store.get(expected["key"])
-            if (current.revision if current else 0) != expected["revision"]:
-                return serving.answer_json(request, {"items": []}, 412)
+        expected = {row["key"]: row["revision"] for row in body.get("expect", [])}
+        found = {key: self.store.get(key) for key in expected}
+        if any(
+            (record.revision if record else 0) != expected[key]
+            for key, record in found.items()
+        ):
+            items = [_show(record) for record in found.values() if record is not None]
+            return serving.answer_json(request, {"items": items}, 412)
         try:
             for put in puts:
                 current = self.store.get(put["key"])
@@ -161,6 +166,15 @@
         return serving.answer_json(request, {})
 
 
+def _show(record: Record) -> dict[str, Any]:
+    return {
+        "key": record.key,
+        "value": record.value,
+        "revision": record.revision,
+        "created": record.created,
+    }
+
+
 def main() -> None:
     """Serve until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -163,7 +163,7 @@
 
     def _peers_known(self, proxy: Proxy) -> list[dict[str, Any]]:
         expected = len(self.proxies)
-        changes = proxy.events("view_changed")
+        changes = proxy.events("listing_changed")
         return [event for event in changes if event["peers"] == expected]
 
     def store_address(self, proxy: str) -> str:
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -9,13 +9,13 @@
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Configuration
+from gentianhitch.proxy.model import Listing
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.model import Service
-from gentianhitch.proxy.model import StoreView
+from gentianhitch.proxy.model import StoredConfiguration
 from gentianhitch.proxy.model import WeightedService
 from gentianhitch.proxy.model import Workspace
-from gentianhitch.proxy.model import digest_of
 
 OVERSHOOT = Overshoot(window_s=5.0, ratio=0.1, slack=20.0)
 HOST = "shop.example"
@@ -87,19 +87,17 @@
     )
 
 
-def make_view(
-    revision: int,
-    *servers: BackendServer,
-    peers: tuple[Peer, ...] = (),
-    configuration: Configuration | None = None,
-    configuration_revision: int = 1,
-) -> StoreView:
-    return StoreView(
+def make_listing(
+    revision: int, *servers: BackendServer, peers: tuple[Peer, ...] = ()
+) -> Listing:
+    return Listing(
         revision=revision,
-        configuration_revision=configuration_revision,
-        configuration_source=b"{}",
-        configuration=configuration or make_configuration(),
         backend_servers_by_id={server.id: server for server in servers},
         peers_by_name={peer.name: peer for peer in peers},
-        digest=digest_of(configuration_revision, servers, peers),
     )
+
+
+def make_stored(
+    revision: int, configuration: Configuration | None = None
+) -> StoredConfiguration:
+    return StoredConfiguration(revision, b"{}", configuration or make_configuration())
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -125,7 +125,8 @@
         connection = HTTPConnection(host, int(port), timeout=TIMEOUT_S)
         connection.request("GET", "/metrics")
         text = connection.getresponse().read().decode()
-        assert "gentianhitch_view_age_seconds" in text
+        assert "gentianhitch_listing_age_seconds" in text
+        assert "gentianhitch_configuration_age_seconds" in text
 
 
 class TestFaults:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -71,6 +71,53 @@
         run_on_reactor(read())
 
 
+class TestItems:
+    def test_reads_past_a_key(self) -> None:
+        scenario = Scenario()
+        for key in ("op/config", "peers/e-1", "servers/a"):
+            scenario.server.write(key, b"1")
+
+        async def read() -> list[str]:
+            page = await scenario.client.read_range("", "op/config")
+            return [item.key for item in page.items]
+
+        assert run_on_reactor(read()) == ["peers/e-1", "servers/a"]
+
+    def test_reads_one_item(self) -> None:
+        scenario = Scenario()
+        scenario.server.write("op/config", b"2")
+
+        async def read() -> tuple[bytes, object]:
+            item = await scenario.client.read("op/config")
+            assert item is not None
+            return item.value, await scenario.client.read("op/none")
+
+        assert run_on_reactor(read()) == (b"2", None)
+
+    # Guards against reads whose answers hold what the reader has already.
+    def test_reads_an_item_only_if_it_changed(self) -> None:
+        scenario = Scenario()
+        scenario.server.write("op/config", b"2")
+
+        async def read() -> tuple[bytes, object]:
+            item = await scenario.client.read_if_changed("op/config", 0)
+            assert item is not None
+            same = await scenario.client.read_if_changed("op/config", item.revision)
+            return item.value, same
+
+        assert run_on_reactor(read()) == (b"2", None)
+
+    def test_a_refused_conditional_read_is_an_error(self) -> None:
+        scenario = Scenario()
+        scenario.server.faults.outage = "busy"
+
+        async def read() -> None:
+            with pytest.raises(UnavailableError, match="status"):
+                await scenario.client.read_if_changed("op/config", 1)
+
+        run_on_reactor(read())
+
+
 class TestLeases:
     def test_an_item_goes_with_its_lease(self) -> None:
         scenario = Scenario()
--- a/tests/platform/test_store_view.py
+++ b/tests/platform/test_store_view.py
@@ -6,7 +6,7 @@
 
 from gentianhitch.platform.store import Item
 from gentianhitch.platform.store_view import MalformedEntryError
-from gentianhitch.platform.store_view import ViewDecoder
+from gentianhitch.platform.store_view import StoreReader
 from gentianhitch.platform.store_view import decode_backend_server
 from gentianhitch.platform.store_view import decode_peer
 from gentianhitch.platform.store_view import encode_peer
@@ -56,19 +56,11 @@
             decode_backend_server(make_item(broken))
 
     def test_a_broken_entry_leaves_the_others_in_force(self) -> None:
-        decoder = ViewDecoder()
+        reader = StoreReader(None)  # type: ignore[arg-type]
         items = [make_item(ENTRY), make_item(b"?", "servers/i-2")]
-        view = decoder.decode(items, 20)
-        assert set(view.backend_servers_by_id) == {"i-1"}
-        assert set(decoder.rejected_by_key) == {"servers/i-2"}
-
-    def test_a_heartbeat_does_not_change_the_digest(self) -> None:
-        decoder = ViewDecoder()
-        before = decoder.decode([make_item(ENTRY)], 20)
-        after = decoder.decode([make_item({**ENTRY, "sequenceNumber": 5})], 21)
-        assert before.digest == after.digest
-        gone = decoder.decode([make_item({**ENTRY, "state": "draining"})], 22)
-        assert gone.digest != before.digest
+        listing = reader.decode_listing(items, 20)
+        assert set(listing.backend_servers_by_id) == {"i-1"}
+        assert set(reader.rejected_by_key) == {"servers/i-2"}
 
 
 class TestPeers:
--- /dev/null
+++ b/tests/proxy/test_configuration_source.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from gentianhitch.instances.configuration_transfer import decode_busy
+from gentianhitch.instances.configuration_transfer import decode_transfer
+from gentianhitch.instances.configuration_transfer import decompress
+from gentianhitch.proxy.configuration_source import KEPT_VERSIONS
+from gentianhitch.proxy.configuration_source import ConfigurationSource
+from gentianhitch.proxy.model import StoredConfiguration
+from tests.builders_deployment import make_document
+from tests.builders_proxy import make_configuration
+
+SLOW_LINK_MBPS = 0.2
+FAST_LINK_MBPS = 1000.0
+
+
+class FakeRequest:
+    """A request whose answer is being sent until ``finished`` fires."""
+
+    def __init__(self, receiver: str, base: int = 0) -> None:
+        self.args = {b"for": [receiver.encode()], b"base": [b"%d" % base]}
+        self.status = 200
+        self.finished: Deferred[None] = Deferred()
+
+    def setResponseCode(self, status: int) -> None:  # noqa: N802
+        self.status = status
+
+    def notifyFinish(self) -> Deferred[None]:  # noqa: N802
+        return self.finished
+
+
+def make_stored(revision: int) -> StoredConfiguration:
+    document = make_document(revision, 200)
+    return StoredConfiguration(
+        revision, json.dumps(document).encode(), make_configuration()
+    )
+
+
+def make_source(link_mbps: float, *revisions: int) -> ConfigurationSource:
+    source = ConfigurationSource(link_mbps, lambda: 0.5, lambda *counted: None)
+    for revision in revisions:
+        source.take(make_stored(revision))
+    return source
+
+
+class TestDifferences:
+    def test_a_receiver_without_a_base_gets_the_whole(self) -> None:
+        source = make_source(FAST_LINK_MBPS, 5)
+        transfer = decode_transfer(source.answer(FakeRequest("e-1")))
+        assert (transfer.revision, transfer.base_revision) == (5, 0)
+        assert decompress(transfer.compressed, b"") == make_stored(5).source
+
+    def test_a_receiver_with_a_kept_base_gets_the_difference(self) -> None:
+        source = make_source(FAST_LINK_MBPS, 5, 9)
+        transfer = decode_transfer(source.answer(FakeRequest("e-1", 5)))
+        assert (transfer.revision, transfer.base_revision) == (9, 5)
+        base = make_stored(5).source
+        assert decompress(transfer.compressed, base) == make_stored(9).source
+        assert len(transfer.compressed) < len(base) / 100
+
+    def test_a_receiver_far_behind_gets_the_whole(self) -> None:
+        revisions = range(1, KEPT_VERSIONS + 2)
+        source = make_source(FAST_LINK_MBPS, *revisions)
+        transfer = decode_transfer(source.answer(FakeRequest("e-1", 1)))
+        assert transfer.base_revision == 0
+
+    def test_there_is_nothing_to_send_before_the_first(self) -> None:
+        request = FakeRequest("e-1")
+        assert make_source(FAST_LINK_MBPS).answer(request) == b""
+        assert request.status == 404
+
+
+class TestBusyLink:
+    # Guards against transfers that slow each other down until all of them fail.
+    def test_what_the_link_can_not_bear_is_sent_to_one_that_has_it(self) -> None:
+        source = make_source(SLOW_LINK_MBPS, 5)
+        first, second, third = (FakeRequest(f"e-{n}") for n in range(3))
+        source.answer(first)
+        assert decode_busy(source.answer(second)).holder == ""
+        assert (first.status, second.status) == (200, 503)
+        first.finished.callback(None)
+        source.answer(third)
+        assert decode_busy(source.answer(second)).holder == "e-0"
+
+    def test_a_cut_transfer_frees_the_link_and_makes_no_holder(self) -> None:
+        source = make_source(SLOW_LINK_MBPS, 5)
+        first, second = FakeRequest("e-0"), FakeRequest("e-1")
+        source.answer(first)
+        first.finished.errback(ConnectionError())
+        source.answer(second)
+        assert second.status == 200
+        assert decode_busy(source.answer(FakeRequest("e-2"))).holder == ""
+
+    def test_a_fast_link_serves_many_at_a_time(self) -> None:
+        source = make_source(FAST_LINK_MBPS, 5)
+        requests = [FakeRequest(f"e-{number}") for number in range(30)]
+        for request in requests:
+            source.answer(request)
+        assert {request.status for request in requests} == {200}
+
+    def test_holders_of_an_older_configuration_are_not_named(self) -> None:
+        source = make_source(SLOW_LINK_MBPS, 5)
+        first: Any = FakeRequest("e-0")
+        source.answer(first)
+        first.finished.callback(None)
+        source.take(make_stored(9))
+        source.answer(FakeRequest("e-1"))
+        assert decode_busy(source.answer(FakeRequest("e-2"))).holder == ""
--- a/tests/proxy/test_knowledge.py
+++ b/tests/proxy/test_knowledge.py
@@ -1,71 +1,141 @@
 from __future__ import annotations
 
 from gentianhitch.proxy.knowledge import RETURN_S
+from gentianhitch.proxy.knowledge import Change
 from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.registry import Registry
+from tests.builders_proxy import make_listing
 from tests.builders_proxy import make_peer
 from tests.builders_proxy import make_server
-from tests.builders_proxy import make_view
+from tests.builders_proxy import make_stored
 
 HEARTBEAT_S = 1.5
 
 
+def make_knowledge(*servers: str) -> Knowledge:
+    knowledge = Knowledge(HEARTBEAT_S)
+    listing = make_listing(5, *(make_server(name) for name in servers))
+    knowledge.learn_listing(listing, began_s=10.0, now=10.0)
+    return knowledge
+
+
+def follow(knowledge: Knowledge, source: Knowledge, proved_s: float) -> Change | None:
+    """Take all that differs from a peer."""
+    registry = source.registry
+    buckets = registry.differing(knowledge.registry.digests())
+    return knowledge.merge(registry.revision, registry.digest, buckets, proved_s)
+
+
 class TestProof:
     def test_age_counts_from_the_start_of_the_read(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5), began_s=10.0, now=10.4)
-        assert knowledge.age_s(11.0) == 1.0
-
-    def test_a_peer_with_the_same_view_proves_it(self) -> None:
+        knowledge.learn_listing(make_listing(5), began_s=10.0, now=10.4)
+        knowledge.learn_configuration(make_stored(3), began_s=10.2)
+        assert knowledge.listing_age_s(11.0) == 1.0
+        assert knowledge.configuration_age_s(11.2) == 1.0
+
+    def test_a_peer_with_the_same_listing_proves_it(self) -> None:
+        knowledge = make_knowledge()
+        assert knowledge.confirm_listing(6, knowledge.registry.digest, 12.0)
+        assert knowledge.listing_age_s(12.5) == 0.5
+
+    def test_a_peer_with_another_listing_proves_nothing(self) -> None:
+        knowledge = make_knowledge()
+        other = make_knowledge("s-1")
+        assert not knowledge.confirm_listing(6, other.registry.digest, 12.0)
+        assert knowledge.listing_age_s(12.0) == 2.0
+
+    def test_a_peer_with_the_same_configuration_proves_it(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        view = make_view(5)
-        knowledge.learn_read(view, 10.0, 10.0)
-        assert knowledge.confirm(view.digest, 12.0)
-        assert knowledge.age_s(12.5) == 0.5
-
-    def test_a_peer_with_another_view_proves_nothing(self) -> None:
-        knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5), 10.0, 10.0)
-        assert not knowledge.confirm(make_view(6, make_server()).digest, 12.0)
-        assert knowledge.age_s(12.0) == 2.0
+        knowledge.learn_configuration(make_stored(3), 10.0)
+        assert knowledge.confirm_configuration(3, 12.0)
+        assert not knowledge.confirm_configuration(4, 13.0)
+        assert knowledge.configuration_age_s(12.5) == 0.5
 
     def test_an_older_proof_does_not_step_back(self) -> None:
+        knowledge = make_knowledge()
+        knowledge.learn_configuration(make_stored(3), 10.0)
+        knowledge.confirm_listing(5, knowledge.registry.digest, 9.0)
+        knowledge.confirm_configuration(3, 9.0)
+        assert knowledge.listing_proved_s == 10.0
+        assert knowledge.configuration_proved_s == 10.0
+
+    # Guards against instances that all read the store for themselves, again and again,
+    # while the operator has not written the first configuration.
+    def test_that_there_is_no_configuration_yet_can_be_proved(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        view = make_view(5)
-        knowledge.learn_read(view, 10.0, 10.0)
-        knowledge.confirm(view.digest, 9.0)
-        assert knowledge.proved_s == 10.0
+        assert knowledge.confirm_configuration(0, 10.0)
+        assert knowledge.configuration_age_s(10.5) == 0.5
+
+    # Guards against a listing that counts as fresh although a peer's answer named only
+    # some of the buckets that differ.
+    def test_a_part_of_a_newer_listing_is_no_proof(self) -> None:
+        source = make_knowledge()
+        servers = [make_server(f"s-{number}") for number in range(20)]
+        source.learn_listing(make_listing(9, *servers), 12.0, 12.0)
+        knowledge = make_knowledge()
+        registry = source.registry
+        buckets = registry.differing(knowledge.registry.digests())
+        change = knowledge.merge(9, registry.digest, buckets[:1], 12.0)
+        assert change is not None
+        assert knowledge.listing_proved_s == 10.0
+        follow(knowledge, source, 12.0)
+        assert knowledge.listing_proved_s == 12.0
+        assert knowledge.servers_by_id == source.servers_by_id
+
 
+class TestNothingStepsBack:
+    def test_an_older_listing_is_dropped(self) -> None:
+        knowledge = Knowledge(HEARTBEAT_S)
+        knowledge.learn_listing(make_listing(6, make_server()), 10.0, 10.0)
+        assert knowledge.learn_listing(make_listing(5), 11.0, 11.0) is None
+        assert set(knowledge.servers_by_id) == {"s-1"}
 
-class TestViews:
-    def test_an_older_view_is_dropped(self) -> None:
+    def test_an_older_bucket_is_dropped(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(6, make_server()), 10.0, 10.0)
-        assert knowledge.learn_read(make_view(5), 11.0, 11.0) is None
+        knowledge.learn_listing(make_listing(6, make_server()), 10.0, 10.0)
+        buckets = Registry().differing(knowledge.registry.digests())
+        assert knowledge.merge(5, b"", buckets, 11.0) is None
         assert set(knowledge.servers_by_id) == {"s-1"}
 
     def test_the_configuration_never_steps_back(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(6, configuration_revision=4), 10.0, 10.0)
-        knowledge.learn_read(make_view(7, configuration_revision=3), 11.0, 11.0)
-        assert knowledge.view is not None
-        assert knowledge.view.configuration_revision == 4
+        knowledge.learn_configuration(make_stored(4), 10.0)
+        assert not knowledge.learn_configuration(make_stored(3), 11.0)
+        assert knowledge.configuration_revision == 4
+        assert knowledge.configuration_proved_s == 10.0
 
     def test_a_restart_under_the_same_id_is_another_server(self) -> None:
-        knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5, make_server()), 10.0, 10.0)
-        change = knowledge.learn_read(
-            make_view(6, make_server(started_ms=2_000)), 10.5, 10.5
+        knowledge = make_knowledge("s-1")
+        change = knowledge.learn_listing(
+            make_listing(6, make_server(started_ms=2_000)), 10.5, 10.5
         )
         assert change is not None
         assert len(change.added) == len(change.removed) == 1
 
+    # Guards against requests to a server that has said that it leaves, when only a
+    # server's state changes and nobody is told of it.
+    def test_a_server_that_begins_to_drain_is_a_change(self) -> None:
+        knowledge = make_knowledge("s-1")
+        change = knowledge.learn_listing(
+            make_listing(6, make_server(draining=True)), 10.5, 10.5
+        )
+        assert change is not None
+        assert [server.id for server in change.draining] == ["s-1"]
+
+    def test_a_heartbeat_is_no_change(self) -> None:
+        knowledge = make_knowledge("s-1")
+        listing = make_listing(6, make_server(warmup_s=2.0))
+        assert knowledge.learn_listing(listing, 10.5, 10.5) is None
+        assert knowledge.registry.revision == 6
+
 
 class TestOutages:
     def test_entries_that_lapsed_in_an_outage_are_kept_until_they_are_due(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        view = make_view(5, make_server(), peers=(make_peer("e-1"),))
-        knowledge.learn_read(view, 10.0, 10.0)
-        knowledge.learn_read(make_view(9), began_s=16.0, now=16.0)
+        listing = make_listing(5, make_server(), peers=(make_peer("e-1"),))
+        knowledge.learn_listing(listing, 10.0, 10.0)
+        knowledge.learn_listing(make_listing(9), began_s=16.0, now=16.0)
         assert set(knowledge.servers_by_id) == {"s-1"}
         assert set(knowledge.peers_by_name) == {"e-1"}
         assert knowledge.expire(16.0 + RETURN_S - 0.01) is None
@@ -76,49 +146,56 @@
         assert not knowledge.peers_by_name
 
     def test_an_entry_that_goes_without_an_outage_is_gone(self) -> None:
-        knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5, make_server()), 10.0, 10.0)
-        knowledge.learn_read(make_view(6), 10.5, 10.5)
+        knowledge = make_knowledge("s-1")
+        knowledge.learn_listing(make_listing(6), 10.5, 10.5)
         assert not knowledge.servers_by_id
 
     def test_a_server_that_left_while_this_instance_heard_nothing_is_gone(self) -> None:
         # Cause: readers that were cut off made proofs 1.6 s late, which passed for an
         # outage of the store; a server that had left got requests for 2 s more.
-        knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5, make_server()), 10.0, 10.0)
-        knowledge.learn_read(make_view(6), 11.6, 11.6)
+        knowledge = make_knowledge("s-1")
+        knowledge.learn_listing(make_listing(6), 11.6, 11.6)
         assert not knowledge.servers_by_id
 
     def test_a_server_that_came_back_and_left_is_gone(self) -> None:
-        knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5, make_server()), 10.0, 10.0)
-        knowledge.learn_read(make_view(9), 16.0, 16.0)
-        knowledge.learn_read(make_view(10, make_server()), 16.5, 16.5)
-        knowledge.learn_read(make_view(11), 17.0, 17.0)
+        knowledge = make_knowledge("s-1")
+        knowledge.learn_listing(make_listing(9), 16.0, 16.0)
+        knowledge.learn_listing(make_listing(10, make_server()), 16.5, 16.5)
+        knowledge.learn_listing(make_listing(11), 17.0, 17.0)
         assert not knowledge.servers_by_id
 
     def test_a_draining_server_is_not_kept(self) -> None:
         knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn_read(make_view(5, make_server(draining=True)), 10.0, 10.0)
-        knowledge.learn_read(make_view(9), 16.0, 16.0)
+        draining = make_listing(5, make_server(draining=True))
+        knowledge.learn_listing(draining, 10.0, 10.0)
+        knowledge.learn_listing(make_listing(9), 16.0, 16.0)
         assert not knowledge.servers_by_id
 
     # Guards against requests to servers that have left, when an instance took a gap in
     # its own proofs, such as transfers that failed, for an outage of the store.
     def test_a_gap_of_this_instance_alone_is_no_outage(self) -> None:
-        knowledge = Knowledge(HEARTBEAT_S)
-        knowledge.learn(make_view(5, make_server()), 10.0)
-        knowledge.learn(make_view(9), 16.0)
+        knowledge, source = make_knowledge("s-1"), make_knowledge("s-1")
+        for revision, at_s in ((6, 12.0), (7, 14.0), (9, 16.0)):
+            source.learn_listing(make_listing(revision), at_s, at_s)
+        follow(knowledge, source, 16.0)
         assert not knowledge.servers_by_id
+        assert knowledge.listing_proved_s == 16.0
 
     # Guards against servers that vanish for the others while a reader expects them
     # back after an outage of the store.
     def test_others_keep_what_a_reader_keeps(self) -> None:
-        reader, other = Knowledge(HEARTBEAT_S), Knowledge(HEARTBEAT_S)
-        for knowledge in (reader, other):
-            knowledge.learn_read(make_view(5, make_server()), 10.0, 10.0)
-        reader.learn_read(make_view(9), 16.0, 16.0)
-        assert reader.view is not None
-        other.learn(reader.view, 16.0)
+        reader, other = make_knowledge("s-1"), make_knowledge("s-1")
+        reader.learn_listing(make_listing(9), 16.0, 16.0)
+        follow(other, reader, 16.0)
         assert set(other.servers_by_id) == {"s-1"}
-        assert other.confirm(reader.view.digest, 16.1)
+        assert other.listing_proved_s == 16.0
+
+    # Guards against a server that is back and is dropped all the same, by an instance
+    # that kept it and now follows another.
+    def test_what_a_later_reader_shows_is_not_dropped(self) -> None:
+        knowledge, source = make_knowledge("s-1"), make_knowledge("s-1")
+        knowledge.learn_listing(make_listing(9), 16.0, 16.0)
+        source.learn_listing(make_listing(10, make_server()), 16.3, 16.3)
+        follow(knowledge, source, 16.3)
+        assert knowledge.expire(16.0 + RETURN_S) is None
+        assert set(knowledge.servers_by_id) == {"s-1"}
--- /dev/null
+++ b/tests/proxy/test_registry.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies
+
+from gentianhitch.proxy.registry import BUCKETS
+from gentianhitch.proxy.registry import Registry
+from tests.builders_proxy import make_listing
+from tests.builders_proxy import make_peer
+from tests.builders_proxy import make_server
+
+SERVERS = [make_server(f"s-{number}") for number in range(200)]
+PEERS = tuple(make_peer(f"e-{number}") for number in range(90))
+
+
+def make_registry(revision: int, *servers: object) -> Registry:
+    registry = Registry()
+    registry.replace(make_listing(revision, *servers, peers=PEERS))
+    return registry
+
+
+class TestDifferences:
+    def test_equal_registries_differ_in_nothing(self) -> None:
+        one, other = make_registry(5, *SERVERS), make_registry(7, *SERVERS)
+        assert one.digest == other.digest
+        assert one.differing(other.digests()) == []
+
+    # Guards against changes whose cost grows with the number of entries.
+    def test_one_change_differs_in_one_bucket(self) -> None:
+        one, other = make_registry(5, *SERVERS), make_registry(7, *SERVERS[1:])
+        differing = other.differing(one.digests())
+        assert len(differing) == 1
+        entries = sum(len(bucket.servers) for _, bucket in differing)
+        assert entries <= 4 * len(SERVERS) / BUCKETS
+
+    def test_a_heartbeat_does_not_change_the_digest(self) -> None:
+        one = make_registry(5, make_server(warmup_s=2.0))
+        assert one.digest == make_registry(6, make_server(warmup_s=1.0)).digest
+        assert one.digest != make_registry(7, make_server(draining=True)).digest
+
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 2),
+                strategies.integers(0, 2),
+                strategies.integers(0, 63),
+            ),
+            max_size=40,
+        )
+    )
+    def test_any_order_of_exchanges_ends_at_the_newest(self, steps: list) -> None:
+        """Three instances exchange parts of three reads, then everything."""
+        reads = [
+            make_listing(10 + number, *SERVERS[number * 20 : 100 + number * 20])
+            for number in range(3)
+        ]
+        instances = [Registry() for _ in reads]
+        for instance, listing in zip(instances, reads, strict=True):
+            instance.replace(listing)
+        for to, source, most in steps:
+            registry = instances[source]
+            differing = registry.differing(instances[to].digests())
+            instances[to].merge(registry.revision, differing[:most])
+            assert instances[to].revision >= 10 + to
+        newest = instances[2]
+        for instance in instances:
+            differing = newest.differing(instance.digests())
+            instance.merge(newest.revision, differing)
+            assert instance.servers_by_id == dict(reads[2].backend_servers_by_id)
+            assert instance.digest == newest.digest
--- a/tests/proxy/test_steering.py
+++ b/tests/proxy/test_steering.py
@@ -9,15 +9,15 @@
 from gentianhitch.proxy.steering import INSTANCES_PER_SERVING
 from gentianhitch.proxy.steering import MIN_SERVING
 from gentianhitch.proxy.steering import serving_instances
+from tests.builders_proxy import make_listing
 from tests.builders_proxy import make_peer
-from tests.builders_proxy import make_view
 
 PEERS = tuple(make_peer(f"{domain}-{n}", domain) for domain in "abc" for n in range(5))
 
 
 def make_directory(*, heard: bool = True) -> Directory:
     knowledge = Knowledge(1.5)
-    knowledge.learn(make_view(5, peers=PEERS), 10.0)
+    knowledge.learn_listing(make_listing(5, peers=PEERS), 10.0, 10.0)
     return Directory(knowledge, lambda now: heard)
 
 
--- /dev/null
+++ b/tests/unit/test_bucket_codec.py
@@ -0,0 +1,47 @@
+from __future__ import annotations
+
+import pytest
+
+from gentianhitch.instances.bucket_codec import MAX_PACKED_BYTES
+from gentianhitch.instances.bucket_codec import decode_bucket
+from gentianhitch.instances.bucket_codec import encode_bucket
+from gentianhitch.instances.bucket_codec import pack_buckets
+from gentianhitch.instances.codec import MalformedMessageError
+from gentianhitch.proxy.registry import Bucket
+from tests.builders_proxy import make_peer
+from tests.builders_proxy import make_server
+
+
+def make_bucket(servers: int) -> Bucket:
+    return Bucket(
+        tuple(make_server(f"s-{number}") for number in range(servers)),
+        (make_peer("e-1"),),
+    )
+
+
+class TestBuckets:
+    def test_round_trip(self) -> None:
+        bucket = make_bucket(3)
+        decoded = decode_bucket(encode_bucket(bucket))
+        assert decoded == bucket
+        assert decoded.digest == bucket.digest
+
+    @pytest.mark.parametrize("data", [b"", b"\x93", b"\x92\x90\x91\x01"])
+    def test_broken_bytes_are_an_error(self, data: bytes) -> None:
+        with pytest.raises(MalformedMessageError):
+            decode_bucket(data)
+
+
+class TestPacking:
+    def test_what_does_not_fit_is_left_for_the_next_datagram(self) -> None:
+        buckets = [(number, make_bucket(4)) for number in range(20)]
+        packed, remaining = pack_buckets(buckets)
+        assert 0 < len(packed) < len(buckets)
+        assert remaining == len(buckets) - len(packed)
+        assert sum(len(data) for _, data in packed) <= MAX_PACKED_BYTES
+
+    # Guards against an exchange that never ends, when one bucket fills a datagram.
+    def test_a_bucket_that_is_too_large_is_sent_all_the_same(self) -> None:
+        packed, remaining = pack_buckets([(3, make_bucket(60)), (4, make_bucket(1))])
+        assert [number for number, _ in packed] == [3]
+        assert remaining == 1
