Bound what unfinished answers of backend servers hold

Callers would have seen an instance that runs out of memory and takes all its requests with it. Cause: only one answer of 64 MiB was bounded, for each connection, and heads counted as their bytes while each header takes a hundred more. Evidence: fed with 20 MiB of short headers, the code before kept all of them, 274 MB resident at most where instances have 200 to 300 MB (a run by hand). Now a head ends at 64 KiB and all unfinished answers of an instance share 32 MiB; short answers go on while memory is short. Before: the tests of TestAnswersWithoutEnd fail (no bound on heads, none over all connections). After: green.

--- a/src/gentianhitch/backend_servers/server_connections.py
+++ b/src/gentianhitch/backend_servers/server_connections.py
@@ -17,6 +17,7 @@
 from gentianhitch.backend_servers.errors import ConnectError
 from gentianhitch.backend_servers.errors import CutAnswerError
 from gentianhitch.backend_servers.errors import WrongAnswerError
+from gentianhitch.backend_servers.whole_answers import AnswerMemory
 from gentianhitch.backend_servers.whole_answers import WholeAnswer
 from gentianhitch.backend_servers.whole_answers import WholeAnswerReader
 from gentianhitch.socket_options import watch_for_silence
@@ -68,7 +69,7 @@
         self._pool = pool
         self._key = key
         self._waiter = waiter
-        self._reader = WholeAnswerReader()
+        self._reader = WholeAnswerReader(pool.memory)
         self._request_id: bytes | None = None
         self._reusable = True
         self._closed = False
@@ -97,6 +98,7 @@
         self._waiter = None
         if not self._closed:
             self._closed = True
+            self._reader.release()
             self._pool.discard(self._key, self)
             self.transport.abortConnection()
 
@@ -132,6 +134,7 @@
         self._pool.discard(self._key, self)
         clean = reason is not None and reason.check(ConnectionDone) is not None
         answer = self._reader.end() if clean else None
+        self._reader.release()
         if self._waiter is None:
             return
         if answer is not None and self._is_awaited(answer):
@@ -208,6 +211,7 @@
         self._clock = clock
         self.request_id_header = request_id_header.lower()
         self._idle_by_server: dict[ServerKey, list[ServerConnection]] = {}
+        self.memory = AnswerMemory()
         self.opened = 0
 
     def acquire(
--- a/src/gentianhitch/backend_servers/whole_answers.py
+++ b/src/gentianhitch/backend_servers/whole_answers.py
@@ -9,8 +9,26 @@
 from gentianhitch.backend_servers.answers import Headers
 from gentianhitch.backend_servers.errors import WrongAnswerError
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-"""As long as the longest request body that operators allow."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Four times the longest head that callers may send by default."""
+
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""A sixth of the memory of the smallest instances; answers are copied on their way."""
+
+MAX_SPARED_BYTES = 256 * 1024
+"""Shorter answers go on when memory is short: they did not take it."""
+
+
+@attrs.define(eq=False)
+class AnswerMemory:
+    """Count what unfinished answers hold, over all connections of an instance."""
+
+    buffered: int = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether an unfinished answer must be given up."""
+        return self.buffered > MAX_BUFFERED_BYTES
 
 
 @attrs.define
@@ -34,7 +52,8 @@
 class WholeAnswerReader:
     """Collect answers; interim ones are dropped."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: AnswerMemory) -> None:
+        self._memory = memory
         self._parser = httptools.HttpResponseParser(self)
         self._answers: list[WholeAnswer] = []
         self._size = 0
@@ -55,7 +74,7 @@
         Answers completed before the fault are in the error's ``answers``.
         """
         self._answers = []
-        self._size += len(data)
+        self._hold(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -63,11 +82,21 @@
             wrong.answers = tuple(self._answers)
             raise wrong from error
         if self._answers:
-            self._size = 0
-        elif self._size > MAX_ANSWER_BYTES:
-            raise WrongAnswerError("the answer is too long")
+            self.release()
+        elif not self._in_body and self._size > MAX_HEAD_BYTES:
+            raise WrongAnswerError("the head of the answer is too long")
+        elif self._memory.is_full and self._size > MAX_SPARED_BYTES:
+            raise WrongAnswerError("unfinished answers take too much memory")
         return self._answers
 
+    def release(self) -> None:
+        """Note that nothing of an unfinished answer is held any more."""
+        self._hold(-self._size)
+
+    def _hold(self, size: int) -> None:
+        self._size += size
+        self._memory.buffered += size
+
     def end(self) -> WholeAnswer | None:
         """Return the answer that a clean close of the connection completes."""
         if not self._in_body or self._framed:
--- a/tests/backend_servers/test_server_connections.py
+++ b/tests/backend_servers/test_server_connections.py
@@ -15,6 +15,7 @@
 from gentianhitch.backend_servers.server_connections import MAX_IDLE_S
 from gentianhitch.backend_servers.server_connections import ServerConnection
 from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.backend_servers.whole_answers import MAX_BUFFERED_BYTES
 
 KEY = ("s-1", 1)
 GOOD = b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok"
@@ -182,3 +183,57 @@
         scenario.connection.send(b"r-1", b"x" * 100_000, scenario.waiter)
         scenario.connection.dataReceived(GOOD)
         assert not scenario.is_reusable
+
+
+MEBIBYTE = 1024 * 1024
+BODY_WITHOUT_END = b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n"
+
+
+class TestAnswersWithoutEnd:
+    # Guards against an instance that runs out of memory when a server's answer has no
+    # end, in its head or in its body.
+    @pytest.mark.parametrize(
+        "piece",
+        [b"X-More: yes\r\n" * 400, b"y" * 4096, b"HTTP/1.1 100 Go\r\n\r\n" * 99],
+    )
+    def test_a_head_without_end_is_given_up(self, piece: bytes) -> None:
+        scenario = Scenario()
+        if piece.startswith(b"HTTP"):
+            scenario.connection.dataReceived(piece)
+        else:
+            scenario.connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Long: ")
+        for _ in range(MEBIBYTE // len(piece)):
+            scenario.connection.dataReceived(piece)
+        assert [type(error) for error in scenario.waiter.errors] == [WrongAnswerError]
+        assert scenario.transport.aborted
+        assert scenario.pool.memory.buffered == 0
+
+    def test_a_body_without_end_is_given_up(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(BODY_WITHOUT_END)
+        for _ in range(MAX_BUFFERED_BYTES // MEBIBYTE + 1):
+            scenario.connection.dataReceived(b"z" * MEBIBYTE)
+        assert [type(error) for error in scenario.waiter.errors] == [WrongAnswerError]
+        assert scenario.transport.aborted
+        assert scenario.pool.memory.buffered == 0
+
+    def test_several_bodies_without_end_share_one_bound(self) -> None:
+        scenario = Scenario()
+        waiters = [Waiter() for _ in range(8)]
+        for waiter in waiters:
+            connection = ServerConnection(scenario.pool, KEY, waiter)
+            connection.makeConnection(Transport())
+            connection.send(b"r-1", b"GET / HTTP/1.1\r\n\r\n", waiter)
+            connection.dataReceived(BODY_WITHOUT_END)
+        for _ in range(MAX_BUFFERED_BYTES // MEBIBYTE):
+            for waiter in waiters:
+                if not waiter.errors:
+                    waiter.connection.dataReceived(b"z" * MEBIBYTE)
+                assert scenario.pool.memory.buffered <= MAX_BUFFERED_BYTES + MEBIBYTE
+
+    def test_a_short_answer_is_read_while_memory_is_short(self) -> None:
+        scenario = Scenario()
+        scenario.pool.memory.buffered = 2 * MAX_BUFFERED_BYTES
+        scenario.connection.dataReceived(GOOD[:20])
+        scenario.connection.dataReceived(GOOD[20:])
+        assert [answer.body for answer in scenario.waiter.answers] == [b"ok"]
