Let the instances with the fastest links read the store

Callers saw: changes that came late where a small instance sent them to all others. Change: instances tell the bandwidth of their link in their entry; it comes first in the order. Which of equal ones serve callers is as before. Ruled out: more time before an instance reads for itself (a change would be late).

--- a/src/gentianhitch/instances/bucket_codec.py
+++ b/src/gentianhitch/instances/bucket_codec.py
@@ -33,6 +33,7 @@
     views: str
     datagrams: str
     capacity: float
+    link_mbps: float
 
 
 class _BucketRows(msgspec.Struct, frozen=True, array_like=True):
@@ -119,6 +120,7 @@
         str(peer.views),
         str(peer.datagrams),
         peer.capacity,
+        peer.link_mbps,
     )
 
 
@@ -131,4 +133,5 @@
         Address.parse(row.views),
         Address.parse(row.datagrams),
         row.capacity,
+        row.link_mbps,
     )
--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -10,9 +10,7 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.errors import UsageError
-
-DEFAULT_LINK_MBPS = 1000.0
-"""A usual link of a data center."""
+from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
 
 
 class NodeSettingsError(UsageError):
--- a/src/gentianhitch/platform/store_view.py
+++ b/src/gentianhitch/platform/store_view.py
@@ -15,6 +15,7 @@
 from gentianhitch.platform.wire_names import CONFIGURATION_KEY
 from gentianhitch.platform.wire_names import PEERS_PREFIX
 from gentianhitch.platform.wire_names import SERVERS_PREFIX
+from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Listing
 from gentianhitch.proxy.model import Peer
@@ -48,6 +49,7 @@
     views: str
     datagrams: str
     capacity: float = 1.0
+    link_mbps: float = DEFAULT_LINK_MBPS
 
 
 _server_decoder = msgspec.json.Decoder(_ServerEntry)
@@ -87,6 +89,7 @@
             views=Address.parse(entry.views),
             datagrams=Address.parse(entry.datagrams),
             capacity=entry.capacity,
+            link_mbps=entry.link_mbps,
         )
     except (msgspec.MsgspecError, ValueError) as error:
         raise MalformedEntryError(f"{item.key}: {error}") from error
@@ -102,6 +105,7 @@
             str(peer.views),
             str(peer.datagrams),
             peer.capacity,
+            peer.link_mbps,
         )
     )
 
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -124,7 +124,7 @@
             StoreReader(self._store),
             self._datagrams,
             self.knowledge,
-            SourcePlan(settings.name, settings.failure_domain),
+            SourcePlan(settings.name, settings.failure_domain, settings.link_mbps),
             self._configuration_source,
             make_agent(
                 self._reactor,
@@ -207,6 +207,7 @@
                 views,
                 datagrams,
                 settings.capacity,
+                settings.link_mbps,
             )
         )
         self._reports.start()
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -6,6 +6,9 @@
 
 from gentianhitch.addresses import Address
 
+DEFAULT_LINK_MBPS = 1000.0
+"""A usual link of a data center, where nothing else is known."""
+
 
 @attrs.frozen
 class WeightedService:
@@ -116,7 +119,7 @@
     """One live entry instance.
 
     Other instances fetch views at ``views`` (TCP) and send to ``datagrams`` (UDP).
-    ``capacity`` is in processor cores.
+    ``capacity`` is in processor cores, ``link_mbps`` the bandwidth of its own link.
     """
 
     name: str
@@ -126,6 +129,7 @@
     views: Address
     datagrams: Address
     capacity: float = 1.0
+    link_mbps: float = DEFAULT_LINK_MBPS
 
 
 @attrs.frozen
--- a/src/gentianhitch/proxy/sources.py
+++ b/src/gentianhitch/proxy/sources.py
@@ -1,8 +1,9 @@
 """Decide from where an instance refreshes its knowledge of the store.
 
 In each failure domain the first instance of a common order reads the store; the
-others ask it, and the one after it. An instance that gives no fresh answer is passed
-over for a while, so that the next one reads, without an election.
+others ask it, and the one after it. Those with the fastest links come first: a reader
+sends every change to all others. An instance that gives no fresh answer is passed over
+for a while, so that the next one reads, without an election.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import attrs
 import xxhash
 
+from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
 from gentianhitch.proxy.model import Peer
 
 REFRESH_INTERVAL_S = 0.5
@@ -54,13 +56,18 @@
     peers: tuple[Peer, ...]
 
 
-def _rank(name: str) -> int:
+def rank(name: str) -> int:
+    """Return a number that puts instances in an order without a meaning."""
     return xxhash.xxh32_intdigest(name.encode())
 
 
 def reading_order(peers: Iterable[Peer]) -> list[Peer]:
     """Return peers in the order in which they read the store."""
-    return sorted(peers, key=lambda peer: _rank(peer.name))
+    return sorted(peers, key=lambda peer: _place(peer.name, peer.link_mbps))
+
+
+def _place(name: str, link_mbps: float) -> tuple[float, int]:
+    return (-link_mbps, rank(name))
 
 
 @attrs.define
@@ -69,6 +76,7 @@
 
     name: str
     failure_domain: str
+    link_mbps: float = DEFAULT_LINK_MBPS
     _passed_over_until_by_name: dict[str, float] = attrs.Factory(dict)
     _silences_by_name: dict[str, int] = attrs.Factory(dict)
     _asked_by_name: dict[str, float] = attrs.Factory(dict)
@@ -119,11 +127,11 @@
 
     def _readers(self, near: list[Peer], now: float) -> list[Peer]:
         """Return the first instances that come before this one in the order."""
-        own_rank = _rank(self.name)
+        own_place = _place(self.name, self.link_mbps)
         return [
             peer
             for peer in reading_order(near)
-            if _rank(peer.name) < own_rank
+            if _place(peer.name, peer.link_mbps) < own_place
             and self._passed_over_until_by_name.get(peer.name, 0.0) <= now
         ][:ASKED]
 
--- a/src/gentianhitch/proxy/steering.py
+++ b/src/gentianhitch/proxy/steering.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from gentianhitch.proxy.model import Peer
-from gentianhitch.proxy.sources import reading_order
+from gentianhitch.proxy.sources import rank
 
 MIN_SERVING = 2
 """A failure domain outlives the death of one instance without a pause."""
@@ -23,12 +23,11 @@
     """Return the instances that take requests, by failure domain.
 
     They are the ones with the largest capacity, which are also the first to be back
-    after a loss of power; among equals the last of the order in which instances read
-    the store, so that one death rarely costs both.
+    after a loss of power; among equals those that read the store last, so that one
+    death rarely costs both.
     """
     by_domain: dict[str, list[Peer]] = {}
-    ordered = reversed(reading_order(peers))
-    for peer in sorted(ordered, key=lambda each: -each.capacity):
+    for peer in sorted(peers, key=lambda each: (-each.capacity, -rank(each.name))):
         by_domain.setdefault(peer.failure_domain, []).append(peer)
     return {
         domain: tuple(
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -36,9 +36,9 @@
     return attrs.evolve(server, **changes)
 
 
-def make_peer(name: str, failure_domain: str = "a") -> Peer:
+def make_peer(name: str, failure_domain: str = "a", **changes: object) -> Peer:
     number = sum(name.encode()) % 200
-    return Peer(
+    peer = Peer(
         name=name,
         incarnation=1,
         failure_domain=failure_domain,
@@ -46,6 +46,7 @@
         views=Address("127.0.0.1", 7000 + number),
         datagrams=Address("127.0.0.1", 7000 + number),
     )
+    return attrs.evolve(peer, **changes)
 
 
 def make_route(**changes: object) -> Route:
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -8,7 +8,7 @@
 from tests.builders_proxy import make_peer
 
 PEERS = [make_peer(f"e-{number}") for number in range(4)]
-FIRST, SECOND, THIRD, *_ = (peer.name for peer in reading_order(PEERS))
+FIRST, SECOND, THIRD, LAST = (peer.name for peer in reading_order(PEERS))
 
 
 class TestCalm:
@@ -41,6 +41,20 @@
         assert SourcePlan("f-1", "b").next_step(peers, 0.1, 100.0).read_store
 
 
+class TestLinks:
+    # Guards against changes that come late since the instance that sends them to all
+    # others has one of the slowest links.
+    def test_the_fastest_link_reads_the_store(self) -> None:
+        peers = [
+            make_peer(peer.name, link_mbps=100.0 if peer.name == LAST else 5.0)
+            for peer in PEERS
+        ]
+        assert SourcePlan(LAST, "a", 100.0).next_step(peers, 0.5, 100.0).read_store
+        step = SourcePlan(FIRST, "a", 5.0).next_step(peers, 0.5, 100.0)
+        assert [peer.name for peer in step.peers] == [LAST]
+        assert not step.read_store
+
+
 class TestFailures:
     def test_the_next_one_reads_when_the_first_is_silent(self) -> None:
         plan = SourcePlan(SECOND, "a")
