Write answers that wait behind a hanging request before the end

Cause: answers go out in the order of the requests; an earlier request of the connection never got one, and when the time for a stop was over the instance ended with the ready answers in hand. Ruled out: a cut of the server (its run ended 200 before the signal). Before: test_answers_behind_one_that_hangs_are_written_before_the_end fails (nothing is written).

--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -42,6 +42,10 @@
         """Stop: nobody waits for the answer."""
         ...
 
+    def stop_waiting(self) -> None:
+        """Answer now, with what is known."""
+        ...
+
 
 Serve = Callable[[CallerRequest, "Reply"], Exchange]
 
@@ -179,6 +183,12 @@
         if not self._closing and not self.is_busy:
             self._close()
 
+    def stop_waiting(self) -> None:
+        """Answer all requests now: one may hold back answers that are ready."""
+        for reply in tuple(self._replies):
+            if reply.exchange is not None and reply.data is None:
+                reply.exchange.stop_waiting()
+
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Cancel what is being served."""
         self._closing = True
@@ -243,10 +253,15 @@
     def note_idle(self) -> None:
         """Tell who waits for the end of all requests."""
         if self.on_idle is not None and not self.is_busy:
-            self.stop_waiting()
+            self._tell_idle()
 
     def stop_waiting(self) -> None:
-        """Tell who waits, although requests may still be served."""
+        """Answer what is still being served, and tell who waits for that."""
+        for connection in tuple(self.connections):
+            connection.stop_waiting()
+        self._tell_idle()
+
+    def _tell_idle(self) -> None:
         on_idle, self.on_idle = self.on_idle, None
         if on_idle is not None:
             on_idle()
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -181,6 +181,10 @@
         if not self._ended:
             self._end()
 
+    def give_up(self) -> None:
+        """End as when the deadline has passed."""
+        self._deadline_passed()
+
     # Attempts.
 
     def _try_another(self, *, hedge: bool = False) -> bool:
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -155,6 +155,11 @@
             self._dispatch.cancel()
         self._finish("caller-gone", None)
 
+    def stop_waiting(self) -> None:
+        """Answer now: this instance ends."""
+        if self._dispatch is not None:
+            self._dispatch.give_up()
+
     def dispatch_answered(self, answer: WholeAnswer, server: BackendServer) -> None:
         """Pass a server's answer on."""
         self._finish(str(answer.status), server)
--- a/tests/callers/test_pipelined_connection.py
+++ b/tests/callers/test_pipelined_connection.py
@@ -42,6 +42,9 @@
     def caller_gone(self) -> None:
         self.gone = True
 
+    def stop_waiting(self) -> None:
+        self.reply.send(b"given up;")
+
 
 class Scenario:
     """One caller's connection."""
@@ -204,3 +207,18 @@
         scenario.factory.on_idle = lambda: told.append(True)
         scenario.served[0].reply.send(b"done", close=True)
         assert told == [True]
+
+    # Guards against an answer that is ready and is lost when the instance ends, behind
+    # an earlier request of the same connection that never got one.
+    def test_answers_behind_one_that_hangs_are_written_before_the_end(self) -> None:
+        scenario = Scenario()
+        told: list[bool] = []
+        scenario.send()
+        scenario.send()
+        scenario.factory.is_leaving = True
+        scenario.served[1].reply.send(b"ready", close=True)
+        scenario.factory.on_idle = lambda: told.append(True)
+        assert scenario.transport.value() == b""
+        scenario.factory.stop_waiting()
+        assert scenario.transport.value() == b"given up;ready"
+        assert told == [True]
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -236,6 +236,15 @@
 
 
 class TestEnds:
+    # Guards against a request of unknown outcome that is told not to have run, when an
+    # instance ends before the answer has come.
+    def test_one_that_was_sent_and_is_given_up_may_have_run(self) -> None:
+        run = Run(make_route(idempotent=False))
+        run.dispatch.give_up()
+        assert run.owner.failures == [(Cause.SILENT, True)]
+        run.dispatch.give_up()
+        assert len(run.owner.failures) == 1
+
     def test_ends_at_the_deadline(self) -> None:
         run = Run(make_route(idempotent=False))
         run.clock.advance(3.0)
