--- a/src/gentianhitch/instances/bucket_codec.py
+++ b/src/gentianhitch/instances/bucket_codec.py
@@ -2,69 +2,47 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+import attrs
 import msgspec
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.registry import BUCKETS
 from gentianhitch.proxy.registry import Bucket
 
 MAX_PACKED_BYTES = 1_000
 """Leaves room for the rest of a message in 1,232 bytes, which no path fragments."""
 
+# The fields of both types in their order: names would double the size.
+_ServerRow = tuple[str, int, str, Address, str, int, bool, float]
+_PeerRow = tuple[str, int, str, Address, Address, Address, float, float]
 
-class _ServerRow(msgspec.Struct, frozen=True, array_like=True):
-    id: str
-    started_ms: int
-    service: str
-    address: str
-    failure_domain: str
-    slots: int
-    draining: bool
-    warmup_s: float
-
-
-class _PeerRow(msgspec.Struct, frozen=True, array_like=True):
-    name: str
-    incarnation: int
-    failure_domain: str
-    callers: str
-    views: str
-    datagrams: str
-    capacity: float
-    link_mbps: float
-
-
-class _BucketRows(msgspec.Struct, frozen=True, array_like=True):
-    servers: list[_ServerRow]
-    peers: list[_PeerRow]
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(_BucketRows)
+_encoder = msgspec.msgpack.Encoder(enc_hook=json_codec.encode_hook)
+_decoder = msgspec.msgpack.Decoder(
+    tuple[list[_ServerRow], list[_PeerRow]], dec_hook=json_codec.decode_hook
+)
 
 
 def encode_bucket(bucket: Bucket) -> bytes:
     """Encode one bucket."""
-    return _encoder.encode(
-        _BucketRows(
-            [_server_row(server) for server in bucket.servers],
-            [_peer_row(peer) for peer in bucket.peers],
-        )
-    )
+    return _encoder.encode((_rows(bucket.servers), _rows(bucket.peers)))
 
 
 def decode_bucket(data: bytes) -> Bucket:
     """Decode one bucket; raise MalformedMessageError."""
     try:
-        rows = _decoder.decode(data)
-        return Bucket(
-            tuple(_server(row) for row in rows.servers),
-            tuple(_peer(row) for row in rows.peers),
-        )
+        servers, peers = _decoder.decode(data)
     except (msgspec.MsgspecError, ValueError) as error:
         raise MalformedMessageError(f"malformed bucket: {error}") from error
+    return Bucket(
+        tuple(BackendServer(*row) for row in servers),
+        tuple(Peer(*row) for row in peers),
+    )
 
 
 def pack_buckets(
@@ -85,53 +63,13 @@
     return packed, len(buckets) - len(packed)
 
 
-def _server_row(server: BackendServer) -> _ServerRow:
-    return _ServerRow(
-        server.id,
-        server.started_ms,
-        server.service,
-        str(server.address),
-        server.failure_domain,
-        server.slots,
-        server.draining,
-        server.warmup_s,
-    )
-
-
-def _server(row: _ServerRow) -> BackendServer:
-    return BackendServer(
-        row.id,
-        row.started_ms,
-        row.service,
-        Address.parse(row.address),
-        row.failure_domain,
-        row.slots,
-        row.draining,
-        row.warmup_s,
-    )
+def unpack_buckets(packed: list[tuple[int, bytes]]) -> list[tuple[int, Bucket]]:
+    """Decode the buckets of a datagram; raise MalformedMessageError."""
+    for number, _ in packed:
+        if not 0 <= number < BUCKETS:
+            raise MalformedMessageError(f"there is no bucket {number}")
+    return [(number, decode_bucket(data)) for number, data in packed]
 
 
-def _peer_row(peer: Peer) -> _PeerRow:
-    return _PeerRow(
-        peer.name,
-        peer.incarnation,
-        peer.failure_domain,
-        str(peer.callers),
-        str(peer.views),
-        str(peer.datagrams),
-        peer.capacity,
-        peer.link_mbps,
-    )
-
-
-def _peer(row: _PeerRow) -> Peer:
-    return Peer(
-        row.name,
-        row.incarnation,
-        row.failure_domain,
-        Address.parse(row.callers),
-        Address.parse(row.views),
-        Address.parse(row.datagrams),
-        row.capacity,
-        row.link_mbps,
-    )
+def _rows(entries: Iterable[attrs.AttrsInstance]) -> list[tuple[object, ...]]:
+    return [attrs.astuple(entry, recurse=False) for entry in entries]
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from gentianhitch.http_client import Progress
-from gentianhitch.instances.bucket_codec import decode_bucket
 from gentianhitch.instances.bucket_codec import pack_buckets
+from gentianhitch.instances.bucket_codec import unpack_buckets
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.instances.datagrams import Ask
 from gentianhitch.instances.datagrams import Datagrams
@@ -226,7 +226,7 @@
             return
         if message.is_compared:
             try:
-                buckets = [(n, decode_bucket(data)) for n, data in message.buckets]
+                buckets = unpack_buckets(message.buckets)
             except MalformedMessageError as error:
                 self._events.state("listing_not_merged", detail=str(error))
                 return
--- a/tests/unit/test_bucket_codec.py
+++ b/tests/unit/test_bucket_codec.py
@@ -6,7 +6,9 @@
 from gentianhitch.instances.bucket_codec import decode_bucket
 from gentianhitch.instances.bucket_codec import encode_bucket
 from gentianhitch.instances.bucket_codec import pack_buckets
+from gentianhitch.instances.bucket_codec import unpack_buckets
 from gentianhitch.instances.codec import MalformedMessageError
+from gentianhitch.proxy.registry import BUCKETS
 from gentianhitch.proxy.registry import Bucket
 from tests.builders_proxy import make_peer
 from tests.builders_proxy import make_server
@@ -31,6 +33,10 @@
         with pytest.raises(MalformedMessageError):
             decode_bucket(data)
 
+    def test_a_number_out_of_range_is_an_error(self) -> None:
+        with pytest.raises(MalformedMessageError, match="no bucket 64"):
+            unpack_buckets([(BUCKETS, encode_bucket(make_bucket(1)))])
+
 
 class TestPacking:
     def test_what_does_not_fit_is_left_for_the_next_datagram(self) -> None:
@@ -43,5 +49,5 @@
     # Guards against an exchange that never ends, when one bucket fills a datagram.
     def test_a_bucket_that_is_too_large_is_sent_all_the_same(self) -> None:
         packed, remaining = pack_buckets([(3, make_bucket(60)), (4, make_bucket(1))])
-        assert [number for number, _ in packed] == [3]
+        assert unpack_buckets(packed) == [(3, make_bucket(60))]
         assert remaining == 1
