Bound what configurations take of a link by the time that they need

Cause: a transfer counted as ended when its answer had been handed to the transport, which is at once, so that the bound of a sender never held. Now a transfer reserves the sender's link for its bytes divided by its bandwidth, on the runtime's clock; whoever comes when more than 0.25 s are reserved is told an instance whose transfer has ended. Ruled out: waiting for the receiver's acknowledgement, one more message for each.

--- a/src/gentianhitch/proxy/configuration_source.py
+++ b/src/gentianhitch/proxy/configuration_source.py
@@ -8,6 +8,8 @@
 from http import HTTPStatus
 from typing import Any
 
+import attrs
+
 from gentianhitch.instances.configuration_transfer import Busy
 from gentianhitch.instances.configuration_transfer import ConfigurationTransfer
 from gentianhitch.instances.configuration_transfer import compress
@@ -17,26 +19,39 @@
 KEPT_VERSIONS = 4
 """A receiver that is further behind gets the whole configuration."""
 
-LINK_S = 0.25
-"""Transfers in progress may take the link for so long, the sum of all of them."""
+MAX_LINK_S = 0.25
+"""Transfers that have begun may take the link for so long, the sum of all of them."""
 
 BYTES_PER_MEGABIT = 125_000
 MAX_HOLDERS = 32
 
 
+@attrs.frozen
+class _Holder:
+    """An instance that has the configuration from ``since_s`` on."""
+
+    name: str
+    since_s: float
+
+
 class ConfigurationSource:
     """Serve differences between configurations, and send on those that must wait."""
 
     def __init__(
-        self, link_mbps: float, age_s: Callable[[], float], count: Callable[..., None]
+        self,
+        clock: Any,
+        link_mbps: float,
+        age_s: Callable[[], float],
+        count: Callable[..., None],
     ) -> None:
-        self._room_bytes = link_mbps * BYTES_PER_MEGABIT * LINK_S
+        self._clock = clock
+        self._bytes_per_s = link_mbps * BYTES_PER_MEGABIT
         self._age_s = age_s
         self._count = count
         self._sources_by_revision: OrderedDict[int, bytes] = OrderedDict()
         self._compressed_by_base: dict[int, bytes] = {}
-        self._sending_bytes = 0
-        self._holders: deque[str] = deque(maxlen=MAX_HOLDERS)
+        self._sending_until_s = float("-inf")
+        self._holders: deque[_Holder] = deque(maxlen=MAX_HOLDERS)
 
     def take(self, stored: StoredConfiguration) -> None:
         """Offer a newer configuration from now on."""
@@ -60,34 +75,33 @@
         revision = next(reversed(self._sources_by_revision))
         base = base if base in self._sources_by_revision else 0
         compressed = self._compress(base, revision)
-        if not self._has_room(len(compressed)):
+        if not self._begin(receiver, len(compressed)):
             request.setResponseCode(HTTPStatus.SERVICE_UNAVAILABLE)
             self._count("configurations_refused")
             return encode(Busy(self._next_holder()))
-        self._begin(request, receiver, revision, len(compressed))
+        self._count("configurations_sent")
+        self._count("configuration_bytes_sent", len(compressed))
         return encode(ConfigurationTransfer(self._age_s(), revision, base, compressed))
 
-    def _has_room(self, size: int) -> bool:
-        return not self._sending_bytes or self._sending_bytes + size <= self._room_bytes
+    def _begin(self, receiver: str, size: int) -> bool:
+        """Reserve the link for a transfer, unless earlier ones take it for too long."""
+        now = self._clock.seconds()
+        begins_s = max(self._sending_until_s, now)
+        ends_s = begins_s + size / self._bytes_per_s
+        if begins_s > now and ends_s - now > MAX_LINK_S:
+            return False
+        self._sending_until_s = ends_s
+        self._holders.append(_Holder(receiver, ends_s))
+        return True
 
     def _next_holder(self) -> str:
-        if not self._holders:
-            return ""
-        self._holders.rotate(1)
-        return self._holders[0]
-
-    def _begin(self, request: Any, receiver: str, revision: int, size: int) -> None:
-        self._sending_bytes += size
-        self._count("configurations_sent")
-        self._count("configuration_bytes_sent", size)
-
-        def end(failure: Any) -> None:
-            self._sending_bytes -= size
-            newest = next(reversed(self._sources_by_revision))
-            if failure is None and revision == newest:
-                self._holders.append(receiver)
-
-        request.notifyFinish().addBoth(end)
+        """Return the name of an instance that has the configuration, each in turn."""
+        now = self._clock.seconds()
+        for _ in range(len(self._holders)):
+            self._holders.rotate(1)
+            if self._holders[0].since_s <= now:
+                return self._holders[0].name
+        return ""
 
     def _compress(self, base: int, revision: int) -> bytes:
         compressed = self._compressed_by_base.get(base)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -115,6 +115,7 @@
             self._reactor, clock, HEADER_NAMES.request_id
         )
         self._configuration_source = ConfigurationSource(
+            clock,
             settings.link_mbps,
             lambda: self.knowledge.configuration_age_s(clock.seconds()),
             self.metrics.count,
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -42,6 +43,9 @@
 loses the answers to writes.
 """
 
+ReadPart = Callable[[Progress, float], Coroutine[Any, Any, None]]
+"""Reads one part of the store; the second argument is when the read began."""
+
 
 class Refresher:
     """Read the store, ask peers, and take what is newer."""
@@ -104,17 +108,17 @@
         if is_old and not self._fetcher.is_fetching:
             self._read("configuration", self._read_configuration)
 
-    def _read(self, part: str, read: Callable[[Progress], Any]) -> None:
+    def _read(self, part: str, read: ReadPart) -> None:
         if part not in self._reading:
             self._reading.add(part)
             reading = Deferred.fromCoroutine(self._read_part(part, read))
             reading.addErrback(self._events.failure)
 
-    async def _read_part(self, part: str, read: Callable[[Progress], Any]) -> None:
+    async def _read_part(self, part: str, read: ReadPart) -> None:
         began_s = self._clock.seconds()
         progress = Progress()
         try:
-            await read(progress)
+            await read(progress, began_s)
         except PlatformError as error:
             self._plan.read_ended(succeeded=False)
             if part not in self._lost:
@@ -134,8 +138,7 @@
         finally:
             self._reading.discard(part)
 
-    async def _read_listing(self, progress: Progress) -> None:
-        began_s = self._clock.seconds()
+    async def _read_listing(self, progress: Progress, began_s: float) -> None:
         listing = await self._reader.read_listing(progress)
         self._note_rejected()
         now = self._clock.seconds()
@@ -144,8 +147,7 @@
         origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
         self._note_change(change, origin)
 
-    async def _read_configuration(self, progress: Progress) -> None:
-        began_s = self._clock.seconds()
+    async def _read_configuration(self, progress: Progress, began_s: float) -> None:
         known = self._knowledge.stored_configuration
         if (
             known is None
