--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -118,7 +118,7 @@
 class Peer:
     """One live entry instance.
 
-    Other instances fetch views at ``views`` (TCP) and send to ``datagrams`` (UDP).
+    Others fetch configurations at ``views`` (TCP) and send to ``datagrams`` (UDP).
     ``capacity`` is in processor cores, ``link_mbps`` the bandwidth of its own link.
     """
 
