Split ports, settings file, serving fleet and changes from the instance

instance.py had 411 lines and five jobs: wiring, opening ports, watching the settings file, telling who serves callers, and handing changes of knowledge to the parts. It wires and runs the lifecycle now (322 lines); the others are modules of their own.

--- /dev/null
+++ b/src/gentianhitch/proxy/changes.py
@@ -0,0 +1,78 @@
+"""Log changes of knowledge and hand them to the parts that depend on them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.metrics import Metrics
+from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.knowledge import Change
+from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.model import StoredConfiguration
+from gentianhitch.proxy.origin import Origin
+from gentianhitch.proxy.quotas import Quotas
+from gentianhitch.proxy.serving_fleet import ServingFleet
+from gentianhitch.proxy.traffic_split import TrafficSplits
+
+
+@attrs.define(eq=False)
+class ChangeHandler:
+    """Keep balancing, connections, quotas and traffic splits at what is known."""
+
+    _clock: Any
+    _knowledge: Knowledge
+    _fleet: ServingFleet
+    _balancer: Balancer
+    _connections: ServerConnections
+    _quotas: Quotas
+    _splits: TrafficSplits
+    _events: Events
+    _metrics: Metrics
+
+    def listing_changed(self, change: Change, origin: Origin) -> None:
+        """Take a change among servers and instances."""
+        knowledge = self._knowledge
+        self._events.state(
+            "listing_changed",
+            revision=knowledge.registry.revision,
+            added=[server.id for server in change.added],
+            removed=[server.id for server in change.removed],
+            draining=[server.id for server in change.draining],
+            kept=sorted(knowledge.lapsed_server_ids),
+            peers=len(knowledge.peers_by_name),
+            **origin.as_fields(),
+        )
+        self._metrics.time("listing_age", None, origin.age_s)
+        self.update(self._clock.seconds())
+
+    def configuration_changed(
+        self, stored: StoredConfiguration, origin: Origin
+    ) -> None:
+        """Take a newer configuration."""
+        routes = stored.configuration.route_names()
+        self._events.state(
+            "configuration_changed",
+            configuration=stored.revision,
+            version=stored.configuration.version,
+            routes=len(routes),
+            **origin.as_fields(),
+        )
+        self._metrics.time("configuration_age", None, origin.age_s)
+        self._balancer.retain_routes(routes)
+        self._splits.retain(routes)
+        self.update(self._clock.seconds())
+
+    def update(self, now: float) -> None:
+        """Bring all parts to what is known at ``now``."""
+        servers = self._knowledge.servers_by_id
+        self._balancer.update(servers.values(), now)
+        self._connections.retain(frozenset(each.key for each in servers.values()))
+        serving = frozenset(peer.name for peer in self._fleet.serving_peers())
+        self._quotas.share_among(serving, now)
+        configuration = self._knowledge.configuration
+        if configuration is not None:
+            self._quotas.prepare(configuration.workspaces_by_key.values(), now)
--- a/src/gentianhitch/proxy/inner_resources.py
+++ b/src/gentianhitch/proxy/inner_resources.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianhitch.addresses import Address
 from gentianhitch.http_resources import OnePathResource
 
 CONFIGURATION_PATH = "/configuration"
@@ -20,9 +19,3 @@
 def metrics_resource(render: Callable[[], bytes]) -> OnePathResource:
     """Return the resource that shows counters and histograms as text."""
     return OnePathResource(METRICS_PATH, lambda _: render())
-
-
-def bound_address(port: Any) -> Address:
-    """Return where a listening port is bound."""
-    host = port.getHost()
-    return Address(host.host, host.port)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -9,7 +9,6 @@
 
 import attrs
 from twisted.internet.defer import Deferred
-from twisted.web.server import Site
 
 from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.server_connections import ServerConnections
@@ -31,36 +30,34 @@
 from gentianhitch.platform.caller_interface import directory_resource
 from gentianhitch.platform.caller_interface import readiness_resource
 from gentianhitch.platform.node_settings import NodeSettings
-from gentianhitch.platform.node_settings import NodeSettingsError
-from gentianhitch.platform.node_settings import load_node_settings
 from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.store_view import StoreReader
 from gentianhitch.proxy.admission_windows import Overshoot
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.changes import ChangeHandler
 from gentianhitch.proxy.configuration_source import ConfigurationSource
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryAnswer
 from gentianhitch.proxy.dispatch import DispatchContext
 from gentianhitch.proxy.events import Events
-from gentianhitch.proxy.inner_resources import bound_address
 from gentianhitch.proxy.inner_resources import configuration_resource
 from gentianhitch.proxy.inner_resources import metrics_resource
-from gentianhitch.proxy.knowledge import Change
 from gentianhitch.proxy.knowledge import Knowledge
+from gentianhitch.proxy.listeners import Listeners
+from gentianhitch.proxy.listeners import bound_address
 from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
-from gentianhitch.proxy.model import StoredConfiguration
-from gentianhitch.proxy.origin import Origin
 from gentianhitch.proxy.quotas import Quotas
 from gentianhitch.proxy.refresh import Refresher
 from gentianhitch.proxy.registration import Registration
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.serving_fleet import ServingFleet
+from gentianhitch.proxy.settings_file import SettingsFile
 from gentianhitch.proxy.shutdown import drain
 from gentianhitch.proxy.sources import SourcePlan
-from gentianhitch.proxy.steering import serving_instances
 from gentianhitch.proxy.traffic_split import TrafficSplits
 from gentianhitch.repeating import Repeating
 
@@ -68,12 +65,6 @@
 PEER_CONNECTIONS = 1
 PEER_CONNECT_TIMEOUT_S = 0.5
 HOUSEKEEPING_S = 0.5
-LISTEN_BACKLOG = 1024
-SERVING_SLACK_SHARE = 0.9
-"""Part of the slack for repeats that the instances named to callers share."""
-
-MIN_OTHERS = 8
-"""Instances among which the rest is split while few others are known."""
 
 
 class ProxyInstance:
@@ -87,9 +78,8 @@
         events: Events,
     ) -> None:
         self._reactor = reactor
-        self._settings_path = settings_path
-        self._settings_seen = _stamp(settings_path)
         self._settings = settings
+        self._settings_file = SettingsFile(settings_path, events, self._take_settings)
         self._events = events
         self._random = Random(settings.name)
         self.metrics = Metrics()
@@ -114,6 +104,19 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id
         )
+        self._fleet = ServingFleet(settings.name, self.knowledge)
+        splits = TrafficSplits()
+        self._changes = ChangeHandler(
+            clock,
+            self.knowledge,
+            self._fleet,
+            self._balancer,
+            self._connections,
+            self._quotas,
+            splits,
+            events,
+            self.metrics,
+        )
         self._configuration_source = ConfigurationSource(
             clock,
             settings.link_mbps,
@@ -133,8 +136,8 @@
                 PEER_CONNECT_TIMEOUT_S,
             ),
             events,
-            self._note_change,
-            self._note_configuration,
+            self._changes.listing_changed,
+            self._changes.configuration_changed,
         )
         self._registration = Registration(clock, self._store, events)
         self._reports = Reports(
@@ -144,7 +147,7 @@
             self._datagrams,
             self._balancer,
             self._quotas,
-            self._report_receivers,
+            lambda: self._fleet.report_receivers(self._reports.busy_senders()),
             events.failure,
         )
         self._directory = Directory(self.knowledge, self._heard_any_peer)
@@ -158,9 +161,9 @@
                 self._connections,
                 HEADER_NAMES,
                 self._new_budget,
-                self._slack_share,
+                lambda: self._fleet.slack_share(self._quotas.sharers),
             ),
-            TrafficSplits(),
+            splits,
             events,
             settings.bounds.revocation_s,
             self._note_finished,
@@ -174,22 +177,22 @@
 
     def start(self) -> None:
         """Open every listener and begin to learn."""
-        settings = self._settings
-        self._callers_port = self._listen(settings.callers, self._callers)
-        readiness = self._serve_http(
+        settings, listeners = self._settings, Listeners(self._reactor)
+        self._callers_port = listeners.listen(settings.callers, self._callers)
+        readiness = listeners.serve_http(
             settings.readiness, readiness_resource(self.is_ready)
         )
-        directory = self._serve_http(
+        directory = listeners.serve_http(
             settings.directory, directory_resource(self._resolve)
         )
-        views = self._serve_http(
+        configurations = listeners.serve_http(
             settings.internal,
             configuration_resource(self._configuration_source.answer),
         )
-        metrics = self._serve_http(
+        metrics = listeners.serve_http(
             settings.metrics, metrics_resource(self._render_metrics)
         )
-        datagrams = self._listen_for_datagrams(settings.internal)
+        datagrams = listeners.receive_datagrams(settings.internal, self._datagrams)
         callers = bound_address(self._callers_port)
         self._events.state(
             "listening",
@@ -205,7 +208,7 @@
                 self._incarnation,
                 settings.failure_domain,
                 callers,
-                views,
+                configurations,
                 datagrams,
                 settings.capacity,
                 settings.link_mbps,
@@ -215,21 +218,6 @@
         self._housekeeping.start(now=False)
         self.lifecycle.started()
 
-    def _listen(self, address: Address, factory: Any) -> Any:
-        return self._reactor.listenTCP(
-            address.port, factory, backlog=LISTEN_BACKLOG, interface=address.host
-        )
-
-    def _serve_http(self, address: Address, resource: Any) -> Address:
-        site = Site(resource, reactor=self._reactor)
-        return bound_address(self._listen(address, site))
-
-    def _listen_for_datagrams(self, address: Address) -> Address:
-        port = self._reactor.listenUDP(
-            address.port, self._datagrams, interface=address.host
-        )
-        return bound_address(port)
-
     # What others ask.
 
     def is_ready(self) -> bool:
@@ -281,78 +269,14 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
 
-    def _slack_share(self) -> float:
-        """Return this instance's part of what all may spend on repeats."""
-        sharers = self._quotas.sharers
-        if self._settings.name in sharers:
-            return SERVING_SLACK_SHARE / len(sharers)
-        peers = self.knowledge.peers_by_name
-        others = max(len(peers) - len(sharers), MIN_OTHERS)
-        return (1.0 - SERVING_SLACK_SHARE) / others
-
     def _heard_any_peer(self, now: float) -> bool:
         return now - self._told_s < HOUSEKEEPING_S * 4
 
-    def _serving_peers(self) -> list[Peer]:
-        peers = self.knowledge.peers_by_name
-        serving = serving_instances(peers.values())
-        return [peer for each in serving.values() for peer in each]
-
-    def _report_receivers(self) -> list[Peer]:
-        """Return the instances that callers are told, and those that are busy too."""
-        receivers = self._serving_peers()
-        names = {peer.name for peer in receivers}
-        if self._settings.name in names:
-            peers = self.knowledge.peers_by_name
-            busy = self._reports.busy_senders() - names
-            receivers += [peers[name] for name in busy if name in peers]
-        return receivers
-
-    def _note_change(self, change: Change, origin: Origin) -> None:
-        knowledge = self.knowledge
-        self._events.state(
-            "listing_changed",
-            revision=knowledge.registry.revision,
-            added=[server.id for server in change.added],
-            removed=[server.id for server in change.removed],
-            draining=[server.id for server in change.draining],
-            kept=sorted(knowledge.lapsed_server_ids),
-            peers=len(knowledge.peers_by_name),
-            **origin.as_fields(),
-        )
-        self.metrics.time("listing_age", None, origin.age_s)
-        self._apply(self._reactor.seconds())
-
-    def _note_configuration(self, stored: StoredConfiguration, origin: Origin) -> None:
-        self._events.state(
-            "configuration_changed",
-            configuration=stored.revision,
-            version=stored.configuration.version,
-            routes=len(stored.configuration.route_names()),
-            **origin.as_fields(),
-        )
-        self.metrics.time("configuration_age", None, origin.age_s)
-        routes = stored.configuration.route_names()
-        self._balancer.retain_routes(routes)
-        self._server.splits.retain(routes)
-        self._apply(self._reactor.seconds())
-
-    def _apply(self, now: float) -> None:
-        servers = self.knowledge.servers_by_id
-        self._balancer.update(servers.values(), now)
-        self._connections.retain(frozenset(each.key for each in servers.values()))
-        serving = frozenset(peer.name for peer in self._serving_peers())
-        self._quotas.share_among(serving, now)
-        configuration = self.knowledge.configuration
-        if configuration is not None:
-            self._quotas.prepare(configuration.workspaces_by_key.values(), now)
-
     def _keep_house(self) -> None:
         now = self._reactor.seconds()
         self._connections.close_idle(now)
-        self._apply(now)
-        if _stamp(self._settings_path) != self._settings_seen:
-            self.reload()
+        self._changes.update(now)
+        self._settings_file.reload_if_changed()
 
     def _note_finished(self, outcome: str, workspace: str, elapsed_s: float) -> None:
         self.metrics.count(f"requests.{outcome}")
@@ -360,16 +284,12 @@
 
     def reload(self) -> None:
         """Read the settings file again; addresses stay as they are."""
-        self._settings_seen = _stamp(self._settings_path)
-        try:
-            settings = load_node_settings(self._settings_path)
-        except NodeSettingsError as error:
-            self._events.state("reload_failed", detail=str(error))
-            return
+        self._settings_file.reload()
+
+    def _take_settings(self, settings: NodeSettings) -> None:
         self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
         self._server.revocation_s = settings.bounds.revocation_s
         self._quotas.overshoot = _overshoot(settings)
-        self._events.state("reloaded")
 
     # Stop.
 
@@ -400,12 +320,3 @@
 def _overshoot(settings: NodeSettings) -> Overshoot:
     bounds = settings.bounds
     return Overshoot(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack)
-
-
-def _stamp(path: Path) -> tuple[int, int]:
-    """Return what changes when a file is written; zeros while there is none."""
-    try:
-        status = path.stat()
-    except OSError:
-        return (0, 0)
-    return (status.st_mtime_ns, status.st_ino)
