Name what carries configurations by it; one function calls HTTP servers

Peer.views and store_view.py kept the name of the views that are no more; call() stood beside call_within(), its only caller. Entries of instances carry the new name. Behaviour is as before.

--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -139,26 +139,21 @@
             self.transport.abortConnection()
 
 
-async def call(
-    agent: Any,
-    method: str,
-    url: str,
-    body: bytes | None = None,
-    progress: Progress | None = None,
+async def _call(
+    agent: Any, method: str, url: str, body: bytes | None, progress: Progress
 ) -> Answer:
-    """Send one request, with a JSON body if there is one, and read its answer."""
     headers = Headers()
     producer = None
     if body is not None:
         headers.addRawHeader("Content-Type", "application/json")
         producer = _BytesProducer(body)
     response = await agent.request(method.encode(), url.encode(), headers, producer)
-    reader = _BodyReader(progress or Progress())
+    reader = _BodyReader(progress)
     response.deliverBody(reader)
     return Answer(response.code, await reader.finished)
 
 
-async def call_within(
+async def call(
     clock: Any,
     stall_s: float,
     agent: Any,
@@ -167,13 +162,14 @@
     body: bytes | None = None,
     progress: Progress | None = None,
 ) -> Answer:
-    """Call as :func:`call` does; raise StalledError when no byte comes for a while.
+    """Send one request, with a JSON body if there is one, and read its answer.
 
-    How long an answer takes depends on its size and its link, which a time-out for the
-    whole of it would have to know.
+    Raise StalledError when no byte comes for ``stall_s``. How long an answer takes
+    depends on its size and its link, which a time-out for the whole of it would have
+    to know.
     """
     followed = progress or Progress()
-    calling = Deferred.fromCoroutine(call(agent, method, url, body, followed))
+    calling = Deferred.fromCoroutine(_call(agent, method, url, body, followed))
     watch = _StallWatch(clock, stall_s, followed, calling)
     try:
         return await calling
--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -20,7 +20,7 @@
 from gentianhitch.http_client import Answer
 from gentianhitch.http_client import Progress
 from gentianhitch.http_client import StalledError
-from gentianhitch.http_client import call_within
+from gentianhitch.http_client import call
 from gentianhitch.http_client import make_agent
 from gentianhitch.http_client import make_pool
 from gentianhitch.platform.interface import OutcomeUnknownError
@@ -192,7 +192,7 @@
         data = None if body is None else msgspec.json.encode(body)
         url = self._base + path
         try:
-            return await call_within(
+            return await call(
                 self._reactor, STALL_TIMEOUT_S, self._agent, method, url, data, progress
             )
         except NOT_SENT_ERRORS as error:
--- a/src/gentianhitch/platform/store_view.py
+++ b/src/gentianhitch/platform/store_reader.py
@@ -1,4 +1,4 @@
-"""Turn the store's items into what an instance knows, and back."""
+"""Read the store's items into what an instance knows, and encode its own entry."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
     incarnation: int
     failure_domain: str
     callers: str
-    views: str
+    configurations: str
     datagrams: str
     capacity: float = 1.0
     link_mbps: float = DEFAULT_LINK_MBPS
@@ -86,7 +86,7 @@
             incarnation=entry.incarnation,
             failure_domain=entry.failure_domain,
             callers=Address.parse(entry.callers),
-            views=Address.parse(entry.views),
+            configurations=Address.parse(entry.configurations),
             datagrams=Address.parse(entry.datagrams),
             capacity=entry.capacity,
             link_mbps=entry.link_mbps,
@@ -102,7 +102,7 @@
             peer.incarnation,
             peer.failure_domain,
             str(peer.callers),
-            str(peer.views),
+            str(peer.configurations),
             str(peer.datagrams),
             peer.capacity,
             peer.link_mbps,
--- a/src/gentianhitch/proxy/configuration_fetch.py
+++ b/src/gentianhitch/proxy/configuration_fetch.py
@@ -15,13 +15,13 @@
 from gentianhitch.http_client import Answer
 from gentianhitch.http_client import Progress
 from gentianhitch.http_client import StalledError
-from gentianhitch.http_client import call_within
+from gentianhitch.http_client import call
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.instances.configuration_transfer import decode_busy
 from gentianhitch.instances.configuration_transfer import decode_transfer
 from gentianhitch.instances.configuration_transfer import decompress
 from gentianhitch.platform.interface import PlatformError
-from gentianhitch.platform.store_view import decode_stored
+from gentianhitch.platform.store_reader import decode_stored
 from gentianhitch.proxy.configuration_source import ConfigurationSource
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.inner_resources import CONFIGURATION_PATH
@@ -103,8 +103,8 @@
     ) -> Peer | None:
         """Fetch and take; return another instance to ask where this one is busy."""
         query = {"base": self._knowledge.configuration_revision, "for": self._name}
-        url = f"http://{peer.views}{CONFIGURATION_PATH}?{urlencode(query)}"
-        answer = await call_within(
+        url = f"http://{peer.configurations}{CONFIGURATION_PATH}?{urlencode(query)}"
+        answer = await call(
             self._clock, STALL_TIMEOUT_S, self._agent, "GET", url, progress=progress
         )
         if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -31,7 +31,7 @@
 from gentianhitch.platform.caller_interface import readiness_resource
 from gentianhitch.platform.node_settings import NodeSettings
 from gentianhitch.platform.store import KeyValueStore
-from gentianhitch.platform.store_view import StoreReader
+from gentianhitch.platform.store_reader import StoreReader
 from gentianhitch.proxy.admission_windows import Overshoot
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.changes import ChangeHandler
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -118,7 +118,7 @@
 class Peer:
     """One live entry instance.
 
-    Others fetch configurations at ``views`` (TCP) and send to ``datagrams`` (UDP).
+    Others fetch from ``configurations`` (TCP) and send to ``datagrams`` (UDP).
     ``capacity`` is in processor cores, ``link_mbps`` the bandwidth of its own link.
     """
 
@@ -126,7 +126,7 @@
     incarnation: int
     failure_domain: str
     callers: Address
-    views: Address
+    configurations: Address
     datagrams: Address
     capacity: float = 1.0
     link_mbps: float = DEFAULT_LINK_MBPS
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -16,7 +16,7 @@
 from gentianhitch.instances.datagrams import Datagrams
 from gentianhitch.instances.datagrams import Told
 from gentianhitch.platform.interface import PlatformError
-from gentianhitch.platform.store_view import StoreReader
+from gentianhitch.platform.store_reader import StoreReader
 from gentianhitch.proxy.configuration_fetch import ConfigurationFetcher
 from gentianhitch.proxy.configuration_source import ConfigurationSource
 from gentianhitch.proxy.events import Events
--- a/src/gentianhitch/proxy/registration.py
+++ b/src/gentianhitch/proxy/registration.py
@@ -9,8 +9,8 @@
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.store import LeaseEndedError
-from gentianhitch.platform.store_view import encode_peer
-from gentianhitch.platform.store_view import peer_key
+from gentianhitch.platform.store_reader import encode_peer
+from gentianhitch.platform.store_reader import peer_key
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.model import Peer
 from gentianhitch.repeating import Repeating
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -43,7 +43,7 @@
         incarnation=1,
         failure_domain=failure_domain,
         callers=Address("127.0.0.1", 8000 + number),
-        views=Address("127.0.0.1", 7000 + number),
+        configurations=Address("127.0.0.1", 7000 + number),
         datagrams=Address("127.0.0.1", 7000 + number),
     )
     return attrs.evolve(peer, **changes)
--- a/tests/platform/test_store_view.py
+++ b/tests/platform/test_store_reader.py
@@ -5,12 +5,12 @@
 import pytest
 
 from gentianhitch.platform.store import Item
-from gentianhitch.platform.store_view import MalformedEntryError
-from gentianhitch.platform.store_view import StoreReader
-from gentianhitch.platform.store_view import decode_backend_server
-from gentianhitch.platform.store_view import decode_peer
-from gentianhitch.platform.store_view import encode_peer
-from gentianhitch.platform.store_view import peer_key
+from gentianhitch.platform.store_reader import MalformedEntryError
+from gentianhitch.platform.store_reader import StoreReader
+from gentianhitch.platform.store_reader import decode_backend_server
+from gentianhitch.platform.store_reader import decode_peer
+from gentianhitch.platform.store_reader import encode_peer
+from gentianhitch.platform.store_reader import peer_key
 from tests.builders_proxy import make_peer
 
 ENTRY = {
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -12,7 +12,7 @@
 from gentianhitch.http_client import Answer
 from gentianhitch.http_client import Progress
 from gentianhitch.http_client import StalledError
-from gentianhitch.http_client import call_within
+from gentianhitch.http_client import call
 from gentianhitch.http_client import make_agent
 from gentianhitch.http_client import make_pool
 from tests.simulated_network import Network
@@ -60,7 +60,7 @@
     def call(self, wait_s: float) -> Answer:
         agent = make_agent(self.client, make_pool(self.client, 1), 0.5)
         calling = Deferred.fromCoroutine(
-            call_within(
+            call(
                 self.client,
                 STALL_S,
                 agent,
@@ -78,7 +78,7 @@
         return results[0]
 
 
-class TestCallWithin:
+class TestCall:
     # Guards against large answers on slow links that are thrown away at a fixed time.
     def test_a_long_answer_is_read_while_bytes_come(self) -> None:
         scenario = Scenario(0.3, 12)
