Carry out the store's calls in one place for both stand-ins

The store of the simulated network answered the same calls as the stand-in over HTTP, in code of its own.

--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import argparse
-import base64
 import json
 from typing import Any
 from typing import Literal
@@ -18,12 +17,9 @@
 from klein import Klein
 
 from standins import serving
-from standins.platform_store import Record
 from standins.platform_store import Store
-from standins.platform_store import StoreConflictError
-
-PAGE_ITEMS = 500
-NOT_WRITABLE = ("op/", "servers/")
+from standins.store_calls import StoreAnswer
+from standins.store_calls import StoreCalls
 
 
 @attrs.define
@@ -43,7 +39,7 @@
     """Serve the store's calls over HTTP."""
 
     def __init__(self, store: Store) -> None:
-        self.store = store
+        self.store_calls = StoreCalls(store)
         self.faults = StoreFaults()
         self.calls = 0
         self.app = Klein()
@@ -63,15 +59,11 @@
 
     def write(self, key: str, value: bytes) -> None:
         """Write an item as the operator or a backend server."""
-        current = self.store.get(key)
-        revision = 0 if current is None else current.revision
-        self.store.put(key, base64.b64encode(value).decode(), revision, None)
+        self.store_calls.write(key, value)
 
     def remove(self, key: str) -> None:
         """Remove an item."""
-        current = self.store.get(key)
-        if current is not None:
-            self.store.delete(key, current.revision)
+        self.store_calls.remove(key)
 
     def _guard(self, answer: Any) -> Any:
         async def guarded(request: Any, **parts: str) -> bytes:
@@ -94,66 +86,22 @@
         return guarded
 
     def _key(self, request: Any) -> bytes:
-        record = self.store.get(request.args[b"key"][0].decode())
-        at = self.store.revision
-        if record is None:
-            return serving.answer_json(request, {"at": at}, 404)
-        return serving.answer_json(request, {**_show(record), "at": at})
+        return _reply(request, self.store_calls.key(serving.read_query(request)))
 
     def _range(self, request: Any) -> bytes:
-        prefix = request.args.get(b"prefix", [b""])[0].decode()
-        after = request.args.get(b"after", [b""])[0].decode()
-        records = self.store.range(prefix, after)
-        items = [_show(record) for record in records[:PAGE_ITEMS]]
-        more = len(records) > PAGE_ITEMS
-        at = self.store.revision
-        return serving.answer_json(request, {"items": items, "hasMore": more, "at": at})
+        return _reply(request, self.store_calls.range(serving.read_query(request)))
 
     def _txn(self, request: Any) -> bytes:
-        body = serving.read_json(request)
-        puts = body.get("puts", [])
-        if any(put["key"].startswith(NOT_WRITABLE) for put in puts):
-            return serving.answer_json(request, {}, 403)
-        expected = {row["key"]: row["revision"] for row in body.get("expect", [])}
-        found = {key: self.store.get(key) for key in expected}
-        if any(
-            (record.revision if record else 0) != expected[key]
-            for key, record in found.items()
-        ):
-            items = [_show(record) for record in found.values() if record is not None]
-            return serving.answer_json(request, {"items": items}, 412)
-        try:
-            for put in puts:
-                current = self.store.get(put["key"])
-                lease = put.get("lease")
-                self.store.put(
-                    put["key"],
-                    put["value"],
-                    current.revision if current else 0,
-                    f"lease-{lease}" if lease else None,
-                )
-        except StoreConflictError:
-            return serving.answer_json(request, {}, 404)
-        for key in body.get("deletes", []):
-            self.remove(key)
-        return serving.answer_json(request, {"revision": self.store.revision})
+        return _reply(request, self.store_calls.txn(serving.read_json(request)))
 
     def _grant(self, request: Any) -> bytes:
-        ttl_ms = serving.read_json(request)["ttlMs"]
-        lease = self.store.grant(ttl_ms / 1000)
-        number = int(lease.removeprefix("lease-"))
-        return serving.answer_json(request, {"lease": number, "ttlMs": ttl_ms})
+        return _reply(request, self.store_calls.grant(serving.read_json(request)))
 
     def _keep(self, request: Any, lease: str) -> bytes:
-        try:
-            self.store.renew(f"lease-{lease}")
-        except StoreConflictError:
-            return serving.answer_json(request, {}, 404)
-        return serving.answer_json(request, {"ttlMs": 0})
+        return _reply(request, self.store_calls.keep(lease))
 
     def _end(self, request: Any, lease: str) -> bytes:
-        self.store.end(f"lease-{lease}")
-        return serving.answer_json(request, {})
+        return _reply(request, self.store_calls.end(lease))
 
     def _set_faults(self, request: Any) -> bytes:
         changes = json.loads(request.content.read())
@@ -166,13 +114,8 @@
         return serving.answer_json(request, {})
 
 
-def _show(record: Record) -> dict[str, Any]:
-    return {
-        "key": record.key,
-        "value": record.value,
-        "revision": record.revision,
-        "created": record.created,
-    }
+def _reply(request: Any, answer: StoreAnswer) -> bytes:
+    return serving.answer_json(request, answer.body, answer.status)
 
 
 def main() -> None:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -45,6 +45,11 @@
     return json.dumps(value).encode()
 
 
+def read_query(request: Any) -> dict[str, str]:
+    """Read the query; of a name that comes twice the first value counts."""
+    return {name.decode(): values[0].decode() for name, values in request.args.items()}
+
+
 def read_json(request: Request) -> Any:
     """Read the request's body as JSON; an empty body is an empty object."""
     return json.loads(request.content.read() or b"{}")  # type: ignore[union-attr]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,7 @@
 from standins import key_value_store
 from standins import platform_store
 from standins import serving
+from standins import store_calls
 from tests.running import run_on_reactor
 
 
@@ -40,13 +41,13 @@
 
     def test_follows_pages(self) -> None:
         scenario = Scenario()
-        for number in range(key_value_store.PAGE_ITEMS + 10):
+        for number in range(store_calls.PAGE_ITEMS + 10):
             scenario.server.write(f"servers/{number:04}", b"x")
 
         async def read() -> int:
             return len((await scenario.client.read_range("servers/")).items)
 
-        assert run_on_reactor(read()) == key_value_store.PAGE_ITEMS + 10
+        assert run_on_reactor(read()) == store_calls.PAGE_ITEMS + 10
 
     @pytest.mark.parametrize("outage", ["busy", "many"])
     def test_a_refused_call_changed_nothing(self, outage: str) -> None:
