--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -38,6 +38,8 @@
 ZONES = ("dk-a", "dk-b", "dk-c")
 STORE_ANSWER_S = 0.004
 HEARTBEAT_S = 1.5
+TIMEOUT_MS = 10_000
+SERVICES = ("stockview", "ordertake", "deliverylog")
 LAPSE_HEARTBEATS = 3
 PAGE_ITEMS = 500
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
@@ -576,9 +578,7 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def make_document(
-    version: int, tenants: list[dict[str, Any]], *, timeout_ms: int = 10_000
-) -> dict[str, Any]:
+def make_document(version: int, tenants: list[dict[str, Any]]) -> dict[str, Any]:
     """Return a configuration with one safe and one unsafe route."""
     return {
         "version": version,
@@ -593,29 +593,30 @@
             {
                 "hostname": HOST,
                 "rules": [
-                    _rule("stock-lookup", "safe", "/stock/", "stockview", timeout_ms),
-                    _rule("order-place", "unsafe", "/order/", "ordertake", timeout_ms),
+                    _rule("stock-lookup", "safe", "/stock/", "stockview", 2000),
+                    _rule("order-place", "unsafe", "/order/", "ordertake", 2000),
+                    _rule("delivery-history", "safe", "/past/", "deliverylog", 3000),
                 ],
             }
         ],
         "clusters": [
             {"name": name, "healthCheckPath": "/health", "maxConnections": 330}
-            for name in ("stockview", "ordertake")
+            for name in SERVICES
         ],
     }
 
 
 def _rule(
-    name: str, kind: str, prefix: str, service: str, timeout_ms: int
+    name: str, kind: str, prefix: str, service: str, objective_ms: int
 ) -> dict[str, Any]:
     return {
         "name": name,
         "type": kind,
-        "objectiveLatencyMs": 2000,
+        "objectiveLatencyMs": objective_ms,
         "priority": 1,
         "public": False,
         "match": {"prefix": prefix},
-        "action": {"service": service, "timeoutMs": timeout_ms, "attempts": 3},
+        "action": {"service": service, "timeoutMs": TIMEOUT_MS, "attempts": 3},
     }
 
 
@@ -651,7 +652,7 @@
             raise CannotRunError("target/deps is missing: build the deploy file first")
         await self.store.start()
         self.store.configure(document)
-        for service in ("stockview", "ordertake"):
+        for service in SERVICES:
             for number in range(servers):
                 server = Server(self.record, self.store, service, number)
                 await server.start()
