Add review case 5: a server that left is used again after a cut from the store

Cause: entries missing after a gap are retained for 2 s from the instance's first read, which comes up to 2.8 s after the store can be reached again. Change: a script that cuts the only proxy from the store while a server leaves.

--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -152,6 +152,7 @@
         self.revision = 1
         self.next_lease = 1
         self.address = ""
+        self.is_cut = False
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -203,6 +204,10 @@
                 start, _, body = await read_message(reader)
                 await asyncio.sleep(STORE_ANSWER_S)
                 method, target, _ = start.split(" ")
+                if self.is_cut:
+                    self._record.write("store_call_reset", call=target)
+                    writer.transport.abort()
+                    return
                 status, value = self._answer(method, urlsplit(target), body)
                 data = json.dumps(value).encode()
                 writer.write(
@@ -302,6 +307,7 @@
         self._slot_count = slots
         self.state = "ready"
         self.runs: list[dict[str, Any]] = []
+        self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
         self._beats = 0
 
@@ -332,9 +338,23 @@
         }
         self._store.write("servers/" + self.id, json.dumps(entry).encode())
 
+    def leave(self) -> None:
+        """Remove the entry and go on serving, as some servers do before they exit."""
+        self._beating.cancel()
+        self._store.delete("servers/" + self.id)
+        self._record.write("removal_acknowledged", server=self.id)
+
+    def exit(self) -> None:
+        """Close the port and reset the connections, as an ended process does."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._record.write("server_exits", server=self.id)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 start, headers, _ = await read_message(reader)
@@ -350,6 +370,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, start: str, headers: dict[str, str]) -> bytes:
