Count the retention of expired entries from the return of the store

Cause: a lone instance read a failing store every 2.8 s at most and counted the 2 s for which missing entries are retained from its first successful read, up to 2.8 s after the store's return.

Trimming by a fixed time alone was ruled out by calculation: instances of a large fleet read seldom, and would drop sound servers before they can register again.

Change: the interval of failing reads is at most 0.7 s for each listed instance, and the retention runs from the last failed read plus one interval. Reads of a fleet of four and more are as before.

Conclusion: fixed for one instance; with two or three that are cut off together the bound may be exceeded by up to 0.5 s in the worst case (calculated).

--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -149,7 +149,7 @@
         try:
             await read(progress, started_s)
         except PlatformError as error:
-            self._plan.record_read(succeeded=False)
+            self._plan.record_read(started_s, succeeded=False)
             if part not in self._failing_parts:
                 self._failing_parts.add(part)
                 self._events.state(
@@ -160,7 +160,7 @@
                     elapsed_ms=int((self._clock.seconds() - started_s) * 1000),
                 )
         else:
-            self._plan.record_read(succeeded=True)
+            self._plan.record_read(started_s, succeeded=True)
             if part in self._failing_parts:
                 self._failing_parts.discard(part)
                 self._events.state("store_regained", part=part)
@@ -184,7 +184,9 @@
     ) -> None:
         self._log_rejected()
         now = self._clock.seconds()
-        change = self._store_view.update_listing(listing, started_s, now)
+        change = self._store_view.update_listing(
+            listing, started_s, now, self._plan.latest_return_s(now)
+        )
         elapsed_s = now - started_s
         origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
         self._report_change(change, origin)
--- a/src/gentianhitch/proxy/sources.py
+++ b/src/gentianhitch/proxy/sources.py
@@ -44,7 +44,14 @@
 
 FALLBACK_READ_INTERVAL_S = 0.7
 MAX_READ_INTERVAL_S = 2.8
-"""The interval doubles with each failed read, since refused calls are charged too."""
+"""The interval doubles with each failed read, since refused calls are charged too.
+
+It grows to FALLBACK_READ_INTERVAL_S for each instance at most: the first successful
+read is told to all, and a lone instance learns of the store's return by its own only.
+"""
+
+RETURN_MARGIN_S = 0.1
+"""A read is started this long after its interval has passed, at most."""
 
 MAX_INTERVAL_REDUCTION = 0.5
 MAX_RANK = 2**32 - 1
@@ -97,6 +104,7 @@
     _queried_at_by_name: dict[str, float] = attrs.Factory(dict)
     _last_read_s: float = float("-inf")
     _failed_reads: int = 0
+    _failed_read_started_s: float | None = None
     _last_query_s: float = float("-inf")
     _next_peer_index: int = 0
     _peers: tuple[Peer, ...] = ()
@@ -117,11 +125,25 @@
             self._backoff_until_by_name.pop(name, None)
             self._timeouts_by_name.pop(name, None)
 
-    def record_read(self, *, succeeded: bool) -> None:
-        """Record the outcome of a read of the store."""
-        self._failed_reads = (
-            0 if succeeded else min(self._failed_reads + 1, MAX_DOUBLINGS)
-        )
+    def record_read(self, started_s: float, *, succeeded: bool) -> None:
+        """Record the outcome of a read of the store that began at ``started_s``."""
+        if succeeded:
+            self._failed_reads = 0
+            self._failed_read_started_s = None
+        else:
+            self._failed_reads = min(self._failed_reads + 1, MAX_DOUBLINGS)
+            self._failed_read_started_s = started_s
+
+    def latest_return_s(self, now: float) -> float:
+        """Return when the store was back at the latest, if a read succeeds at ``now``.
+
+        A read that fails after the return, since it hangs on a connection from before,
+        does not delay it.
+        """
+        if self._failed_read_started_s is None:
+            return now
+        longest_s = self._max_retry_interval_s() + RETURN_MARGIN_S
+        return min(now, self._failed_read_started_s + longest_s)
 
     def next_step(self, peers: Iterable[Peer], age_s: float, now: float) -> RefreshStep:
         """Return what to do at ``now`` with a view of ``age_s``."""
@@ -151,11 +173,15 @@
         """
         longest_s: float = min(
             FALLBACK_READ_INTERVAL_S * 2 ** (self._failed_reads - 1),
-            MAX_READ_INTERVAL_S,
+            self._max_retry_interval_s(),
         )
         part = rank(f"{self.name} {self._failed_reads}") / MAX_RANK
         return longest_s * (1.0 - MAX_INTERVAL_REDUCTION * part)
 
+    def _max_retry_interval_s(self) -> float:
+        instances = 1 + len(self._others_in_order)
+        return min(FALLBACK_READ_INTERVAL_S * instances, MAX_READ_INTERVAL_S)
+
     def _set_peers(self, peers: tuple[Peer, ...]) -> None:
         """Derive the orders of peers, unless these are the same as before."""
         if peers == self._peers:
--- a/src/gentianhitch/proxy/store_view.py
+++ b/src/gentianhitch/proxy/store_view.py
@@ -140,17 +140,24 @@
         return True
 
     def update_listing(
-        self, listing: Listing, started_s: float, now: float
+        self,
+        listing: Listing,
+        started_s: float,
+        now: float,
+        store_returned_s: float | None = None,
     ) -> ListingChange | None:
         """Take a listing that this instance read; return None if nothing changes.
 
+        ``store_returned_s`` is when the store was back at the latest, or ``now``.
+
         Only the instance that reads the store can distinguish an outage of the store
         from a gap in its own reads, so it alone decides which expired entries are
         retained; the others copy its listing.
         """
         if listing.revision < self.registry.revision:
             return None
-        self._retain_expired(listing, started_s, now)
+        returned_s = now if store_returned_s is None else store_returned_s
+        self._retain_expired(listing, started_s, returned_s)
         self._read_revision = listing.revision
         old_servers, old_peers = self.servers_by_id, self.peers_by_name
         self.registry.replace(self._with_retained(listing))
@@ -184,14 +191,16 @@
         self._expired_peers_by_name = {}
         self._retained_until_s = NEVER
 
-    def _retain_expired(self, new: Listing, started_s: float, now: float) -> None:
+    def _retain_expired(
+        self, new: Listing, started_s: float, returned_s: float
+    ) -> None:
         """Retain entries that may have expired only because of an outage of the store.
 
         After a shorter gap there was no outage: missing entries were removed.
         """
         gap_s = started_s - self.listing_verified_s
         if gap_s > EXPIRY_HEARTBEATS * self.heartbeat_s and self.registry.revision:
-            self._retained_until_s = now + REREGISTRATION_S
+            self._retained_until_s = returned_s + REREGISTRATION_S
             ready = {
                 server.id: server
                 for server in self.servers_by_id.values()
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -1,10 +1,14 @@
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
 
+from gentianhitch.proxy.sources import FALLBACK_READ_INTERVAL_S
 from gentianhitch.proxy.sources import MAX_READ_INTERVAL_S
 from gentianhitch.proxy.sources import PEER_BACKOFF_S
 from gentianhitch.proxy.sources import REFRESH_INTERVAL_S
+from gentianhitch.proxy.sources import RETURN_MARGIN_S
 from gentianhitch.proxy.sources import RefreshPlan
 from gentianhitch.proxy.sources import reading_order
 from gentianhitch.proxy.sources import refresh_interval
@@ -117,14 +121,38 @@
         for tick in range(100):
             if plan.next_step(PEERS, 2.0 + tick * 0.1, 100.0 + tick * 0.1).read_store:
                 reads += 1
-                plan.record_read(succeeded=False)
+                plan.record_read(100.0 + tick * 0.1, succeeded=False)
         assert reads <= 3 + 10 / MAX_READ_INTERVAL_S
 
     def test_one_good_read_restores_the_usual_interval(self) -> None:
         plan = RefreshPlan(FIRST, "a")
         plan.next_step(PEERS, 2.0, 100.0)
         for _ in range(20):
-            plan.record_read(succeeded=False)
-        plan.record_read(succeeded=True)
+            plan.record_read(100.0, succeeded=False)
+        plan.record_read(100.0, succeeded=True)
         later = 100.0 + REFRESH_INTERVAL_S + 0.01
         assert plan.next_step(PEERS, 0.1, later).read_store
+
+
+class TestReturnOfTheStore:
+    def test_a_lone_instance_keeps_reading_often(self) -> None:
+        # Guards against a server that left, retained for 2 s from a first read that
+        # came 2.8 s after the return of the store.
+        plan, lone = RefreshPlan(FIRST, "a"), [make_peer(FIRST)]
+        times_s = []
+        for tick in range(100):
+            now = 100.0 + tick * 0.1
+            if plan.next_step(lone, 2.0, now).read_store:
+                times_s.append(now)
+                plan.record_read(now, succeeded=False)
+        gaps_s = [later - time for time, later in pairwise(times_s)]
+        assert max(gaps_s) <= FALLBACK_READ_INTERVAL_S + RETURN_MARGIN_S
+
+    def test_a_read_that_hangs_does_not_delay_the_return(self) -> None:
+        plan = RefreshPlan(FIRST, "a")
+        plan.next_step([make_peer(FIRST)], 2.0, 100.0)
+        assert plan.latest_return_s(100.0) == 100.0
+        plan.record_read(100.0, succeeded=False)
+        assert plan.latest_return_s(100.5) == 100.5
+        longest_s = FALLBACK_READ_INTERVAL_S + RETURN_MARGIN_S
+        assert plan.latest_return_s(103.0) == 100.0 + longest_s
--- a/tests/proxy/test_store_calls.py
+++ b/tests/proxy/test_store_calls.py
@@ -16,6 +16,10 @@
 DOMAINS = 3
 CALM_S = 10.0
 MAX_RECOVERY_S = 1.0
+
+CONTACT_S = 3.0
+"""After this time without a disruption an instance may not use servers that left."""
+
 READS = ("kv-range", "kv-key", "kv-txn")
 
 
@@ -64,6 +68,24 @@
         assert deployment.store.calls_by_name["kv-range"] - calls <= 2 * instances
 
 
+class TestLoneInstance:
+    @pytest.mark.parametrize("outage_s", [3.2, 3.6, 4.5, 5.0, 7.0, 9.3])
+    def test_drops_a_server_that_left_soon_after_the_return(
+        self, outage_s: float
+    ) -> None:
+        # Guards against orders to a server that left while the only instance was
+        # cut from the store: it was retained for 2 s from a first read 2.8 s late.
+        deployment = SimulatedDeployment([LINK_BYTES_PER_S], servers=9)
+        deployment.advance(5.0)
+        deployment.store.is_down = True
+        deployment.advance(1.0)
+        deployment.remove_server(1)
+        deployment.advance(outage_s - 1.0)
+        deployment.store.is_down = False
+        deployment.advance(CONTACT_S - 0.1)
+        assert deployment.users_of(1) == []
+
+
 class TestOneRead:
     def test_servers_are_updated_though_the_configuration_is_malformed(self) -> None:
         deployment = SimulatedDeployment([LINK_BYTES_PER_S] * 6, servers=4)
