Require a key although no tenant has one left

Cause: RequestServer.check took a configuration without keys for one without tenants, since workspaces were known by their keys alone.

Evidence: test_request_server.py::TestKeys, with the check as before: withdrawn, unknown and no key were dispatched, 3 of 4 cases red (the public route passes).

Ruled out: a late configuration: the check passed the request before it looked at the age, and the instances served the new routes.

Related: the admissions of a workspace were dropped with its last key, so that it could spend its limit again with a new one; workspaces are kept by name now. The document's check in `gentianhitch entry` has no such path: a route is open only if it says so.

After: the four cases pass. An empty list of tenants requires a key too; only a configuration without the list needs none.

--- a/src/gentianhitch/platform/configuration.py
+++ b/src/gentianhitch/platform/configuration.py
@@ -79,7 +79,8 @@
     version: int
     listeners: list[_Listener] = []
     clusters: list[_Cluster] = []
-    tenants: list[_Tenant] = []
+    # Absent: requests need no key. An empty list still asks for one.
+    tenants: list[_Tenant] | None = None
     limits: _Limits | None = None
 
 
@@ -100,6 +101,8 @@
     for listener in document.listeners:
         routes = routes_by_host.setdefault(listener.hostname.lower(), [])
         routes += [_decode_rule(listener.hostname, rule) for rule in listener.rules]
+    tenants = document.tenants or []
+    workspaces_by_name = {tenant.name: _decode_tenant(tenant) for tenant in tenants}
     return Configuration(
         version=document.version,
         limits=_decode_limits(document.limits),
@@ -107,11 +110,13 @@
             host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
             for host, routes in routes_by_host.items()
         },
+        requires_key=document.tenants is not None,
         workspaces_by_key={
-            key: _decode_tenant(tenant)
-            for tenant in document.tenants
+            key: workspaces_by_name[tenant.name]
+            for tenant in tenants
             for key in tenant.api_keys
         },
+        workspaces_by_name=workspaces_by_name,
         services_by_name={
             cluster.name: Service(
                 cluster.name, cluster.health_check_path, cluster.max_connections
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -86,4 +86,4 @@
         self._balancer.set_instances(serving)
         configuration = self._store_view.configuration
         if configuration is not None:
-            self._quotas.set_workspaces(configuration.workspaces_by_key.values(), now)
+            self._quotas.set_workspaces(configuration.workspaces_by_name.values(), now)
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -69,12 +69,18 @@
 
 @attrs.frozen
 class Configuration:
-    """One complete configuration; ``version`` is the number the operator gave it."""
+    """One complete configuration; ``version`` is the number the operator gave it.
+
+    ``requires_key`` if requests of routes that aren't public need an API key.
+    Workspaces without a key are in ``workspaces_by_name`` only.
+    """
 
     version: int
     limits: CallerLimits
     routes_by_host: dict[str, tuple[Route, ...]]
+    requires_key: bool
     workspaces_by_key: dict[str, Workspace]
+    workspaces_by_name: dict[str, Workspace]
     services_by_name: dict[str, Service]
 
     def route_names(self) -> frozenset[str]:
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -87,7 +87,7 @@
         route = configuration.find_route(request.host, request.path)
         if route is None:
             return _refuse_unknown(Cause.UNKNOWN_ROUTE, age_s)
-        if route.public or not configuration.workspaces_by_key:
+        if route.public or not configuration.requires_key:
             return AllowedRequest(route, None)
         if age_s > self.revocation_s - FRESHNESS_MARGIN_S:
             return Refusal(Cause.NOT_FRESH, retry_after_s=RETRY_AFTER_S)
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -70,8 +70,9 @@
 
 
 def make_configuration(
-    *routes: Route, workspace: Workspace | None = None
+    *routes: Route, workspace: Workspace | None = None, key: str | None = KEY
 ) -> Configuration:
+    named = workspace or make_workspace(0.0, 0.0)
     chosen = routes or (make_route(),)
     by_host: dict[str, list[Route]] = {}
     for route in chosen:
@@ -83,7 +84,9 @@
             host: tuple(sorted(each, key=lambda route: -len(route.prefix)))
             for host, each in by_host.items()
         },
-        workspaces_by_key={KEY: workspace or make_workspace(0.0, 0.0)},
+        requires_key=True,
+        workspaces_by_key={} if key is None else {key: named},
+        workspaces_by_name={named.name: named},
         services_by_name={"stock": Service("stock", "/health", 100)},
     )
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -89,6 +89,25 @@
         )
         assert configuration.limits.max_body_bytes == 1024
 
+    # Guards against routes that are open to all once no tenant has a key.
+    @pytest.mark.parametrize("tenants", [[], [{"name": "north", "apiKeys": []}]])
+    def test_a_key_is_required_though_no_tenant_has_one(self, tenants: object) -> None:
+        document = {**DOCUMENT, "tenants": tenants}
+        configuration = decode_configuration(json.dumps(document).encode())
+        assert configuration.requires_key
+        assert not configuration.workspaces_by_key
+
+    def test_no_key_is_required_without_tenants(self) -> None:
+        document = {k: v for k, v in DOCUMENT.items() if k != "tenants"}
+        assert not decode_configuration(json.dumps(document).encode()).requires_key
+
+    # Guards against a quota that is spent again: the admissions of a tenant were
+    # forgotten while it had no key.
+    def test_a_tenant_without_keys_is_still_known(self) -> None:
+        document = {**DOCUMENT, "tenants": [{"name": "north", "ratePerS": 30}]}
+        configuration = decode_configuration(json.dumps(document).encode())
+        assert configuration.workspaces_by_name["north"].rate_per_s == 30
+
     def test_unknown_fields_are_ignored(self) -> None:
         assert decode({**DOCUMENT, "novelty": [1]})
 
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -1,4 +1,4 @@
-"""Pattern: a caller leaves, or its instance stops, while a request awaits its quota."""
+"""Test the check of keys, and requests that await their quota."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+import pytest
 from twisted.internet.task import Clock
 
 from gentianhitch.callers.complete_requests import CallerRequest
@@ -104,7 +105,7 @@
             lambda outcome, workspace, elapsed_s: None,
         )
 
-    def send(self) -> tuple[ServedRequest, RecordedResponse]:
+    def send(self, key: str | None = KEY) -> tuple[ServedRequest, RecordedResponse]:
         request = CallerRequest(
             method=b"GET",
             target=b"/stock/1",
@@ -114,7 +115,7 @@
             keep_alive=True,
             request_id=b"id",
             remaining_s=REVOCATION_S,
-            key=KEY,
+            key=key,
             has_length=False,
         )
         response = RecordedResponse()
@@ -168,3 +169,29 @@
                 break
         assert response.data.startswith(b"HTTP/1.1 429 ")
         assert b"retry-after: 5" in response.data.lower()
+
+
+class TestKeys:
+    # Guards against requests with withdrawn or unknown keys that run: a configuration
+    # whose last key was withdrawn was taken for one that needs no key.
+    @pytest.mark.parametrize("key", [KEY, "never-given", None])
+    def test_no_request_is_sent_once_the_last_key_is_withdrawn(
+        self, key: str | None
+    ) -> None:
+        instance = LimitedServer()
+        withdrawn = make_configuration(make_route(), key=None)
+        instance.server.store_view.update_configuration(
+            make_stored(2, withdrawn), instance.clock.seconds()
+        )
+        _, response = instance.send(key)
+        assert response.data.startswith(b"HTTP/1.1 401 ")
+        assert instance.connections.acquired == 0
+
+    def test_a_public_route_needs_no_key(self) -> None:
+        instance = LimitedServer()
+        withdrawn = make_configuration(make_route(public=True), key=None)
+        instance.server.store_view.update_configuration(
+            make_stored(2, withdrawn), instance.clock.seconds()
+        )
+        instance.send(None)
+        assert instance.connections.acquired == 1
