Admit waiting requests when their workspace's limit is lifted

Cause: a request that enters behind waiting ones asks for the time of its admission, which divides by the rate; it is 0 once the limit is lifted. The ZeroDivisionError ended the connection with all that was pending on it.

Evidence: test_admission_queue.py::TestLiftedLimit with 1, 14 and 40 waiting requests: 3 of 3 red before (a 429 or the error).

Ruled out: the quota's own admission, which looks for a limit first.

Related, in the same queue: a refusal that closes its connection raised ValueError at the next request of that connection, and the others lost their timer; red before, one test.

After: the four cases pass.

--- a/src/gentianhitch/proxy/admission_queue.py
+++ b/src/gentianhitch/proxy/admission_queue.py
@@ -62,6 +62,11 @@
         """Decide at once, or return the request that is held for ``max_wait_s``."""
         now = self._clock.seconds()
         line = self._lines_by_workspace.get(workspace.name)
+        if line is not None and workspace.is_unlimited:
+            # Its limit was lifted: those that wait for it go first.
+            line.workspace = workspace
+            self._decide(line)
+            line = None
         if line is None:
             wait_s = self._quotas.admit(workspace, now)
             if wait_s <= 0:
@@ -95,6 +100,10 @@
 
     def _tick(self, line: _Line) -> None:
         line.timer = None
+        self._decide(line)
+
+    def _decide(self, line: _Line) -> None:
+        """Admit or refuse the held requests that need not wait longer."""
         now = self._clock.seconds()
         wait_s = 0.0
         while line.held:
@@ -104,9 +113,11 @@
             line.held.popleft().admittee.admitted()
         ended = [request for request in line.held if request.until_s <= now]
         for request in ended:
-            line.held.remove(request)
-            request.admittee.over_rate(wait_s)
-        if line.held:
+            # A refusal may close the connection, whose other requests then leave.
+            if request in line.held:
+                line.held.remove(request)
+                request.admittee.over_rate(wait_s)
+        if line.held and line.timer is None:
             self._schedule(line, wait_s, now)
         self._drop_if_empty(line)
 
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -47,6 +47,11 @@
     rate_per_s: float
     burst: float
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Return whether the workspace may send any number of requests."""
+        return self.rate_per_s <= 0
+
 
 @attrs.frozen
 class Service:
--- a/src/gentianhitch/proxy/quotas.py
+++ b/src/gentianhitch/proxy/quotas.py
@@ -124,7 +124,7 @@
 
     def admit(self, workspace: Workspace, now: float) -> float:
         """Count a request and return 0, or return the seconds until a retry."""
-        if workspace.rate_per_s <= 0:
+        if workspace.is_unlimited:
             return 0.0
         if not self._may_admit(workspace, now):
             return self.retry_after_s(workspace, now)
@@ -135,7 +135,7 @@
     def retry_after_s(
         self, workspace: Workspace, now: float, waiting: int = 0
     ) -> float:
-        """Return after how many seconds a request may be admitted.
+        """Return after how many seconds a request of a limited workspace is admitted.
 
         ``waiting`` is the number of requests to admit before it.
         """
@@ -200,7 +200,7 @@
 
     def refund(self, workspace: Workspace, admitted_s: float, now: float) -> None:
         """Subtract a request, admitted at ``admitted_s``, that did not run."""
-        if workspace.rate_per_s <= 0 or admitted_s <= now - self.tolerance.window_s:
+        if workspace.is_unlimited or admitted_s <= now - self.tolerance.window_s:
             return
         self._window(workspace.name, now).refund(1)
         self._total(workspace.name).add(now, -1)
--- a/tests/proxy/test_admission_queue.py
+++ b/tests/proxy/test_admission_queue.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 import attrs
 import pytest
 
 from gentianhitch.proxy.admission_queue import AdmissionQueue
+from gentianhitch.proxy.model import Workspace
 from tests.builders_proxy import TOLERANCE
 from tests.builders_proxy import make_workspace
 from tests.builders_reports import ReportingFleet
 
 MAX_WAIT_S = 0.25
+LONG_WAIT_S = 10.0
 STEP_S = 0.01
 
 
@@ -29,6 +32,7 @@
     admitted_s: float | None = None
     refused_s: float | None = None
     retry_after_s: float = 0.0
+    on_refused: Callable[[], None] | None = None
 
     def admitted(self) -> None:
         self.admitted_s = self.fleet.clock.seconds()
@@ -36,6 +40,18 @@
     def over_rate(self, retry_after_s: float) -> None:
         self.refused_s = self.fleet.clock.seconds()
         self.retry_after_s = retry_after_s
+        if self.on_refused is not None:
+            self.on_refused()
+
+
+class FullQuotas:
+    """Admit nothing, but say each time that there is room soon."""
+
+    def admit(self, workspace: Workspace, now: float) -> float:
+        return MAX_WAIT_S
+
+    def retry_after_s(self, workspace: Workspace, now: float, waiting: int) -> float:
+        return MAX_WAIT_S
 
 
 class ClumpedWorkspace:
@@ -145,3 +161,43 @@
         times = [each.admitted_s for each in callers.requests if each.admitted_s]
         assert times == sorted(times)
         assert len(times) > 3
+
+
+class TestLiftedLimit:
+    def hold(self, callers: ClumpedWorkspace, count: int) -> list[RecordedRequest]:
+        """Return ``count`` requests that wait for their admission."""
+        callers.run(6.0, 0.0, 1)
+        held: list[RecordedRequest] = []
+        while len(held) < count:
+            request = RecordedRequest(callers.fleet, callers.fleet.clock.seconds())
+            if callers.queues[0].enter(callers.workspace, request, LONG_WAIT_S):
+                held.append(request)
+        return held
+
+    # Guards against connections that end without an answer: a request of a workspace
+    # whose limit was lifted, while others waited for it, raised ZeroDivisionError.
+    @pytest.mark.parametrize("count", [1, 14, 40])
+    def test_requests_that_wait_are_admitted_first(self, count: int) -> None:
+        callers = ClumpedWorkspace("ab", 6, 9.0)
+        held = self.hold(callers, count)
+        lifted = make_workspace(0.0, 0.0)
+        request = RecordedRequest(callers.fleet, callers.fleet.clock.seconds())
+        assert callers.queues[0].enter(lifted, request, MAX_WAIT_S) is None
+        assert request.admitted_s == callers.fleet.clock.seconds()
+        assert [each.admitted_s for each in held] == [request.admitted_s] * count
+        callers.run(2 * LONG_WAIT_S, 0.0, 1)
+        assert not any(each.refused_s for each in held)
+
+    # Guards against requests without an answer until the instance ends: the refusal of
+    # one closed its connection, and the next of that connection was no longer held.
+    def test_a_refusal_that_closes_its_connection_harms_no_other(self) -> None:
+        fleet = ReportingFleet("a", 1)
+        queue = AdmissionQueue(fleet.clock, FullQuotas())  # type: ignore[arg-type]
+        requests = [RecordedRequest(fleet, 0.0) for _ in range(3)]
+        _, second, _ = (
+            queue.enter(make_workspace(), each, MAX_WAIT_S) for each in requests
+        )
+        assert second is not None
+        requests[0].on_refused = lambda: queue.leave(second)
+        fleet.clock.advance(MAX_WAIT_S)
+        assert [each.refused_s is None for each in requests] == [False, True, False]
