Close a connection with the last response of the requests served

Callers saw: orders that ran and got no answer when an instance was stopped, if they had written several at once. They place such orders again, so that they run twice. Possibly what the users report as LOST from real processes; they kept no logs.

Cause: a stopping instance encoded each response as the last one; writing it cancelled the requests behind it that servers were running. A `Connection: close` amid pipelined requests, and a malformed request, did the same.

Change: the connection decides by itself which response closes it: the last of those whose requests were served; once there is a reason, nothing behind is served.

--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -60,25 +60,28 @@
     closes_connection: bool = False
     exchange: Exchange | None = None
 
-    def send(self, data: bytes, *, close: bool = False) -> None:
+    def send(self, data: bytes) -> None:
         """Set the encoded response and write it when it is next in order.
 
-        With ``close``, the connection is closed after it. Later calls have no effect.
+        Later calls have no effect.
         """
         if self.data is None:
+            self.closes_connection = self.will_close
             self.data = data
-            self.closes_connection = close
             self._connection.flush()
 
     @property
     def will_close(self) -> bool:
-        """Return whether the connection is to be closed after this response."""
-        is_close_requested = self.request is not None and not self.request.keep_alive
-        return is_close_requested or self._connection.is_leaving
+        """Return whether the connection is closed after this response."""
+        return self._connection.ends_with(self)
 
 
 class PipelinedConnection(Protocol):
-    """Serves one caller's requests concurrently; responses keep the request order."""
+    """Serves one caller's requests concurrently; responses keep the request order.
+
+    Whatever the reason, the response that closes the connection is the last of those
+    whose requests were served: callers send requests behind it again, orders too.
+    """
 
     transport: Any = None
 
@@ -86,6 +89,7 @@
         self._factory = factory
         self._reader = CompleteRequestReader(factory.names, factory.limits())
         self._pending_responses: deque[PendingResponse] = deque()
+        self._is_last_read = False
         self._is_closing = False
         self._is_paused = False
         self._last_active_s = factory.seconds()
@@ -97,9 +101,17 @@
         self._factory.connections.add(self)
 
     @property
-    def is_leaving(self) -> bool:
-        """Return whether connections are to be closed after their next response."""
-        return self._factory.is_leaving
+    def _accepts_requests(self) -> bool:
+        """Return whether a request that arrives now is served."""
+        if self._is_closing or self._is_last_read:
+            return False
+        return not (self._factory.is_leaving and self._pending_responses)
+
+    def ends_with(self, response: PendingResponse) -> bool:
+        """Return whether the connection is closed after ``response``."""
+        pending = self._pending_responses
+        is_last = bool(pending) and pending[-1] is response
+        return is_last and not self._accepts_requests
 
     @property
     def is_busy(self) -> bool:
@@ -108,14 +120,18 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse requests and start serving each of them at once."""
-        if self._is_closing:
+        if not self._accepts_requests:
+            self._is_last_read = True
             return
         self._last_active_s = self._factory.seconds()
         requests, error = self._reader.feed(data)
         for request in requests:
-            if self._is_closing:
+            if not self._accepts_requests:
+                self._is_last_read = True
                 return
             self._serve(request)
+        if self._is_closing:
+            return
         if error is not None:
             self._refuse(error)
         elif self._reader.awaits_continue and not self._pending_responses:
@@ -129,6 +145,7 @@
             self.transport.pauseProducing()
 
     def _serve(self, request: CallerRequest) -> None:
+        self._is_last_read = not request.keep_alive
         response = PendingResponse(self, request)
         self._pending_responses.append(response)
         exchange = self._factory.serve(request, response)
@@ -136,12 +153,12 @@
             response.exchange = exchange
 
     def _refuse(self, error: RequestError) -> None:
+        self._is_last_read = True
         response = PendingResponse(self, None)
         self._pending_responses.append(response)
         refusal = Refusal(error.cause, detail=error.detail)
         response.send(
-            encode_refusal(refusal, request_id=b"", close=True, to_head_request=False),
-            close=True,
+            encode_refusal(refusal, request_id=b"", close=True, to_head_request=False)
         )
 
     def flush(self) -> None:
@@ -154,6 +171,10 @@
             if response.closes_connection:
                 self._close()
                 return
+        if self._is_last_read and not self._pending_responses:
+            # Requests were dropped after the last response had been encoded.
+            self._close()
+            return
         if (
             self._is_paused
             and len(self._pending_responses) < MAX_PIPELINED_REQUESTS // 2
@@ -163,7 +184,7 @@
         self._factory.notify_if_idle()
 
     def _close(self) -> None:
-        """Close once everything is written; later requests are cancelled.
+        """Close once everything is written.
 
         Received bytes are dropped for LINGER_S: closing with unread data resets the
         connection, and the caller may lose the last response.
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -213,7 +213,7 @@
         self._finish(str(response.status), server)
         close = self._pending_response.will_close
         self._pending_response.send(
-            encode_response(response, self._request, close=close), close=close
+            encode_response(response, self._request, close=close)
         )
 
     def dispatch_failed(self, cause: Cause, *, may_have_run: bool) -> None:
@@ -274,8 +274,7 @@
                 close=close,
                 to_head_request=self._request.method == b"HEAD",
                 request_id_header=self._server.dispatch.names.request_id.decode(),
-            ),
-            close=close,
+            )
         )
 
     def _finish(
