Hold requests for their quota until the next report at least

Cause: an instance admits a few requests between two reports (0.1 s), and holds others for an eighth of the latency objective, here 0.062 s: less than until the next report. The refusal's log line: 19 of 148.9 in the window, 8 unreported, all sharers heard, refused after 63 ms.

Change: they are held for 0.12 s at least, but for half of the time left at most.

--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -44,6 +44,9 @@
 MAX_HELD_SHARE = 0.125
 """Share of the latency objective, or of a shorter deadline, to wait for the quota."""
 
+MIN_HELD_S = 0.12
+"""Longer than the interval of reports in a small fleet: the next one may free some."""
+
 RETRY_AFTER_S = 0.3
 """Retry-After of refusals of requests that did not run."""
 
@@ -142,8 +145,9 @@
         if allowed.workspace is None:
             self.admitted()
             return
-        usual_s = min(allowed.route.objective_s, self._request.remaining_s)
-        max_wait_s = MAX_HELD_SHARE * usual_s
+        remaining_s = self._request.remaining_s
+        usual_s = min(allowed.route.objective_s, remaining_s)
+        max_wait_s = max(MAX_HELD_SHARE * usual_s, min(MIN_HELD_S, remaining_s / 2))
         held = self._server.queue.enter(allowed.workspace, self, max_wait_s)
         if held is not None:
             self._held = held
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -50,7 +50,7 @@
     data: bytes = HELD
     will_close: bool = False
 
-    def send(self, data: bytes, *, close: bool = False) -> None:
+    def send(self, data: bytes) -> None:
         assert self.data == HELD
         self.data = data
 
@@ -71,13 +71,14 @@
 class LimitedServer:
     """One instance that serves one workspace of a small quota."""
 
-    def __init__(self) -> None:
+    def __init__(self, objective_s: float = 1.0) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         workspace = make_workspace(2.0, 1.0)
         store_view = StoreView(1.5)
         configuration = make_configuration(
-            make_route(timeout_s=REVOCATION_S), workspace=workspace
+            make_route(timeout_s=REVOCATION_S, objective_s=objective_s),
+            workspace=workspace,
         )
         store_view.update_configuration(make_stored(1, configuration), 100.0)
         self.quotas = Quotas("e-1", TOLERANCE, 5.0, frozenset({"e-1"}))
@@ -105,7 +106,9 @@
             lambda outcome, workspace, elapsed_s: None,
         )
 
-    def send(self, key: str | None = KEY) -> tuple[ServedRequest, RecordedResponse]:
+    def send(
+        self, key: str | None = KEY, remaining_s: float = REVOCATION_S
+    ) -> tuple[ServedRequest, RecordedResponse]:
         request = CallerRequest(
             method=b"GET",
             target=b"/stock/1",
@@ -114,7 +117,7 @@
             body=b"",
             keep_alive=True,
             request_id=b"id",
-            remaining_s=REVOCATION_S,
+            remaining_s=remaining_s,
             key=key,
             has_length=False,
         )
@@ -171,6 +174,25 @@
         assert b"retry-after: 5" in response.data.lower()
 
 
+class TestShortObjectives:
+    # Guards against 429 far below the limit: ten requests in 0.1 s, of which the last
+    # was held for 0.06 s only, less than until the next report.
+    def test_a_request_is_held_until_the_next_report(self) -> None:
+        instance = LimitedServer(objective_s=0.4)
+        instance.fill_window()
+        before = instance.connections.acquired
+        instance.send()
+        assert instance.events.names[-1] == "held"
+        instance.clock.advance(0.11)
+        assert instance.connections.acquired == before + 1
+
+    def test_no_longer_than_half_of_the_time_that_is_left(self) -> None:
+        instance = LimitedServer(objective_s=0.4)
+        instance.fill_window()
+        _, response = instance.send(remaining_s=0.1)
+        assert response.data.startswith(b"HTTP/1.1 429 ")
+
+
 class TestKeys:
     # Guards against requests with withdrawn or unknown keys that run: a configuration
     # whose last key was withdrawn was taken for one that needs no key.
