Reject entries that can't be decoded or sent on, each alone

Callers saw: nothing yet; operators of similar systems reported machines that no longer followed the list after one odd entry of another writer.

Cause: deeply nested values raise RecursionError, which no except clause named, so the whole read failed; numbers above 64 bits and very long names were taken and could not be sent in datagrams to the instances that copy the listing.

Ruled out: an end of the process; no kind ended one, periodic calls go on after an error.

--- a/src/gentianhitch/backend_servers/probing.py
+++ b/src/gentianhitch/backend_servers/probing.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.decisions.targets.availability import TargetAvailability
 from gentianhitch.decisions.targets.slots import Clock
@@ -49,7 +50,7 @@
         )
     try:
         return msgspec.json.decode(data, type=Health)
-    except msgspec.MsgspecError as error:
+    except json_codec.DecodeError as error:
         raise ProbeError(f"malformed health response: {error}") from error
 
 
--- a/src/gentianhitch/decisions/member_list.py
+++ b/src/gentianhitch/decisions/member_list.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.decisions.rendezvous import interleave_domains
 from gentianhitch.decisions.rendezvous import order_members
@@ -103,7 +104,7 @@
         members = tuple(
             msgspec.json.decode(row, type=Member, dec_hook=_decode_hook) for row in rows
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except json_codec.DecodeError as error:
         raise MalformedListError(
             f"malformed agreed list of {len(data)} bytes: {error}"
         ) from error
--- a/src/gentianhitch/instances/bucket_codec.py
+++ b/src/gentianhitch/instances/bucket_codec.py
@@ -37,7 +37,7 @@
     """Decode one bucket; raise MalformedMessageError if a row has wrong values."""
     try:
         servers, peers = _decoder.decode(data)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except json_codec.DecodeError as error:
         raise MalformedMessageError(f"malformed bucket: {error}") from error
     return Bucket(
         tuple(BackendServer(*row) for row in servers),
--- a/src/gentianhitch/instances/codec.py
+++ b/src/gentianhitch/instances/codec.py
@@ -44,5 +44,5 @@
         return msgspec.msgpack.decode(
             payload, type=kind, dec_hook=json_codec.decode_hook
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except json_codec.DecodeError as error:
         raise MalformedMessageError(f"malformed {kind.__name__}: {error}") from error
--- a/src/gentianhitch/instances/configuration_transfer.py
+++ b/src/gentianhitch/instances/configuration_transfer.py
@@ -5,6 +5,7 @@
 import msgspec
 import zstandard
 
+from gentianhitch import json_codec
 from gentianhitch.instances.codec import MalformedMessageError
 
 COMPRESSION_LEVEL = 3
@@ -44,7 +45,7 @@
     """Decode a transfer; raise MalformedMessageError if ``data`` is none."""
     try:
         return _transfer_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except json_codec.DecodeError as error:
         raise MalformedMessageError(f"malformed transfer: {error}") from error
 
 
@@ -52,7 +53,7 @@
     """Decode a refusal; raise MalformedMessageError if ``data`` is none."""
     try:
         return _busy_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except json_codec.DecodeError as error:
         raise MalformedMessageError(f"malformed refusal: {error}") from error
 
 
--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.proxy.server_records import AttemptResult
@@ -113,7 +114,7 @@
     """Decode a datagram; raise MalformedMessageError if it does not fit a message."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except json_codec.DecodeError as error:
         raise MalformedMessageError(f"malformed datagram: {error}") from error
 
 
--- a/src/gentianhitch/instances/zeromq.py
+++ b/src/gentianhitch/instances/zeromq.py
@@ -15,6 +15,7 @@
 from twisted.internet.interfaces import IReadDescriptor
 from zope.interface import implementer
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.errors import GentianhitchError
 from gentianhitch.instances import codec
@@ -160,7 +161,7 @@
     def _handle(self, frames: list[bytes]) -> None:
         try:
             sender, body = self._unpack(frames)
-        except (codec.MalformedMessageError, msgspec.MsgspecError, ValueError):
+        except (codec.MalformedMessageError, *json_codec.DecodeError):
             self._count("peers.malformed")
             return
         self._count("peers.received")
--- a/src/gentianhitch/json_codec.py
+++ b/src/gentianhitch/json_codec.py
@@ -11,8 +11,11 @@
 
 T = TypeVar("T")
 
-DecodeError = (msgspec.MsgspecError, ValueError)
-"""Exceptions raised by :func:`decode`, for use in ``except`` clauses."""
+DecodeError = (msgspec.MsgspecError, ValueError, RecursionError)
+"""Exceptions raised for malformed data, for use in ``except`` clauses.
+
+Deeply nested values raise RecursionError, also in fields that are ignored.
+"""
 
 
 def encode(value: object) -> bytes:
--- a/src/gentianhitch/platform/configuration.py
+++ b/src/gentianhitch/platform/configuration.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gentianhitch import json_codec
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Configuration
@@ -95,7 +96,7 @@
     """
     try:
         document = _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except json_codec.DecodeError as error:
         raise MalformedConfigurationError(f"configuration: {error}") from error
     routes_by_host: dict[str, list[Route]] = {}
     for listener in document.listeners:
--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -15,6 +15,7 @@
 from twisted.internet.error import TimeoutError as TwistedTimeoutError
 from twisted.web.client import ResponseFailed
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.http_client import NOT_SENT_ERRORS
 from gentianhitch.http_client import Answer
@@ -222,7 +223,7 @@
 def _decode(decoder: Any, body: bytes) -> Any:
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except json_codec.DecodeError as error:
         raise UnavailableError(f"malformed response from the store: {error}") from error
 
 
--- a/src/gentianhitch/platform/store_reader.py
+++ b/src/gentianhitch/platform/store_reader.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
+from gentianhitch import json_codec
 from gentianhitch.addresses import Address
 from gentianhitch.http_client import Progress
 from gentianhitch.platform.configuration import decode_configuration
@@ -23,23 +25,34 @@
 
 SERVER_STATES = frozenset({"ready", "draining"})
 
+MAX_NAME_BYTES = 200
+"""As long as a key of the store may be; entries must fit in a datagram."""
+
+MAX_SLOTS = 100_000
+MAX_WHOLE_NUMBER = 2**63 - 1
+"""Instances send each other whole numbers of 64 bits."""
+
 
 class MalformedEntryError(PlatformError):
     """An item of the store is malformed and is left out of the listing."""
 
 
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_BYTES)]
+_WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+
 class _ServerEntry(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: _Name
+    address: _Name
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
     # Remaining time in which the server is slow because it has just started.
     warmup_remaining_ms: float
     version: str
-    sequence_number: int
+    sequence_number: _WholeNumber
     # Start time of the server in Unix milliseconds.
-    born: int | None = None
+    born: _WholeNumber | None = None
 
 
 class _PeerEntry(msgspec.Struct):
@@ -61,12 +74,12 @@
     try:
         entry = _server_decoder.decode(item.value)
         address = Address.parse(entry.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except json_codec.DecodeError as error:
         raise MalformedEntryError(f"{item.key}: {error}") from error
-    if entry.state not in SERVER_STATES or entry.slots < 1 or not entry.service:
+    if entry.state not in SERVER_STATES or not entry.service or not address.port:
         raise MalformedEntryError(
             f"{item.key}: invalid entry: state {entry.state[:20]!r}, "
-            f"{entry.slots} slots, service {entry.service[:20]!r}"
+            f"address {address}, service {entry.service[:20]!r}"
         )
     return BackendServer(
         id=item.key.removeprefix(SERVERS_PREFIX),
@@ -94,7 +107,7 @@
             capacity=entry.capacity,
             link_mbps=entry.link_mbps,
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except json_codec.DecodeError as error:
         raise MalformedEntryError(f"{item.key}: {error}") from error
 
 
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -33,6 +33,9 @@
     def write(self, key: str, value: object) -> None:
         self._calls.write(key, json.dumps(value).encode())
 
+    def write_raw(self, key: str, value: bytes) -> None:
+        self._calls.write(key, value)
+
     def remove(self, key: str) -> None:
         self._calls.remove(key)
 
