Refuse requests that are complete only late in a planned stop

Callers would see: a 504 of the instance's own for an order that a server runs, if the order's body ended late in the grace. Other operators reported such requests, cut.

Cause: a stopping instance closes idle connections and its listener, but served requests on the others until it ended.

Evidence: by reading; test_shutdown.py and test_request_server.py::TestStop need the new callback and can't run on the old code. Not seen with real processes.

Change: after the listener is closed, complete requests are refused as not run.

--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -324,12 +324,16 @@
                 self._callers,
                 self._callers_port,
                 self._registration,
+                self._refuse_requests,
                 self._settings.bounds.shutdown_grace_s,
             )
         )
         leaving.addErrback(self._events.failure)
         leaving.addBoth(lambda _: self.lifecycle.drained())
 
+    def _refuse_requests(self) -> None:
+        self._server.refuses_requests = True
+
     def _exit(self) -> None:
         for part in (self._refresher, self._registration, self._reports):
             part.stop()
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -61,7 +61,11 @@
 
 @attrs.define(eq=False)
 class RequestServer:
-    """Serve callers' requests by the configuration in force."""
+    """Serve callers' requests by the configuration in force.
+
+    With ``refuses_requests``, requests that arrive from now on are refused: the
+    instance may stop before they would be answered.
+    """
 
     clock: Any
     store_view: StoreView
@@ -72,6 +76,7 @@
     events: Events
     revocation_s: float
     on_finished: Callable[[str, str, float], None]
+    refuses_requests: bool = False
 
     def serve(
         self, request: CallerRequest, pending_response: PendingResponse
@@ -83,6 +88,8 @@
 
     def check(self, request: CallerRequest, now: float) -> AllowedRequest | Refusal:
         """Check a request against the configuration and its age."""
+        if self.refuses_requests:
+            return Refusal(Cause.LEAVING, retry_after_s=RETRY_AFTER_S)
         configuration = self.store_view.configuration
         if configuration is None:
             return Refusal(Cause.NOT_FRESH, retry_after_s=RETRY_AFTER_S)
--- a/src/gentianhitch/proxy/shutdown.py
+++ b/src/gentianhitch/proxy/shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -25,10 +26,12 @@
     callers: CallerFactory,
     callers_port: Any,
     registration: Registration,
+    refuse_requests: Callable[[], None],
     grace_s: float,
 ) -> None:
     """Deregister, wait until cached directory responses expire, finish requests, close.
 
+    Requests that are complete only after the listener is closed are refused.
     The platform kills the instance ``grace_s`` seconds after the start of the drain.
     """
     end_s = reactor.seconds() + grace_s - KILL_MARGIN_S
@@ -38,6 +41,7 @@
     callers.close_idle()
     await deferLater(reactor, STOP_LISTENING_AFTER_S - CLOSE_IDLE_AFTER_S, lambda: None)
     callers_port.stopListening()
+    refuse_requests()
     callers.close_idle()
     await _when_idle(reactor, callers, end_s)
     await leaving
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -193,6 +193,16 @@
         assert response.data.startswith(b"HTTP/1.1 429 ")
 
 
+class TestStop:
+    def test_a_late_request_is_refused_as_not_run(self) -> None:
+        instance = LimitedServer()
+        instance.server.refuses_requests = True
+        _, response = instance.send()
+        assert response.data.startswith(b"HTTP/1.1 503 ")
+        assert b"not-run" in response.data
+        assert instance.connections.acquired == 0
+
+
 class TestKeys:
     # Guards against requests with withdrawn or unknown keys that run: a configuration
     # whose last key was withdrawn was taken for one that needs no key.
--- /dev/null
+++ b/tests/proxy/test_shutdown.py
@@ -0,0 +1,107 @@
+"""Pattern: a planned stop of an instance whose callers go on sending."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+
+from gentianhitch.proxy.shutdown import KILL_MARGIN_S
+from gentianhitch.proxy.shutdown import STOP_LISTENING_AFTER_S
+from gentianhitch.proxy.shutdown import drain
+from tests.builders_callers import GET
+from tests.builders_callers import Scenario
+
+GRACE_S = 6.0
+POST = b"POST /orders/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+
+
+@attrs.define
+class NoPort:
+    is_listening: bool = True
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.is_listening = False
+
+
+class NoRegistration:
+    async def leave(self) -> None:
+        await succeed(None)
+
+
+class Stop:
+    """Drain the connections of a scenario and record when requests are refused."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.port = NoPort()
+        self.refused_s: float | None = None
+        self.ended_s: float | None = None
+        clock = scenario.clock
+        self.began_s = clock.seconds()
+        ended = Deferred.fromCoroutine(
+            drain(
+                clock,
+                scenario.factory,
+                self.port,
+                NoRegistration(),  # type: ignore[arg-type]
+                self._refuse,
+                GRACE_S,
+            )
+        )
+        ended.addCallback(self._end)
+
+    def _refuse(self) -> None:
+        self.refused_s = self.scenario.clock.seconds() - self.began_s
+
+    def _end(self, result: Any) -> None:
+        self.ended_s = self.scenario.clock.seconds() - self.began_s
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.scenario.clock.advance(0.1)
+
+
+class TestLateRequests:
+    # Guards against requests that are sent to a server late in the grace and cut at its
+    # end, among them orders: their bodies arrived slowly.
+    def test_are_refused_once_the_listener_is_closed(self) -> None:
+        scenario = Scenario()
+        stop = Stop(scenario)
+        scenario.connection.dataReceived(POST)
+        stop.advance(STOP_LISTENING_AFTER_S + 0.1)
+        assert stop.refused_s is not None
+        assert abs(stop.refused_s - STOP_LISTENING_AFTER_S) < 0.11
+        assert not stop.port.is_listening
+        assert stop.ended_s is None
+
+    def test_are_served_before(self) -> None:
+        scenario = Scenario()
+        stop = Stop(scenario)
+        stop.advance(1.9)
+        scenario.connection.dataReceived(GET)
+        assert len(scenario.served) == 1
+        assert stop.refused_s is None
+
+
+class TestEnd:
+    def test_comes_with_the_last_response(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(GET)
+        stop = Stop(scenario)
+        stop.advance(4.0)
+        assert stop.ended_s is None
+        scenario.served[0].response.send(b"answer")
+        scenario.close_by_caller()
+        stop.advance(0.2)
+        assert stop.ended_s is not None
+
+    def test_comes_before_the_process_is_killed(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(GET)
+        stop = Stop(scenario)
+        stop.advance(GRACE_S - KILL_MARGIN_S + 0.1)
+        assert stop.ended_s is not None
+        assert scenario.written == b"given up;"
