Count undelivered bytes before a connection or the process ends

Cause: a closing connection was reset 1 s after its answer had been handed to the transport; the idle limit counted from then too; and a stopping process ended although bytes were left in its transports.

Ruled out: the kernel's limit for unacknowledged bytes (3 s): it does not reset a caller that goes on receiving.

Change: bytes that the caller has not acknowledged, in the transport's and the kernel's buffer, keep a connection active and a stopping process alive, within its grace.

--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -17,6 +17,7 @@
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.complete_requests import CompleteRequestReader
 from gentianhitch.callers.complete_requests import HeaderNames
+from gentianhitch.callers.delivery import undelivered_bytes
 from gentianhitch.callers.encoding import CONTINUE
 from gentianhitch.callers.errors import RequestError
 from gentianhitch.callers.refusals import Cause
@@ -31,6 +32,8 @@
 """Pending responses of one connection at which reading pauses."""
 
 LINGER_S = 1.0
+"""A closing connection is reset so long after its last byte has been delivered."""
+
 IDLE_MARGIN_S = 1.0
 """Callers reuse a connection until just before the idle limit."""
 
@@ -93,6 +96,7 @@
         self._is_closing = False
         self._is_paused = False
         self._last_active_s = factory.seconds()
+        self._undelivered_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Enable keepalive probes and register the connection for timeouts."""
@@ -114,10 +118,15 @@
         return is_last and not self._accepts_requests
 
     @property
-    def is_busy(self) -> bool:
+    def is_serving(self) -> bool:
         """Return whether a request is being read or served."""
         return bool(self._pending_responses) or self._reader.is_amid_request
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being served or its response delivered."""
+        return self.is_serving or undelivered_bytes(self.transport) > 0
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse requests and start serving each of them at once."""
         if not self._accepts_requests:
@@ -186,22 +195,32 @@
     def _close(self) -> None:
         """Close once everything is written.
 
-        Received bytes are dropped for LINGER_S: closing with unread data resets the
-        connection, and the caller may lose the last response.
+        Received bytes are dropped until everything is delivered and for LINGER_S more:
+        closing with unread data resets the connection, and the caller may lose the last
+        response.
         """
         self._is_closing = True
+        self._last_active_s = self._factory.seconds()
         self._cancel_all()
         self.transport.loseWriteConnection()
         self._factory.notify_if_idle()
 
     def check(self, now: float) -> None:
-        """Close the connection, or refuse a partial request, after a timeout."""
+        """Close the connection, or refuse a partial request, after a timeout.
+
+        A caller that receives slowly is active; the kernel resets the connection of one
+        that receives nothing.
+        """
+        undelivered = undelivered_bytes(self.transport)
+        if undelivered != self._undelivered_bytes:
+            self._undelivered_bytes = undelivered
+            self._last_active_s = now
         silent_s = now - self._last_active_s
+        limits = self._factory.limits()
         if self._is_closing:
-            if silent_s > LINGER_S:
+            if silent_s > (limits.idle_timeout_s if undelivered else LINGER_S):
                 self.transport.abortConnection()
             return
-        limits = self._factory.limits()
         if self._reader.is_amid_request and not self._pending_responses:
             if silent_s > limits.head_timeout_s:
                 self._refuse(RequestError(Cause.BODY_TIMEOUT))
@@ -213,7 +232,7 @@
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or served."""
-        if not self._is_closing and not self.is_busy:
+        if not self._is_closing and not self.is_serving:
             self._close()
 
     def respond_now(self) -> None:
@@ -239,7 +258,8 @@
 class CallerFactory(Factory):
     """Accepts callers' connections and checks their timeouts.
 
-    ``on_idle`` is called once, when no request is being read or served.
+    ``on_idle`` is called once, when no request is being read or served and all
+    responses have been delivered.
     """
 
     noisy = False
@@ -278,7 +298,7 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether any request is being read or served."""
+        """Return whether any connection is busy."""
         return any(connection.is_busy for connection in self.connections)
 
     def close_idle(self) -> None:
@@ -287,7 +307,7 @@
             connection.close_if_idle()
 
     def notify_if_idle(self) -> None:
-        """Call ``on_idle`` if no request is being read or served."""
+        """Call ``on_idle`` if no connection is busy."""
         if self.on_idle is not None and not self.is_busy:
             self._notify_idle()
 
@@ -313,3 +333,4 @@
         now = self.seconds()
         for connection in tuple(self.connections):
             connection.check(now)
+        self.notify_if_idle()
--- a/tests/builders_pipelining.py
+++ b/tests/builders_raw_callers.py
@@ -1,10 +1,10 @@
-"""Callers that write several requests at once, and read the answers of real proxies."""
+"""Callers of real proxies that write several orders at once, or read slowly."""
 
 from __future__ import annotations
 
-import json
 import re
 import socket
+import time
 from threading import Event
 from threading import Thread
 
@@ -19,18 +19,18 @@
 _CLOSE = re.compile(rb"\r\nconnection: *close\r\n", re.IGNORECASE)
 
 
-def encode_order(request_id: str, *lines: str) -> bytes:
-    """Return an order whose body is its id."""
+def encode_order(request_id: str, *lines: str, body: str = "a pallet") -> bytes:
+    """Return an order."""
     head = [
         f"POST /orders/{request_id} HTTP/1.1",
         f"Host: {HOST}",
         f"Authorization: Bearer {KEY}",
         f"{wire_names.REQUEST_ID.decode()}: {request_id}",
         f"{wire_names.REMAINING_MS.decode()}: 8000",
-        f"Content-Length: {len(request_id)}",
+        f"Content-Length: {len(body)}",
         *lines,
     ]
-    return ("\r\n".join(head) + "\r\n\r\n" + request_id).encode()
+    return ("\r\n".join(head) + "\r\n\r\n" + body).encode()
 
 
 def read_answer(connection: socket.socket, buffer: bytearray) -> tuple[int, bytes]:
@@ -106,10 +106,62 @@
         return number
 
 
-def runs_by_request(shown: list[str]) -> dict[str, dict[str, object]]:
-    """Return what servers ran, by the id of the request."""
-    found: dict[str, dict[str, object]] = {}
-    for text in shown:
-        for run in json.loads(text):
-            found[run["request"]] = run
-    return found
+class SlowReader:
+    """Receives one answer of ``size`` bytes at ``bytes_per_s``, in a thread."""
+
+    def __init__(
+        self, address: str, size: int, bytes_per_s: int, window_bytes: int
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._connection = socket.socket()
+        self._connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        self._connection.settimeout(READ_TIMEOUT_S)
+        self._connection.connect((host, int(port)))
+        self._size = size
+        self._bytes_per_s = bytes_per_s
+        self._piece_bytes = window_bytes // 2
+        self._end = "open"
+        self._thread = Thread(target=self._read, daemon=True)
+
+    def send(self, request_id: str, *lines: str) -> None:
+        """Send an order whose answer repeats its body."""
+        body = "x" * self._size
+        self._connection.sendall(encode_order(request_id, *lines, body=body))
+
+    def start(self, request_id: str, *lines: str) -> None:
+        """Send the order and start to receive the answer."""
+        self.send(request_id, *lines)
+        self._thread.start()
+
+    def wait(self) -> str:
+        """Return how the transfer ended: whole, closed, or the name of an error."""
+        self._thread.join(4 * READ_TIMEOUT_S)
+        return self._end
+
+    def is_closed_within(self, seconds: float) -> bool:
+        """Return whether the proxy closes the connection in that time."""
+        self._connection.settimeout(seconds)
+        try:
+            return self._connection.recv(1) == b""
+        except TimeoutError:
+            return False
+
+    def _read(self) -> None:
+        received = bytearray()
+        try:
+            while not _is_whole(received):
+                data = self._connection.recv(self._piece_bytes)
+                if not data:
+                    self._end = "closed"
+                    return
+                received += data
+                time.sleep(len(data) / self._bytes_per_s)
+            self._end = "whole"
+        except OSError as error:
+            self._end = type(error).__name__
+
+
+def _is_whole(received: bytearray) -> bool:
+    end = received.find(b"\r\n\r\n")
+    length = _LENGTH.search(received, 0, max(end + 2, 0))
+    return length is not None and len(received) >= end + 4 + int(length[1])
