Read the body of a request that offers another protocol

Cause: the parser calls such a message complete after its head; the reader served it on that call, before the parser's stop was seen.

Ruled out: Expect, HTTP/1.0, methods without a body that have one, trailers, both kinds of length, two lengths, and a pause at each byte: each is read as sent, or refused.

Change: the head is parsed again without the offer.

--- a/src/gentianhitch/callers/complete_requests.py
+++ b/src/gentianhitch/callers/complete_requests.py
@@ -20,6 +20,10 @@
 DEFAULT_REMAINING_S = 30.0
 """Time allowed for requests without a deadline header."""
 
+CONNECT = b"CONNECT"
+CONNECTION = b"connection"
+UPGRADE = b"upgrade"
+
 NOT_FORWARDED = HOP_BY_HOP | {b"authorization", b"content-length", b"expect"}
 
 
@@ -94,18 +98,41 @@
     def feed(self, data: bytes) -> tuple[list[CallerRequest], RequestError | None]:
         """Return the requests that ``data`` completes, and a parse error after them."""
         self._requests = []
-        error: RequestError | None = None
+        return self._requests, self._parse(data)
+
+    def _parse(self, data: bytes) -> RequestError | None:
         try:
             self._parser.feed_data(data)
+            return None
         except httptools.HttpParserCallbackError as failure:
             if not isinstance(failure.__context__, RequestError):
                 raise
-            error = failure.__context__
-        except httptools.HttpParserUpgrade:
-            error = RequestError(Cause.MALFORMED, "no protocol upgrade is known")
+            return failure.__context__
+        except httptools.HttpParserUpgrade as stop:
+            (head_end,) = stop.args
         except httptools.HttpParserError as failure:
-            error = RequestError(Cause.MALFORMED, str(failure))
-        return self._requests, error
+            return RequestError(Cause.MALFORMED, str(failure))
+        return self._parse_without_upgrade(data[head_end:])
+
+    def _parse_without_upgrade(self, rest: bytes) -> RequestError | None:
+        """Parse a request again whose offer of another protocol is ignored.
+
+        The parser stops after the head of such a request, before its body.
+        """
+        if self._method == CONNECT:
+            return RequestError(Cause.MALFORMED, "no tunnels are opened")
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._method, self._url, version)]
+        for name, value in self._headers:
+            if name.lower() == CONNECTION:
+                options = value.split(b",")
+                value = b",".join(
+                    option for option in options if option.strip().lower() != UPGRADE
+                )
+            if name.lower() != UPGRADE:
+                lines.append(b"%b: %b" % (name, value))
+        self._parser = httptools.HttpRequestParser(self)
+        return self._parse(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
 
     def on_message_begin(self) -> None:
         """Discard the state of the previous request."""
@@ -124,7 +151,7 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Store the method and check for ``Expect: 100-continue``."""
+        """Store the method and check for expectations and transfer codings."""
         self._is_head_complete = True
         self._method = self._parser.get_method()
         self._keep_alive = bool(self._parser.should_keep_alive())
@@ -132,6 +159,13 @@
             name.lower() == b"expect" and value.lower() == b"100-continue"
             for name, value in self._headers
         )
+        codings = [
+            value.strip().lower()
+            for name, value in self._headers
+            if name.lower() == b"transfer-encoding"
+        ]
+        if codings not in ([], [b"chunked"]):
+            raise RequestError(Cause.MALFORMED, "only chunked transfer is known")
 
     def on_body(self, data: bytes) -> None:
         """Buffer body bytes; raise RequestError if there are too many."""
@@ -142,6 +176,9 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that ``feed`` returns."""
+        if self._parser.should_upgrade():
+            # Only the head is complete; it is parsed again.
+            return
         self.awaits_continue = False
         self._requests.append(self._build())
         self._clear()
@@ -156,8 +193,12 @@
         values: dict[bytes, bytes] = {}
         for name, value in self._headers:
             values.setdefault(name.lower(), value)
-        connection_options = values.get(b"connection", b"").lower().split(b",")
-        dropped = self._dropped | {option.strip() for option in connection_options}
+        connection_options = b",".join(
+            value.lower() for name, value in self._headers if name.lower() == CONNECTION
+        )
+        dropped = self._dropped | {
+            option.strip() for option in connection_options.split(b",")
+        }
         host = values.get(b"host", b"").decode("latin-1").lower()
         return CallerRequest(
             method=self._method,
--- a/src/gentianhitch/callers/requests.py
+++ b/src/gentianhitch/callers/requests.py
@@ -224,8 +224,11 @@
     scheme, separator, after_scheme = url.partition(b"://")
     if not separator or scheme.lower() not in (b"http", b"https"):
         raise RequestError(Cause.MALFORMED, "the request target is no path")
-    _, slash, path = after_scheme.partition(b"/")
-    return slash + path or b"/"
+    authority_end = re.search(rb"[/?]", after_scheme)
+    if authority_end is None:
+        return b"/"
+    target = after_scheme[authority_end.start() :]
+    return target if target.startswith(b"/") else b"/" + target
 
 
 def _decode_path(target: bytes) -> str:
