Stop sending requests to servers that say that they leave

Cause: nothing read the header.

Change: the first answer with it, of any status but 421, ends the use of that start of the server by this instance; what was told is kept apart from the records of listed servers, so that a lapsed entry doesn't lose it.

--- a/src/gentianhitch/callers/complete_requests.py
+++ b/src/gentianhitch/callers/complete_requests.py
@@ -37,6 +37,7 @@
     workspace: bytes
     signature: bytes
     not_executed: bytes
+    server_leaving: bytes
 
     def reserved(self) -> frozenset[bytes]:
         """Return the names, in lower case, of the headers that callers may not set."""
--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -92,6 +92,7 @@
     them that are older than the window, and, if ``is_complete``, the admissions of all
     instances in the window. ``samples`` holds the attempts since the last report. If
     ``is_to_forward``, the receiver sends the report on within its failure domain.
+    ``leaving`` holds the digests of servers that told the sender that they leave.
     """
 
     sender: str
@@ -102,6 +103,7 @@
     running: list[RunningRequests]
     samples: list[AttemptSample]
     is_to_forward: bool = False
+    leaving: list[int] = []
 
 
 Message = FreshnessQuery | FreshnessReply | LoadReport
--- a/src/gentianhitch/platform/caller_interface.py
+++ b/src/gentianhitch/platform/caller_interface.py
@@ -22,6 +22,7 @@
     workspace=wire_names.WORKSPACE,
     signature=wire_names.SIGNATURE,
     not_executed=wire_names.NOT_EXECUTED,
+    server_leaving=wire_names.SERVER_LEAVING,
 )
 
 
--- a/src/gentianhitch/platform/wire_names.py
+++ b/src/gentianhitch/platform/wire_names.py
@@ -11,6 +11,7 @@
 WORKSPACE = b"X-Gentianhitch-Tenant-Name"
 SIGNATURE = b"X-Gentianhitch-Response-Signature"
 NOT_EXECUTED = b"X-Gentianhitch-Not-Executed"
+SERVER_LEAVING = b"Server-Leaving"
 
 READINESS_PATH = "/v1/readiness"
 RESOLVE_PATH = "/v1/resolve"
--- a/src/gentianhitch/proxy/answer_kinds.py
+++ b/src/gentianhitch/proxy/answer_kinds.py
@@ -9,6 +9,7 @@
 from gentianhitch.proxy.server_records import AttemptResult
 
 DECLINED_STATUSES = frozenset({400, 421, 429, 503})
+LEAVING_VALUE = b"1"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """To callers these mean that the request has not run and never will."""
 
@@ -19,6 +20,14 @@
     return is_marked and response.status in DECLINED_STATUSES
 
 
+def says_leaving(response: CompleteResponse, names: HeaderNames) -> bool:
+    """Return whether the server that was expected says that it is leaving."""
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        # It comes from another server.
+        return False
+    return response.header(names.server_leaving.lower()) == LEAVING_VALUE
+
+
 def is_unusable(response: CompleteResponse, names: HeaderNames) -> bool:
     """Return whether a response must not be forwarded to the caller.
 
--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -20,6 +20,7 @@
 from gentianhitch.proxy.latencies import LatencyEstimate
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
+from gentianhitch.proxy.server_notices import ServerNotices
 from gentianhitch.proxy.server_records import FAILURES
 from gentianhitch.proxy.server_records import AttemptResult
 from gentianhitch.proxy.server_records import Observation
@@ -104,6 +105,7 @@
         self._next_token = 0
         self._instances: frozenset[str] = frozenset()
         self.observations: list[Observation] = []
+        self.notices = ServerNotices()
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
         """Replace the set of candidates by the backend servers in the listing."""
@@ -199,7 +201,9 @@
         usable = [
             (record, self._gray_probability_of(record, route.name, now))
             for record in self._by_service.get(service, ())
-            if not record.server.draining and not record.is_replaced
+            if not record.server.draining
+            and not record.is_replaced
+            and self.notices.accepts_requests(record.server.key, now)
         ]
         uses = [
             ServerUse(record.last_used_s, record.last_failed_s, gray)
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -22,6 +22,7 @@
 from gentianhitch.proxy.answer_kinds import attempt_result
 from gentianhitch.proxy.answer_kinds import is_declined
 from gentianhitch.proxy.answer_kinds import is_unusable
+from gentianhitch.proxy.answer_kinds import says_leaving
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.gray_filter import hedge_survival
 from gentianhitch.proxy.messages import encode_request
@@ -270,6 +271,8 @@
     def handle_response(self, attempt: _Attempt, response: CompleteResponse) -> None:
         """Finish with the response, or try another server if it is a failure."""
         names = self._context.names
+        if says_leaving(response, names):
+            self._record_leaving(attempt.server)
         is_misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
         if is_misdirected:
             self._context.balancer.mark_replaced(attempt.server)
@@ -292,6 +295,11 @@
             return
         self._finish(response, attempt.server)
 
+    def _record_leaving(self, server: BackendServer) -> None:
+        now = self._context.clock.seconds()
+        if self._context.balancer.notices.record_leaving(server.key, now):
+            self._owner.log_dispatch_event("server_leaving", server, "")
+
     def handle_failure(self, attempt: _Attempt, error: BackendServerError) -> None:
         """Try another server if the request may be repeated."""
         self._record_result(attempt, AttemptResult.FAILED)
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -23,6 +23,7 @@
         "registered",
         "registration_lost",
         "reloaded",
+        "server_leaving",
         "store_lost",
         "store_regained",
     }
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -164,6 +164,9 @@
             self._quotas,
             lambda: self._fleet.report_receivers(self._reports.busy_senders()),
             events.failure,
+            lambda server, sender: events.state(
+                "server_leaving", server=server, source=sender
+            ),
         )
         self._directory = Directory(
             self.store_view, self._fleet, self._has_recent_reply
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -52,7 +52,11 @@
 
 
 class Reports:
-    """Send reports to the serving instances and merge those received."""
+    """Send reports to the serving instances and merge those received.
+
+    ``on_leaving`` is called with a server and the instance that it told first that it
+    leaves.
+    """
 
     def __init__(
         self,
@@ -65,6 +69,7 @@
         quotas: Quotas,
         receivers: Callable[[], Iterable[Peer]],
         on_error: Callable[[Failure], None],
+        on_leaving: Callable[[str, str], None] = lambda server, sender: None,
     ) -> None:
         self._clock = clock
         self._name = name
@@ -73,6 +78,7 @@
         self._balancer = balancer
         self._quotas = quotas
         self._receivers = receivers
+        self._on_leaving = on_leaving
         self._failure_domain = failure_domain
         self._routes = ReportRoutes(name, failure_domain)
         self._receipt_times_by_name: dict[str, deque[float]] = {}
@@ -112,7 +118,8 @@
         observations, self._balancer.observations = self._balancer.observations, []
         admissions = self._quotas.report(now)
         # Others expect regular reports only from the instances in the directory.
-        if not (observations or self._name in self._quotas.sharers):
+        leaving = self._balancer.notices.leaving_to_report(now)
+        if not (observations or leaving or self._name in self._quotas.sharers):
             return
         report = LoadReport(
             self._name,
@@ -125,6 +132,7 @@
             },
             _encode_running(self._balancer.running_by_server(), now),
             [_encode(observation) for observation in observations],
+            leaving=[server_digest(key) for key in leaving],
         )
         targets = self._routes.select(self._receivers(), self._heard_senders(now))
         self._datagrams.send(
@@ -179,11 +187,19 @@
             self._decode_running(report.running, sent_s),
             sent_s,
         )
+        self._merge_leaving(report, now)
         for seen in report.samples:
             observation = self._decode(seen)
             if observation is not None:
                 self._balancer.merge_observation(observation, now)
 
+    def _merge_leaving(self, report: LoadReport, now: float) -> None:
+        notices = self._balancer.notices
+        for digest in report.leaving:
+            key = self._balancer.server_key(digest)
+            if key is not None and notices.record_leaving(key, now, own=False):
+                self._on_leaving(key[0], report.sender)
+
     def _decode(self, seen: AttemptSample) -> Observation | None:
         """Return the observation; None for an unknown server or route."""
         server = self._balancer.server_key(seen.server)
