Show notices of servers with real processes, in the soak and in metrics

Stand-in servers leave with and without an entry and ask for waits; the soak checks that an instance that passed on a notice sends nothing later than the bound, and that at most two requests of an instance reach a server amid its wait. A pause of the instance excuses the first, a cut the second. Every drained server now says so in its answers too, and a second one of its service leaves by its answers alone.

test_platform.py::TestNotices: real proxies, a server whose answers say that it leaves, and one that asks for 2.5 s; the checks of the soak have tests of their own.

--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -258,6 +258,8 @@
             "server_connections_opened": self._connections.opened,
             "configuration_age_seconds": self.store_view.configuration_age_s(now),
             "listing_age_seconds": self.store_view.listing_age_s(now),
+            "servers_known_to_leave": self._balancer.notices.count_leaving(),
+            "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "log_lines_dropped": self._events.output.dropped,
         }
 
--- a/src/gentianhitch/proxy/server_notices.py
+++ b/src/gentianhitch/proxy/server_notices.py
@@ -88,6 +88,14 @@
         _drop_oldest(self._received_s_by_leaving)
         return is_new
 
+    def count_leaving(self) -> int:
+        """Return how many servers are known to leave."""
+        return len(self._received_s_by_leaving)
+
+    def count_waiting(self, now: float) -> int:
+        """Return how many servers want no requests at ``now``."""
+        return sum(now < until_s for until_s in self._wait_until_s_by_key.values())
+
     def leaving_to_report(self, now: float) -> list[ServerKey]:
         """Return the servers that said of late to this instance that they leave."""
         return [
--- a/standins/fault_soak/callers.py
+++ b/standins/fault_soak/callers.py
@@ -38,7 +38,8 @@
 class Seen:
     """One request as its caller saw it; ``status`` 0 means no whole answer.
 
-    ``address`` is the instance that it was sent to.
+    ``address`` is the instance that it was sent to; ``server_leaves`` if the answer
+    says so of its server.
     """
 
     request: str
@@ -50,6 +51,7 @@
     signed: bool = False
     answer: dict[str, Any] = attrs.Factory(dict)
     left: bool = False
+    server_leaves: bool = False
 
 
 @attrs.define
@@ -108,6 +110,8 @@
         answer = connection.getresponse()
         body = answer.read()
         seen.signed = answer.headers.get(wire_names.SIGNATURE.decode()) is not None
+        said = answer.headers.get(wire_names.SERVER_LEAVING.decode())
+        seen.server_leaves = said == "1"
         seen.answer = json.loads(body) if body else {}
         seen.status = answer.status
         if answer.headers.get("Connection", "").lower() == "close":
--- a/standins/fault_soak/checks.py
+++ b/standins/fault_soak/checks.py
@@ -17,6 +17,8 @@
 REVOCATION_S = 3.0
 DRAIN_S = 2.0
 CONTACT_S = 3.0
+WAIT_SLACK_S = 0.5
+MAX_IN_WAIT = 2
 SERVED_AFTER_RECOVERY = 0.9
 
 
@@ -32,13 +34,15 @@
 class Disturbance:
     """A fault; ``cuts_off`` if an instance may have been out of touch meanwhile.
 
-    ``stopped`` is the address of an instance that was only told to stop.
+    ``stopped`` is the address of an instance that was only told to stop, ``paused`` of
+    one that was paused.
     """
 
     began_s: float
     ended_s: float
     cuts_off: bool = True
     stopped: str = ""
+    paused: str = ""
 
     def touches(self, began_s: float, ended_s: float) -> bool:
         """Tell whether it overlaps a span, or ended shortly before it."""
@@ -69,6 +73,7 @@
     drained_servers: list[Moment]
     limits: list[Limit]
     disturbances: list[Disturbance]
+    arrivals_by_server: dict[str, list[dict[str, Any]]] = attrs.Factory(dict)
 
     def broken(self) -> list[str]:
         """Return a line for each broken promise."""
@@ -80,6 +85,8 @@
             *self._over_limit(),
             *self._withdrawn(),
             *self._drained(),
+            *self._left(),
+            *self._crowded(),
             *self._lost(),
         ]
 
@@ -150,6 +157,47 @@
                     yield f"DRAIN {run['request']} ran after {late_s:.1f} s"
                     break
 
+    def _left(self) -> Iterable[str]:
+        """Find requests at servers that had told the same instance that they leave."""
+        seen_by_request = {seen.request: seen for seen in self.seen}
+        told_s: dict[tuple[str, str], float] = {}
+        for seen in self.seen:
+            if seen.server_leaves and "server" in seen.answer:
+                key = (seen.address, seen.answer["server"])
+                told_s[key] = min(told_s.get(key, seen.ended_s), seen.ended_s)
+        for run in self.runs:
+            sent = seen_by_request.get(run["request"])
+            if sent is None:
+                continue
+            at_s = told_s.get((sent.address, run["server"]))
+            if at_s is None or sent.sent_s <= at_s + DRAIN_S:
+                continue
+            if not self._was_paused(sent.address, at_s, run["at_s"]):
+                late_s = sent.sent_s - at_s
+                yield f"DRAIN {sent.request} was sent {late_s:.1f} s after the notice"
+
+    def _crowded(self) -> Iterable[str]:
+        """Find servers that got requests although they had asked for a wait."""
+        addresses = {seen.request: seen.address for seen in self.seen}
+        for server, arrivals in self.arrivals_by_server.items():
+            for asked in arrivals:
+                address = addresses.get(asked["request"])
+                begin_s = asked["at_s"] + WAIT_SLACK_S
+                end_s = asked["at_s"] + asked["wait_s"]
+                count = sum(
+                    begin_s < each["at_s"] < end_s
+                    and addresses.get(each["request"]) == address
+                    for each in arrivals
+                )
+                if count > MAX_IN_WAIT and self._in_touch(asked["at_s"], end_s):
+                    yield f"BUDGET {server} got {count} amid its wait, from {address}"
+
+    def _was_paused(self, address: str, began_s: float, ended_s: float) -> bool:
+        return any(
+            each.paused == address and each.touches(began_s, ended_s)
+            for each in self.disturbances
+        )
+
     def _in_touch(self, began_s: float, ended_s: float) -> bool:
         return not any(
             each.cuts_off and each.touches(began_s, ended_s)
--- a/standins/fault_soak/deployment.py
+++ b/standins/fault_soak/deployment.py
@@ -133,6 +133,13 @@
             for run in call("GET", address, "/admin/runs")
         ]
 
+    def arrivals_by_server(self) -> dict[str, list[dict[str, Any]]]:
+        """Return every request that reached a server, refused ones included."""
+        return {
+            server: call("GET", address, "/admin/arrivals")
+            for server, address in self.servers_by_id.items()
+        }
+
     def resolve(self, proxy: Proxy) -> list[str]:
         """Return the addresses that a proxy tells callers to use; none if it fails."""
         try:
--- a/standins/fault_soak/faults.py
+++ b/standins/fault_soak/faults.py
@@ -24,7 +24,7 @@
 STORE_WELL: dict[str, Any] = {"outage": "none", "slow_ms": 0, "lost_answers": 0}
 LINK_MODES = ("silent", "no-requests", "no-answers", "refuse")
 SERVER_FAULTS = ("errors", "hang", "decline")
-ANSWER_FAULTS = ("repeat", "cut-head")
+ANSWER_FAULTS = ("repeat", "cut-head", "busy")
 """Take the place of every second server fault, so that seeds keep their choices."""
 BROKEN_SETTINGS_SHARE = 0.5
 SIGNALLED_SHARE = 0.5
@@ -35,7 +35,8 @@
     """One fault: a line for the log, how long it lasts, how it begins and ends.
 
     ``cuts_off`` tells whether an instance may be out of touch with the store;
-    ``stopped`` is the address of an instance that is told to stop.
+    ``stopped`` is the address of an instance that is told to stop, ``paused`` of one
+    that is paused.
     """
 
     what: str
@@ -44,6 +45,7 @@
     end: Callable[[], None]
     cuts_off: bool = True
     stopped: str = ""
+    paused: str = ""
 
 
 def nothing() -> None:
@@ -94,6 +96,7 @@
             self._duration(),
             self._signal(number, signal.SIGSTOP),
             self._signal(number, signal.SIGCONT),
+            paused=self.deployment.proxies[number].addresses["callers"],
         )
 
     def _kill(self) -> Fault:
--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -120,11 +120,13 @@
             fault.end()
             ended_s = time.monotonic()
             self.disturbances.append(
-                Disturbance(began_s, ended_s, fault.cuts_off, fault.stopped)
+                Disturbance(
+                    began_s, ended_s, fault.cuts_off, fault.stopped, fault.paused
+                )
             )
 
     def _change_configuration(self) -> None:
-        """Withdraw a key and give a new one, drain a server, or add a route."""
+        """Withdraw a key and give a new one, have two servers leave, or add a route."""
         deployment = self.deployment
         kind = self.random.choice(("key", "drain", "route"))
         if kind == "key":
@@ -136,6 +138,8 @@
             service = ("stock", "orders")[len(self.drained)]
             server = f"{service}-0"
             deployment.set_server_fault(server, "drain")
+            # Another leaves too, and only its answers tell.
+            deployment.set_server_fault(f"{service}-1", "leave")
             self.drained.append(Moment(server, time.monotonic()))
         else:
             deployment.extra_routes.append(f"/extra-{deployment.version}/")
@@ -176,6 +180,7 @@
             self.drained,
             [Limit(SMALL_WORKSPACE, SMALL_RATE_PER_S, SMALL_BURST)],
             self.disturbances,
+            self.deployment.arrivals_by_server(),
         )
         broken = [*history.broken(), *self.deployment.bad_exits]
         withdrawn = {moment.what for moment in self.withdrawn}
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -3,8 +3,10 @@
 Usage: ``python -m standins.platform_server --store ADDRESS --service NAME --count N``.
 Each server registers itself, sends heartbeats, and answers any path with its own id.
 ``PUT /admin/fault?kind=KIND`` on its address switches a fault: ``none``, ``errors``,
-``hang``, ``decline``, ``repeat`` (a refusal without an id before each answer) or
-``cut-head`` (the connection ends amid the head of the answer).
+``hang``, ``decline``, ``repeat`` (a refusal without an id before each answer),
+``cut-head`` (the connection ends amid the head of the answer) or ``busy`` (a refusal
+with ``Retry-After``). ``drain`` and ``leave`` last: all answers say that the server
+leaves, and with ``drain`` its entry says so too.
 """
 
 from __future__ import annotations
@@ -31,6 +33,7 @@
 )
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Le"
 SLOTS = 6
+BUSY_S = 2.5
 _loops: list[LoopingCall] = []
 _reactor: Any = reactor
 
@@ -49,9 +52,11 @@
     work_s: float = 0.0
     fault: str = "none"
     state: str = "ready"
+    is_leaving: bool = False
     beats: int = 0
     ran: list[str] = attrs.Factory(list)
     runs: list[dict[str, Any]] = attrs.Factory(list)
+    arrivals: list[dict[str, Any]] = attrs.Factory(list)
 
     def listen(self) -> None:
         """Open a free port."""
@@ -60,6 +65,7 @@
         route("/admin/fault", methods=["PUT"])(self._set_fault)
         route("/admin/ran")(self._show_ran)
         route("/admin/runs")(self._show_runs)
+        route("/admin/arrivals")(self._show_arrivals)
         route("/", branch=True)(self._answer)
         self.address = self.listed_address = serving.listen(app, 0)
 
@@ -96,6 +102,17 @@
         if expected and expected.decode() != self.id:
             request.setResponseCode(421)
             return b""
+        if self.is_leaving:
+            request.setHeader(wire_names.SERVER_LEAVING, b"1")
+        self.arrivals.append(
+            {"request": request_id.decode(), "at_s": time.monotonic(), "wait_s": 0.0}
+        )
+        if self.fault == "busy":
+            self.arrivals[-1]["wait_s"] = BUSY_S
+            request.setHeader(wire_names.NOT_EXECUTED, b"1")
+            request.setHeader(b"Retry-After", f"{BUSY_S:g}".encode())
+            request.setResponseCode(503)
+            return b""
         if self.fault == "decline":
             request.setHeader(wire_names.NOT_EXECUTED, b"1")
             request.setResponseCode(503)
@@ -138,8 +155,11 @@
     def _set_fault(self, request: Any) -> bytes:
         kind = request.args[b"kind"][0].decode()
         if kind == "drain":
+            self.is_leaving = True
             self.state = "draining"
             self.beat()
+        elif kind == "leave":
+            self.is_leaving = True
         else:
             self.fault = kind
         return b""
@@ -147,6 +167,9 @@
     def _show_runs(self, request: Any) -> bytes:
         return serving.answer_json(request, self.runs)
 
+    def _show_arrivals(self, request: Any) -> bytes:
+        return serving.answer_json(request, self.arrivals)
+
     def _show_ran(self, request: Any) -> bytes:
         return serving.answer_json(request, self.ran)
 
--- a/tests/end_to_end/test_platform.py
+++ b/tests/end_to_end/test_platform.py
@@ -215,6 +215,46 @@
         wait_until(lambda: Answer(deployment, "/stock/1").status == 200, "it is back")
 
 
+class TestNotices:
+    def send_reads(self, deployment, count: int) -> list[str]:
+        """Return which servers answer reads through all proxies in turn."""
+        answers = [
+            Answer(deployment, "/catalogue/1", key=None, proxy=number % 3)
+            for number in range(count)
+        ]
+        assert [answer.status for answer in answers] == [200] * count
+        return [answer.seen["server"] for answer in answers]
+
+    # Guards against requests to a server whose answers say that it leaves, while its
+    # entry is ready.
+    def test_a_server_that_says_that_it_leaves_gets_nothing(self, deployment) -> None:
+        deployment.set_server_fault("stock-1", "leave")
+        wait_until(
+            lambda: "stock-1" in self.send_reads(deployment, 10), "it has told one"
+        )
+        time.sleep(1.0)
+        assert "stock-1" not in self.send_reads(deployment, 60)
+
+    # Guards against requests to a server that asked for none for a while.
+    def test_a_server_that_asks_for_a_wait_gets_nothing(self, deployment) -> None:
+        deployment.set_server_fault("stock-0", "busy")
+        address = deployment.servers_by_id["stock-0"]
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < 2.0:
+            self.send_reads(deployment, 6)
+        deployment.set_server_fault("stock-0", "none")
+        arrivals = [
+            each["at_s"]
+            for each in call("GET", address, "/admin/arrivals")
+            if each["at_s"] > began_s
+        ]
+        # One of each proxy at most, and no other until the end of the wait.
+        assert 1 <= len(arrivals) <= 3
+        wait_until(
+            lambda: "stock-0" in self.send_reads(deployment, 10), "it is used again"
+        )
+
+
 class TestStop:
     def test_a_stop_leaves_the_directory_and_exits_cleanly(self, deployment) -> None:
         leaving = deployment.proxies[2]
--- a/tests/proxy/test_server_notices.py
+++ b/tests/proxy/test_server_notices.py
@@ -125,6 +125,13 @@
         balancer.update([other], 1.0)
         assert balancer.choose("stock", ROUTE, 1.0) == other
 
+    def test_servers_are_counted_for_the_metrics(self) -> None:
+        notices = ServerNotices()
+        notices.record_leaving(("s-1", 1), 0.0)
+        notices.record_wait(("s-2", 1), 3.0, 0.0)
+        assert (notices.count_leaving(), notices.count_waiting(2.9)) == (1, 1)
+        assert notices.count_waiting(3.0) == 0
+
     def test_the_number_of_notices_is_bounded(self) -> None:
         notices = ServerNotices()
         for number in range(MAX_NOTICES + 10):
--- a/tests/standins/test_fault_soak_checks.py
+++ b/tests/standins/test_fault_soak_checks.py
@@ -92,6 +92,37 @@
         )
         assert found == []
 
+    def test_a_server_that_had_said_that_it_leaves(self) -> None:
+        told = make_seen(
+            READ,
+            request="r-0",
+            sent_s=96.0,
+            ended_s=97.0,
+            server_leaves=True,
+            answer={"request": "r-0", "server": "orders-0"},
+        )
+        runs = [make_run(READ, request="r-0", path="/stock/r-0"), make_run()]
+        assert broken([told, make_seen()], runs) == ["DRAIN"]
+        other = make_seen(address="127.0.0.1:2")
+        assert broken([told, other], runs) == []
+        pause = Disturbance(97.5, 98.0, paused="127.0.0.1:1")
+        assert broken([told, make_seen()], runs, disturbances=[pause]) == []
+
+    def test_a_server_that_had_asked_for_a_wait(self) -> None:
+        numbers = range(4)
+        seen = [make_seen(READ, request=f"r-{n}", status=503) for n in numbers]
+        arrivals = [
+            {"request": f"r-{n}", "at_s": 100.0 + n, "wait_s": 0.0 if n else 9.0}
+            for n in numbers
+        ]
+        servers = {"stock-0": arrivals}
+        assert broken(seen, [], arrivals_by_server=servers) == ["BUDGET"]
+        few = {"stock-0": arrivals[:3]}
+        assert broken(seen, [], arrivals_by_server=few) == []
+        cut = [Disturbance(101.0, 102.0)]
+        found = broken(seen, [], arrivals_by_server=servers, disturbances=cut)
+        assert found == []
+
     def test_a_planned_stop_that_cut_a_request(self) -> None:
         stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
         seen = make_seen(status=0)
