Read many upgrade offers at once, and on until a connection's end

Cause: each offer to upgrade was parsed in a call within the last one, so that about a thousand in one read would end in RecursionError and cut the connection; a connection that closed while its reading was paused left requests unread in the kernel, and its reset may drop the last answers.

Change: a loop; reading resumes at the close. Besides, the kernel is asked for undelivered bytes only after a write, expired notices are dropped when a report is built, and the spread of returning callers uses the instance's random numbers.

Tests: 2,000 offers in one read; a paused connection that closes. Not run on the code before; by reading both fail there.

--- a/src/gentianhitch/callers/complete_requests.py
+++ b/src/gentianhitch/callers/complete_requests.py
@@ -102,26 +102,26 @@
         return self._requests, self._parse(data)
 
     def _parse(self, data: bytes) -> RequestError | None:
-        try:
-            self._parser.feed_data(data)
-            return None
-        except httptools.HttpParserCallbackError as failure:
-            if not isinstance(failure.__context__, RequestError):
-                raise
-            return failure.__context__
-        except httptools.HttpParserUpgrade as stop:
-            (head_end,) = stop.args
-        except httptools.HttpParserError as failure:
-            return RequestError(Cause.MALFORMED, str(failure))
-        return self._parse_without_upgrade(data[head_end:])
-
-    def _parse_without_upgrade(self, rest: bytes) -> RequestError | None:
-        """Parse a request again whose offer of another protocol is ignored.
-
-        The parser stops after the head of such a request, before its body.
-        """
-        if self._method == CONNECT:
-            return RequestError(Cause.MALFORMED, "no tunnels are opened")
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return None
+            except httptools.HttpParserCallbackError as failure:
+                if not isinstance(failure.__context__, RequestError):
+                    raise
+                return failure.__context__
+            except httptools.HttpParserUpgrade as stop:
+                (head_end,) = stop.args
+            except httptools.HttpParserError as failure:
+                return RequestError(Cause.MALFORMED, str(failure))
+            if self._method == CONNECT:
+                return RequestError(Cause.MALFORMED, "no tunnels are opened")
+            # The parser stops after the head, before the body.
+            data = self._encode_head_without_offer() + data[head_end:]
+            self._parser = httptools.HttpRequestParser(self)
+
+    def _encode_head_without_offer(self) -> bytes:
+        """Encode the head of a request again, without its offer to upgrade."""
         version = self._parser.get_http_version().encode()
         lines = [b"%b %b HTTP/%b" % (self._method, self._url, version)]
         for name, value in self._headers:
@@ -132,8 +132,7 @@
                 )
             if name.lower() != UPGRADE:
                 lines.append(b"%b: %b" % (name, value))
-        self._parser = httptools.HttpRequestParser(self)
-        return self._parse(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
     def on_message_begin(self) -> None:
         """Discard the state of the previous request."""
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -96,6 +96,7 @@
         self._is_closing = False
         self._is_paused = False
         self._last_active_s = factory.seconds()
+        self._is_delivering = False
         self._undelivered_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -125,7 +126,13 @@
     @property
     def is_busy(self) -> bool:
         """Return whether a request is being served or its response delivered."""
-        return self.is_serving or undelivered_bytes(self.transport) > 0
+        return self.is_serving or self._count_undelivered() > 0
+
+    def _count_undelivered(self) -> int:
+        # The kernel is asked only after a write.
+        count = undelivered_bytes(self.transport) if self._is_delivering else 0
+        self._is_delivering = count > 0
+        return count
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse requests and start serving each of them at once."""
@@ -177,6 +184,7 @@
             self._last_active_s = self._factory.seconds()
             assert response.data is not None
             write_at_once(self.transport, response.data)
+            self._is_delivering = True
             if response.closes_connection:
                 self._close()
                 return
@@ -184,13 +192,14 @@
             # Requests were dropped after the last response had been encoded.
             self._close()
             return
-        if (
-            self._is_paused
-            and len(self._pending_responses) < MAX_PIPELINED_REQUESTS // 2
-        ):
+        if len(self._pending_responses) < MAX_PIPELINED_REQUESTS // 2:
+            self._resume()
+        self._factory.notify_if_idle()
+
+    def _resume(self) -> None:
+        if self._is_paused:
             self._is_paused = False
             self.transport.resumeProducing()
-        self._factory.notify_if_idle()
 
     def _close(self) -> None:
         """Close once everything is written.
@@ -202,6 +211,7 @@
         self._is_closing = True
         self._last_active_s = self._factory.seconds()
         self._cancel_all()
+        self._resume()
         self.transport.loseWriteConnection()
         self._factory.notify_if_idle()
 
@@ -211,7 +221,7 @@
         A caller that receives slowly is active; the kernel resets the connection of one
         that receives nothing.
         """
-        undelivered = undelivered_bytes(self.transport)
+        undelivered = self._count_undelivered()
         if undelivered != self._undelivered_bytes:
             self._undelivered_bytes = undelivered
             self._last_active_s = now
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -188,6 +188,7 @@
             events,
             settings.bounds.revocation_s,
             self._record_finished,
+            self._random,
         )
         self._callers = CallerFactory(
             clock, HEADER_NAMES, self._caller_limits, self._serve
--- a/src/gentianhitch/proxy/server_notices.py
+++ b/src/gentianhitch/proxy/server_notices.py
@@ -98,11 +98,10 @@
 
     def leaving_to_report(self, now: float) -> list[ServerKey]:
         """Return the servers that said of late to this instance that they leave."""
-        return [
-            key
-            for key, received_s in self._own_leaving.items()
-            if now - received_s <= REPEAT_S
-        ]
+        for key, received_s in tuple(self._own_leaving.items()):
+            if now - received_s > REPEAT_S:
+                del self._own_leaving[key]
+        return list(self._own_leaving)
 
 
 def requested_wait_s(response: CompleteResponse) -> float | None:
--- a/tests/callers/test_complete_requests.py
+++ b/tests/callers/test_complete_requests.py
@@ -165,6 +165,11 @@
         assert request.headers == [(b"Host", b"shop.example")]
         assert request.keep_alive
 
+    def test_many_offers_may_arrive_at_once(self) -> None:
+        message = Message(b"POST", b"1.1", EXTRA_HEADERS[1:2], FRAMINGS[0], b"b")
+        found, error = read(message.encode() * 2_000, [])
+        assert (len(found), error) == (2_000, None)
+
     def test_a_tunnel_is_refused(self) -> None:
         found, error = read(b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", [])
         assert found == []
--- a/tests/callers/test_pipelined_connection.py
+++ b/tests/callers/test_pipelined_connection.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gentianhitch.callers.pipelined_connection import LINGER_S
+from gentianhitch.callers.pipelined_connection import MAX_PIPELINED_REQUESTS
 from gentianhitch.proxy.model import CallerLimits
 from tests.builders_callers import GET
 from tests.builders_callers import Scenario
@@ -186,6 +187,18 @@
         assert scenario.written == b"first;second;"
         assert scenario.transport.half_closed
 
+    # Guards against a reset that drops the last answers: reading was paused when the
+    # connection closed, and unread requests were left in the kernel.
+    def test_reading_goes_on_until_the_end(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(GET * MAX_PIPELINED_REQUESTS)
+        assert scenario.transport.producerState == "paused"
+        scenario.factory.is_leaving = True
+        for served in reversed(scenario.served):
+            served.response.send(b"answer")
+        assert scenario.transport.half_closed
+        assert scenario.transport.producerState == "producing"
+
     def test_an_idle_connection_takes_one_more_request_in_a_stop(self) -> None:
         scenario = Scenario()
         scenario.factory.is_leaving = True
