Count attempts whose connection is being opened

Callers saw: nothing; servers ran requests at more of them than the route allows.

Cause: attempts counted once written; a hedge, or a retry after another attempt's answer, started beside a retry that was still connecting, and both were written.

Ruled out: another number of attempts in an older configuration, by the test, which has one configuration.

--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -322,7 +322,7 @@
         if not self._route.idempotent or self._only_write_was_declined():
             self._may_have_run = False
         self._last_cause = Cause.SHED
-        if self._writes < self._route.max_attempts and self._try_next_server():
+        if self._has_attempts_left() and self._try_next_server():
             return
         if not self._attempts:
             self._finish_with_last_result()
@@ -339,7 +339,11 @@
             self._finish_with_last_result()
 
     def _may_repeat(self) -> bool:
-        return self._route.idempotent and self._writes < self._route.max_attempts
+        return self._route.idempotent and self._has_attempts_left()
+
+    def _has_attempts_left(self) -> bool:
+        connecting = sum(each.connecting is not None for each in self._attempts)
+        return self._writes + connecting < self._route.max_attempts
 
     def _record_result(self, attempt: _Attempt, result: AttemptResult) -> None:
         if attempt.token is not None:
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -40,6 +40,13 @@
         self.closed = True
 
 
+class FakeConnecting:
+    """A connection that is being opened."""
+
+    def cancel(self) -> None:
+        pass
+
+
 @attrs.define(eq=False)
 class FakeConnections:
     """Connect at once, except to the ``unreachable`` servers."""
@@ -47,17 +54,28 @@
     unreachable: set[str] = attrs.Factory(set)
     made: list[FakeConnection] = attrs.Factory(list)
     max_idle_s: list[float] = attrs.Factory(list)
+    is_slow: bool = False
+    connecting: list[FakeConnection] = attrs.Factory(list)
 
-    def acquire(
-        self, key: Any, address: Any, waiter: Any, *, max_idle_s: float
-    ) -> None:
+    def acquire(self, key: Any, address: Any, waiter: Any, *, max_idle_s: float) -> Any:
         self.max_idle_s.append(max_idle_s)
+        if self.is_slow:
+            self.connecting.append(FakeConnection(key[0], waiter))
+            return FakeConnecting()
         if key[0] in self.unreachable:
             waiter.connect_failed(ConnectError("refused"))
-            return
+            return None
         connection = FakeConnection(key[0], waiter)
         self.made.append(connection)
         waiter.connected(connection)
+        return None
+
+    def finish_connecting(self) -> None:
+        """Connect where ``is_slow`` had delayed it."""
+        connecting, self.connecting = self.connecting, []
+        for connection in connecting:
+            self.made.append(connection)
+            connection.waiter.connected(connection)
 
     def servers_with_idle_connections(self) -> frozenset[str]:
         return frozenset()
@@ -276,3 +294,26 @@
         assert b"X-Gentianhitch-Expected-Instance: s-" in sent
         assert b"X-Gentianhitch-Tenant-Name: north\r\n" in sent
         assert sent.count(b"X-Gentianhitch-Request-Id") == 1
+
+
+class TestSlowConnects:
+    # Guards against a request at more servers than its route allows: a hedge was sent
+    # beside a retry whose connection was still being opened, and didn't count it.
+    @pytest.mark.parametrize("max_attempts", [2, 3])
+    def test_attempts_that_connect_count(self, max_attempts: int) -> None:
+        run = Run(make_route(max_attempts=max_attempts))
+        run.connections.is_slow = True
+        run.waiter(0).response_received(make_response(500))
+        for _ in range(25):
+            run.clock.advance(0.1)
+        run.connections.finish_connecting()
+        assert run.writes <= max_attempts
+
+    def test_a_declined_one_waits_for_those_that_connect(self) -> None:
+        run = Run(make_route(max_attempts=2))
+        run.connections.is_slow = True
+        for _ in range(20):
+            run.clock.advance(0.1)
+        run.waiter(0).response_received(make_response(503, DECLINED))
+        run.connections.finish_connecting()
+        assert run.writes == 2
