Add callers to the soak that pipeline requests and read slowly

Every fourth caller writes up to four requests at once on a kept connection, and now and then sends 16 kB and receives the answer at 8 kB/s through a small window. The soak's check of planned stops then covers requests behind others and long answers. Reading of raw answers is shared with the tests of planned stops.

--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -27,12 +27,16 @@
 from standins.fault_soak.faults import STORE_WELL
 from standins.fault_soak.faults import Fault
 from standins.fault_soak.faults import FaultPlan
+from standins.fault_soak.pipelining import PipeliningCaller
 from standins.platform_deployment import ROUTES
 from standins.platform_deployment import WORKSPACE
 
 GAP_S = (0.1, 1.2)
 PLANNED_WORK_SHARE = 0.25
 RECOVERY_S = 15.0
+PIPELINING_EACH = 4
+"""Each such caller writes several requests at once."""
+
 CALM_S = 3.0
 RESOLVE_INTERVAL_S = 0.5
 LAST_ANSWERS_S = 7.0
@@ -74,7 +78,8 @@
         for number in range(self.options.callers):
             name = f"c{number}"
             random = Random(f"{self.options.seed}/{name}")
-            caller = Caller(name, random, self._kinds, lambda: self.addresses)
+            kind = PipeliningCaller if number % PIPELINING_EACH == 1 else Caller
+            caller = kind(name, random, self._kinds, lambda: self.addresses)
             self.callers.append(caller)
             threads.append(threading.Thread(target=caller.run, daemon=True))
         for thread in threads:
--- a/tests/builders_raw_callers.py
+++ b/tests/builders_raw_callers.py
@@ -13,10 +13,10 @@
 from gentianhitch.platform import wire_names
 from standins.platform_deployment import HOST
 from standins.platform_deployment import KEY
+from standins.raw_http import read_answer
 
 READ_TIMEOUT_S = 10.0
 _LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
-_CLOSE = re.compile(rb"\r\nconnection: *close\r\n", re.IGNORECASE)
 
 
 def encode_order(request_id: str, *lines: str, body: str = "a pallet") -> bytes:
@@ -33,26 +33,6 @@
     return ("\r\n".join(head) + "\r\n\r\n" + body).encode()
 
 
-def read_answer(connection: socket.socket, buffer: bytearray) -> tuple[int, bytes]:
-    """Read one answer; return its status and head. Raise ConnectionError if cut."""
-    while (end := buffer.find(b"\r\n\r\n")) < 0:
-        _receive(connection, buffer)
-    head = bytes(buffer[: end + 2])
-    length = _LENGTH.search(head)
-    total = end + 4 + (int(length[1]) if length else 0)
-    while len(buffer) < total:
-        _receive(connection, buffer)
-    del buffer[:total]
-    return int(head.split(b" ", 2)[1]), head
-
-
-def _receive(connection: socket.socket, buffer: bytearray) -> None:
-    data = connection.recv(65536)
-    if not data:
-        raise ConnectionResetError("closed by the proxy")
-    buffer += data
-
-
 @attrs.define(eq=False)
 class PipeliningCaller:
     """Places orders on a kept connection, ``depth`` at once, until it ends.
@@ -93,9 +73,9 @@
             try:
                 connection.sendall(b"".join(encode_order(each) for each in ids))
                 while ids:
-                    status, head = read_answer(connection, buffer)
-                    self.answered[ids.pop(0)] = status
-                    if _CLOSE.search(head):
+                    answer = read_answer(connection, buffer)
+                    self.answered[ids.pop(0)] = answer.status
+                    if answer.closes_connection:
                         break
             except OSError:
                 self.unanswered += ids
