Read waits with many leading zeros

Callers would see: requests at a server that had asked for a wait, if it wrote the number with 18 leading zeros or more.

Cause: the value was cut to 18 characters, zeros included, and read as 0.

Change: zeros are left out before the value is cut.

--- a/src/gentianhitch/proxy/server_notices.py
+++ b/src/gentianhitch/proxy/server_notices.py
@@ -27,7 +27,9 @@
 """More digits before the point are more than the longest wait."""
 
 MAX_FRACTION_DIGITS = 9
-_SECONDS = re.compile(rb"(?=\.?\d)0*(\d*)(?:\.\d*)?")
+"""More are finer than any clock here."""
+
+_SECONDS = re.compile(rb"(?=\.?\d)0*(\d*)(\.\d*)?")
 
 RETURN_SPREAD_S = 1.0
 """Callers that are refused together come back spread over this time."""
@@ -125,9 +127,10 @@
     found = _SECONDS.fullmatch(value)
     if found is None:
         return 0.0
-    if len(found[1]) > MAX_WAIT_DIGITS:
+    whole, fraction = found[1], found[2] or b"."
+    if len(whole) > MAX_WAIT_DIGITS:
         return MAX_WAIT_S
-    return min(float(value[: MAX_WAIT_DIGITS + MAX_FRACTION_DIGITS]), MAX_WAIT_S)
+    return min(float(b"0" + whole + fraction[: 1 + MAX_FRACTION_DIGITS]), MAX_WAIT_S)
 
 
 def return_after_s(free_in_s: float, priority: int, random: Random) -> float:
