Log how many servers of a service are in use

Callers saw nothing of this. Now service_use says so at each change, and a gauge counts such services; non-serving instances without recent results log nothing. Ruled out: a line for each choice (400 lines a second and instance are the limit). Before: nothing logged; after: tests of the counts and of one line a change. Conclusion: observability only; no choice changes.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -13,6 +13,7 @@
 from gentianhitch.proxy.floor import MAX_UNUSED_S
 from gentianhitch.proxy.floor import RecentFailures
 from gentianhitch.proxy.floor import ServerUse
+from gentianhitch.proxy.floor import ServiceUse
 from gentianhitch.proxy.floor import is_below_floor
 from gentianhitch.proxy.gray_filter import GRAY_FAILURE_PROBABILITY
 from gentianhitch.proxy.gray_filter import GrayFilter
@@ -198,18 +199,8 @@
 
         Below the floor these are only servers that nobody used of late.
         """
-        usable = [
-            (record, self._gray_probability_of(record, route.name, now))
-            for record in self._by_service.get(service, ())
-            if not record.server.draining
-            and not record.is_replaced
-            and self.notices.accepts_requests(record.server.key, now)
-        ]
-        uses = [
-            ServerUse(record.last_used_s, record.last_failed_s, gray)
-            for record, gray in usable
-        ]
-        if not is_below_floor(uses, self.floor_share, now):
+        usable = self._usable(service, route.name, now)
+        if not is_below_floor(_uses(usable), self.floor_share, now):
             return usable
         failures = self._failures_by_service.get(service)
         is_binding = failures is not None and failures.bind_floor(now)
@@ -223,6 +214,37 @@
         ]
         return unused or usable
 
+    def _usable(
+        self, service: str, route: str, now: float
+    ) -> list[tuple[ServerRecord, float]]:
+        """Return the servers that may get requests, with their gray probabilities."""
+        return [
+            (record, self._gray_probability_of(record, route, now))
+            for record in self._by_service.get(service, ())
+            if not record.server.draining
+            and not record.is_replaced
+            and self.notices.accepts_requests(record.server.key, now)
+        ]
+
+    def use_by_service(self, now: float) -> dict[str, ServiceUse]:
+        """Return how many servers of each service with recent results are in use."""
+        use_by_service = {}
+        for service, failures in self._failures_by_service.items():
+            if not failures.is_empty(now):
+                usable = self._usable(service, PATH, now)
+                use_by_service[service] = ServiceUse(
+                    len(usable),
+                    round(sum(1.0 - gray for _, gray in usable), 1),
+                    sum(
+                        now - record.last_started_s <= FLOOR_WINDOW_S
+                        for record, _ in usable
+                    ),
+                    round(failures.failed_share(now), 3),
+                    is_below_floor(_uses(usable), self.floor_share, now),
+                    failures.bind_floor(now),
+                )
+        return use_by_service
+
     def gray_probability(
         self, server: BackendServer, route: Route, now: float
     ) -> float:
@@ -256,7 +278,7 @@
         if record is not None:
             running = RunningRequest(route.name, now)
             record.running_by_token[self._next_token] = running
-            record.last_used_s = now
+            record.last_used_s = record.last_started_s = now
         return self._next_token
 
     def record_end(
@@ -316,7 +338,9 @@
         """Record the result of another instance's attempt."""
         record = self._records_by_key.get(observation.server)
         if record is not None:
-            record.last_used_s = max(record.last_used_s, now - observation.latency_s)
+            started_s = now - observation.latency_s
+            record.last_used_s = max(record.last_used_s, started_s)
+            record.last_started_s = max(record.last_started_s, started_s)
             self._record_result(record, observation, now, own=False)
 
     def merge_running(
@@ -336,6 +360,9 @@
             if record is not None:
                 record.remote_by_instance[instance] = RemoteRequests(requests, now)
                 record.last_used_s = max(record.last_used_s, now)
+                starts_s = (request.started_s for request in requests)
+                last_s = max(starts_s, default=record.last_started_s)
+                record.last_started_s = max(record.last_started_s, last_s)
         self._reported_by_instance[instance] = frozenset(requests_by_server)
 
     def running_by_server(self) -> dict[tuple[str, int], list[RunningRequest]]:
@@ -425,6 +452,13 @@
         return cost
 
 
+def _uses(usable: list[tuple[ServerRecord, float]]) -> list[ServerUse]:
+    return [
+        ServerUse(record.last_used_s, record.last_failed_s, gray)
+        for record, gray in usable
+    ]
+
+
 def _order_digest(instance: str, server: BackendServer) -> int:
     return xxhash.xxh32_intdigest(f"{instance} {server.id}".encode())
 
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -11,6 +11,7 @@
 from gentianhitch.metrics import Metrics
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.floor import ServiceUse
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import StoredConfiguration
 from gentianhitch.proxy.origin import Origin
@@ -36,6 +37,7 @@
     _metrics: Metrics
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
+    _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
 
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
         """Log and apply a change of the listing."""
@@ -87,3 +89,20 @@
         configuration = self._store_view.configuration
         if configuration is not None:
             self._quotas.set_workspaces(configuration.workspaces_by_name.values(), now)
+
+    def log_service_use(self, now: float) -> None:
+        """Log the use of services whose relation to the floor has changed."""
+        before, self._use_by_service = self._use_by_service, {}
+        for service, use in self._balancer.use_by_service(now).items():
+            self._use_by_service[service] = use
+            last = before.get(service)
+            if last is None or _floor_state(last) != _floor_state(use):
+                self._events.state("service_use", service=service, **attrs.asdict(use))
+
+    def count_services_below_floor(self) -> int:
+        """Return how many services had too few servers in use when last looked at."""
+        return sum(use.is_below_floor for use in self._use_by_service.values())
+
+
+def _floor_state(use: ServiceUse) -> tuple[bool, bool]:
+    return use.is_below_floor, use.is_floor_binding
--- a/src/gentianhitch/proxy/floor.py
+++ b/src/gentianhitch/proxy/floor.py
@@ -50,6 +50,16 @@
             self._results
         ) >= MIN_RESULTS and self._failed > MIN_FAILED_SHARE * len(self._results)
 
+    def is_empty(self, now: float) -> bool:
+        """Return whether no attempt ended of late."""
+        self._expire(now)
+        return not self._results
+
+    def failed_share(self, now: float) -> float:
+        """Return the share of failed attempts, 0 without any."""
+        self._expire(now)
+        return self._failed / len(self._results) if self._results else 0.0
+
     def _expire(self, now: float) -> None:
         while self._results and self._results[0][0] < now - FLOOR_WINDOW_S:
             self._failed -= self._results.popleft()[1]
@@ -64,6 +74,22 @@
     gray_probability: float
 
 
+@attrs.frozen
+class ServiceUse:
+    """How many servers of a service are in use, as one instance sees it.
+
+    ``servers`` may get requests, ``sound`` of them are probably sound, and ``used`` got
+    a request in the last ``FLOOR_WINDOW_S``.
+    """
+
+    servers: int
+    sound: float
+    used: int
+    failed_share: float
+    is_below_floor: bool
+    is_floor_binding: bool
+
+
 def is_below_floor(uses: Iterable[ServerUse], floor_share: float, now: float) -> bool:
     """Return whether too few of the sound servers were in use of late.
 
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -261,6 +261,7 @@
             "listing_age_seconds": self.store_view.listing_age_s(now),
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
+            "services_below_floor": self._changes.count_services_below_floor(),
             "log_lines_dropped": self._events.output.dropped,
         }
 
@@ -300,6 +301,7 @@
         now = self._reactor.seconds()
         self._connections.close_idle(now)
         self._changes.update(now)
+        self._changes.log_service_use(now)
         self._settings_file.reload_if_changed()
 
     def _record_finished(self, outcome: str, workspace: str, elapsed_s: float) -> None:
--- a/tests/proxy/test_floor.py
+++ b/tests/proxy/test_floor.py
@@ -7,14 +7,20 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
+from typing import cast
 
 import pytest
 
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.changes import ChangeHandler
+from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.floor import ServerUse
 from gentianhitch.proxy.floor import is_below_floor
 from gentianhitch.proxy.server_records import AttemptResult
 from gentianhitch.proxy.server_records import Observation
+from gentianhitch.proxy.server_records import RunningRequest
+from tests.builders_deployment import RecordedEvents
 from tests.builders_gray_service import GrayService
 from tests.builders_proxy import make_route
 from tests.builders_proxy import make_server
@@ -98,3 +104,44 @@
             chosen = balancer.choose("stock", ORDERS, 1.25)
             tried += [name] if chosen == servers[0] else []
         assert 0 < len(tried) <= 2
+
+
+class TestServiceUse:
+    def test_use_counts_requests_sent_of_late(self) -> None:
+        balancer = Balancer("e-1", "a", Random(1))
+        servers = [make_server(f"s-{number}") for number in range(4)]
+        balancer.update(servers, 0.0)
+        for server in servers[:2]:
+            good = Observation(server.key, "order", 0.1, AttemptResult.GOOD)
+            balancer.merge_observation(good, 5.0)
+        running = {servers[2].key: (RunningRequest("order", 1.0),)}
+        balancer.merge_running("e-2", running, 5.0)
+        use = balancer.use_by_service(5.5)["stock"]
+        assert (use.servers, use.used, use.failed_share) == (4, 2, 0.0)
+        assert balancer.use_by_service(8.0) == {}
+
+    def test_changes_of_the_state_are_logged_once(self) -> None:
+        balancer = Balancer("e-1", "a", Random(1))
+        servers = [make_server(f"s-{number}") for number in range(4)]
+        balancer.update(servers, 0.0)
+        events = RecordedEvents()
+        unused: Any = None
+        changes = ChangeHandler(
+            unused,
+            unused,
+            unused,
+            balancer,
+            unused,
+            unused,
+            unused,
+            cast("Events", events),
+            unused,
+        )
+        good = Observation(servers[0].key, "order", 0.1, AttemptResult.GOOD)
+        balancer.merge_observation(good, 5.0)
+        for now in (5.0, 5.5, 6.0):
+            changes.log_service_use(now)
+        logged = [fields for event, fields in events.lines if event == "service_use"]
+        assert [each["service"] for each in logged] == ["stock"]
+        assert logged[0]["is_below_floor"]
+        assert changes.count_services_below_floor() == 1
