Reproduce that servers which hung stay out of use

What callers saw: FLOOR, too few sound servers in use while requests fail. The bound of 0.9 on the average: the floor holds for those servers only that nothing disrupted, a part which instances don't know.

--- a/tests/builders_gray_service.py
+++ b/tests/builders_gray_service.py
@@ -15,7 +15,6 @@
 from tests.builders_proxy import make_server
 
 REPORT_INTERVAL_S = 0.2
-DEADLINE_S = 8.0
 FLOOR_WINDOW_S = 2.0
 """Length of the windows that the platform's rule on the floor looks at."""
 
@@ -34,7 +33,9 @@
     """Balancers of several instances that share their evidence, before one service.
 
     Each server is gray in spells, ``gray_share`` of the time, and then fails most
-    requests: with an error response, or with none until the deadline if ``hangs``.
+    requests: with an error response, or with none until the deadline if ``hangs``, or
+    by turning them away if ``declines``. Servers and instances are spread evenly over
+    ``failure_domains``.
     """
 
     seed: int
@@ -48,14 +49,21 @@
     healthy_failure_share: float = 0.01
     service_s: float = 0.3
     hangs: bool = False
+    declines: bool = False
+    deadline_s: float = 8.0
+    failure_domains: int = 1
+    slots: int = 6
     requests: list[SimulatedRequest] = attrs.Factory(list)
     failed_at_by_server: dict[str, list[float]] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
-        self.servers = [make_server(f"s-{n}") for n in range(self.server_count)]
+        self.servers = [
+            make_server(f"s-{n}", failure_domain=self._domain(n), slots=self.slots)
+            for n in range(self.server_count)
+        ]
         self.balancers = [
-            Balancer(f"e-{n}", "a", Random(f"{self.seed} {n}"))
+            Balancer(f"e-{n}", self._domain(n), Random(f"{self.seed} {n}"))
             for n in range(self.instances)
         ]
         for balancer in self.balancers:
@@ -64,6 +72,9 @@
             balancer.latencies("stock", self.route)
         self._spells = {server.id: list(self._draw_spells()) for server in self.servers}
 
+    def _domain(self, number: int) -> str:
+        return chr(ord("a") + number % self.failure_domains)
+
     def _draw_spells(self) -> Iterator[tuple[float, float]]:
         healthy_s = self.spell_s * (1.0 - self.gray_share) / self.gray_share
         now = self.random.uniform(-healthy_s, healthy_s)
@@ -96,13 +107,15 @@
             succeeds = self.random.random() >= failure_share
             latency_s = self.service_s * self.random.uniform(0.6, 1.6)
             if not succeeds:
-                latency_s = DEADLINE_S if gray and self.hangs else 0.005
+                latency_s = self.deadline_s if gray and self.hangs else 0.005
             self.requests.append(SimulatedRequest(server.id, now, succeeds))
             number += 1
             result = AttemptResult.GOOD
             if not succeeds:
                 hung = gray and self.hangs
                 result = AttemptResult.FAILED if hung else AttemptResult.ERROR
+                if gray and self.declines:
+                    result = AttemptResult.DECLINED
                 failed_s = now + latency_s
                 self.failed_at_by_server.setdefault(server.id, []).append(
                     now if hung else failed_s
--- a/tests/proxy/test_floor.py
+++ b/tests/proxy/test_floor.py
@@ -28,6 +28,27 @@
 ORDERS = make_route(name="order", idempotent=False, max_attempts=1)
 FLOOR_SHARE = 0.7
 
+MEAN_USED_SHARE = 0.9
+"""The floor holds for any part of the sound servers: those that nothing disrupted."""
+
+
+def make_hanging_service(seed: int, **changes: Any) -> GrayService:
+    """Return a service of which a quarter hangs, before eight instances."""
+    return GrayService(
+        seed,
+        route=ORDERS,
+        instances=8,
+        gray_share=0.25,
+        spell_s=4.5,
+        failure_share=0.9,
+        healthy_failure_share=0.012,
+        hangs=True,
+        deadline_s=3.0,
+        failure_domains=4,
+        slots=4,
+        **changes,
+    )
+
 
 class TestRecoveredServers:
     def test_sound_servers_get_requests_while_others_fail(self) -> None:
@@ -51,6 +72,27 @@
             used[chosen.id] = used.get(chosen.id, 0) + 1
         assert len(used) >= FLOOR_SHARE * len(servers)
 
+    @pytest.mark.parametrize("seed", range(2))
+    @pytest.mark.parametrize(
+        "service",
+        [
+            {"server_count": 79, "rate_per_s": 80.0, "service_s": 0.8},
+            {"server_count": 59, "rate_per_s": 275.0, "service_s": 0.3},
+            {"server_count": 30, "rate_per_s": 150.0, "service_s": 0.4},
+        ],
+        ids=["few requests a server", "many requests a server", "half the size"],
+    )
+    def test_servers_that_hung_return_to_use(
+        self, service: dict[str, Any], seed: int
+    ) -> None:
+        # Guards against sound servers that get no request for seconds after they hung,
+        # so that too few are in use when something else fails (FLOOR).
+        simulated = make_hanging_service(seed, **service)
+        simulated.run(16.0)
+        shares = [used for _, used, _ in simulated.floor_shares(from_s=6.0)]
+        assert min(shares) >= FLOOR_SHARE
+        assert sum(shares) / len(shares) >= MEAN_USED_SHARE
+
     @pytest.mark.parametrize("seed", range(6))
     def test_few_windows_are_below_the_floor(self, seed: int) -> None:
         service = GrayService(seed, 14, 60.0, ORDERS)
