Free and count the memory of incomplete responses as they are kept

Cause: reader and parser refer to each other, so closed connections keep their buffers until the garbage collector runs; and bytes are counted as they arrive, while chunks and headers of two bytes take many times that. Ruled out: a lower limit of the old account, which counted right and freed nothing. Now buffers are freed at the end of a connection, bodies grow in one piece, one account with a limit from the settings drops the largest buffer first, and trailers and other answers without end fail at once. The test that set the old counter by hand fills the account by 64 connections instead.

--- a/src/gentianhitch/backend_servers/complete_responses.py
+++ b/src/gentianhitch/backend_servers/complete_responses.py
@@ -2,34 +2,19 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 import httptools
 
 from gentianhitch.backend_servers.errors import InvalidResponseError
 from gentianhitch.backend_servers.responses import STATUSES_WITHOUT_BODY
 from gentianhitch.backend_servers.responses import Headers
+from gentianhitch.buffers import HEADER_MEMORY_BYTES
 
 MAX_HEAD_BYTES = 64 * 1024
 """Four times the longest request head that callers may send by default."""
 
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""A sixth of the smallest instances' memory, since responses are also copied."""
-
-MAX_SPARED_BYTES = 256 * 1024
-"""Shorter responses are still read above MAX_BUFFERED_BYTES, as others fill it."""
-
-
-@attrs.define(eq=False)
-class ResponseMemory:
-    """Counts the bytes of incomplete responses over all connections of an instance."""
-
-    buffered_bytes: int = 0
-
-    @property
-    def is_full(self) -> bool:
-        """Return whether incomplete responses must be dropped."""
-        return self.buffered_bytes > MAX_BUFFERED_BYTES
-
 
 @attrs.define
 class CompleteResponse:
@@ -52,17 +37,17 @@
 class CompleteResponseReader:
     """Parses the responses of one connection; interim ones (1xx) are dropped."""
 
-    def __init__(self, memory: ResponseMemory) -> None:
-        self._memory = memory
-        self._parser = httptools.HttpResponseParser(self)
+    def __init__(self) -> None:
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._responses: list[CompleteResponse] = []
-        self._buffered_bytes = 0
+        self._head_bytes = 0
         self._clear()
 
     def _clear(self) -> None:
         self._reason = b""
         self._headers: Headers = []
-        self._parts: list[bytes] = []
+        self._body = bytearray()
+        self._trailer_bytes = 0
         self._status = 0
         self._framed = False
         self._in_body = False
@@ -74,7 +59,8 @@
         The error's ``responses`` holds those that preceded malformed data.
         """
         self._responses = []
-        self._add_buffered(len(data))
+        if not self._in_body:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -82,26 +68,29 @@
             invalid.responses = tuple(self._responses)
             raise invalid from error
         if self._responses:
-            self.release()
-        elif not self._in_body and self._buffered_bytes > MAX_HEAD_BYTES:
+            self._head_bytes = 0
+        elif not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
             raise InvalidResponseError(
-                f"response head exceeds {MAX_HEAD_BYTES} bytes: "
-                f"got {self._buffered_bytes}"
-            )
-        elif self._memory.is_full and self._buffered_bytes > MAX_SPARED_BYTES:
-            raise InvalidResponseError(
-                f"dropped after {self._buffered_bytes} bytes: incomplete responses "
-                f"hold {self._memory.buffered_bytes} bytes, limit {MAX_BUFFERED_BYTES}"
+                f"response head exceeds {MAX_HEAD_BYTES} bytes: got {self._head_bytes}"
             )
         return self._responses
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return about how much memory the incomplete response takes."""
+        headers = HEADER_MEMORY_BYTES * len(self._headers)
+        return self._head_bytes + headers + len(self._body)
+
     def release(self) -> None:
-        """Subtract the connection's buffered bytes from the shared count."""
-        self._add_buffered(-self._buffered_bytes)
+        """Free the buffers; nothing may be fed afterwards.
 
-    def _add_buffered(self, size_bytes: int) -> None:
-        self._buffered_bytes += size_bytes
-        self._memory.buffered_bytes += size_bytes
+        The parser and the reader refer to each other, so that they would be kept until
+        the next run of the garbage collector, which large buffers don't hasten.
+        """
+        self._parser = None
+        self._responses = []
+        self._head_bytes = 0
+        self._clear()
 
     def end(self) -> CompleteResponse | None:
         """Return the response that a clean close of the connection completes, if any.
@@ -125,6 +114,10 @@
         """Keep one header; trailers are dropped."""
         if not self._in_body:
             self._headers.append((name, value))
+            return
+        self._trailer_bytes += len(name) + len(value)
+        if self._trailer_bytes > MAX_HEAD_BYTES:
+            raise InvalidResponseError(f"trailers exceed {MAX_HEAD_BYTES} bytes")
 
     def on_headers_complete(self) -> None:
         """Store the status and determine how the body ends."""
@@ -142,7 +135,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep body bytes."""
-        self._parts.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Add the complete response to those that ``feed`` returns."""
@@ -155,6 +148,6 @@
             self._status,
             self._reason,
             self._headers,
-            b"".join(self._parts),
+            bytes(self._body),
             self._keeps_alive and self._framed,
         )
--- a/src/gentianhitch/backend_servers/server_connections.py
+++ b/src/gentianhitch/backend_servers/server_connections.py
@@ -15,11 +15,11 @@
 from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
 from gentianhitch.backend_servers.complete_responses import CompleteResponseReader
-from gentianhitch.backend_servers.complete_responses import ResponseMemory
 from gentianhitch.backend_servers.errors import BackendServerError
 from gentianhitch.backend_servers.errors import ConnectError
 from gentianhitch.backend_servers.errors import InvalidResponseError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
+from gentianhitch.buffers import BufferAccount
 from gentianhitch.socket_options import watch_for_silence
 from gentianhitch.writing import write_at_once
 
@@ -37,6 +37,9 @@
 """A server may respond before it has read a longer request completely, and then the
 connection can't be reused."""
 
+MAX_DROPPED_RESPONSES = 16
+"""A server that repeats a response does so a few times."""
+
 ServerKey = tuple[str, int]
 
 
@@ -76,10 +79,11 @@
         self._pool = pool
         self._key = key
         self._waiter = waiter
-        self._reader = CompleteResponseReader(pool.memory)
+        self._reader = CompleteResponseReader()
         self._request_id: bytes | None = None
         self._is_reusable = True
         self._is_closed = False
+        self._dropped_responses = 0
         self.idle_since_s = 0.0
         self.max_idle_s = MAX_IDLE_S
 
@@ -105,10 +109,21 @@
         self._waiter = None
         if not self._is_closed:
             self._is_closed = True
-            self._reader.release()
+            self._release()
             self._pool.discard(self._key, self)
             self.transport.abortConnection()
 
+    def _release(self) -> None:
+        self._reader.release()
+        self._pool.buffers.release(self)
+
+    def drop_buffer(self) -> None:
+        """Fail the request: its response takes more memory than any other."""
+        if self._waiter is None:
+            self.close()
+        else:
+            self._fail(InvalidResponseError("dropped: the buffers are full"))
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse responses until the one to the pending request."""
         if self._is_closed:
@@ -130,8 +145,13 @@
                 return
             # The server mixes up responses, so this connection is not used again.
             self._is_reusable = False
+            self._dropped_responses += 1
+        if error is None and self._dropped_responses > MAX_DROPPED_RESPONSES:
+            error = InvalidResponseError("the responses belong to other requests")
         if error is not None:
             self._fail(error)
+        else:
+            self._pool.buffers.set_size(self, self._reader.buffered_bytes)
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Complete a response without a length, or fail the request."""
@@ -141,7 +161,7 @@
         self._pool.discard(self._key, self)
         is_clean = reason is not None and reason.check(ConnectionDone) is not None
         response = self._reader.end() if is_clean else None
-        self._reader.release()
+        self._release()
         if self._waiter is None:
             return
         if response is not None and self._is_awaited(response):
@@ -161,6 +181,7 @@
     def _finish(self, response: CompleteResponse, *, has_surplus: bool) -> None:
         waiter, self._waiter = self._waiter, None
         self._request_id = None
+        self._pool.buffers.release(self)
         is_clean = self._reader.is_between_responses and not has_surplus
         if self._is_reusable and response.keeps_alive and is_clean:
             self._update_max_idle(response)
@@ -220,12 +241,18 @@
     ``opened`` counts the connections that were started since the pool was created.
     """
 
-    def __init__(self, reactor: Any, clock: Any, request_id_header: bytes) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Any,
+        request_id_header: bytes,
+        buffers: BufferAccount,
+    ) -> None:
         self._reactor = reactor
         self._clock = clock
         self.request_id_header = request_id_header.lower()
         self._idle_by_server: dict[ServerKey, list[ServerConnection]] = {}
-        self.memory = ResponseMemory()
+        self.buffers = buffers
         self.opened = 0
 
     def acquire(
--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from gentianhitch.addresses import Address
+from gentianhitch.buffers import DEFAULT_MEMORY_MB
 from gentianhitch.errors import UsageError
 from gentianhitch.proxy.balancing import DEFAULT_FLOOR_SHARE
 from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
@@ -55,6 +56,7 @@
     heartbeat_s: float
     capacity: float
     link_mbps: float
+    memory_mb: float
     bounds: Bounds
 
 
@@ -131,6 +133,7 @@
         store=provider.get_object("provider").get_address("address"),
         capacity=_decode_capacity(own),
         link_mbps=_decode_link(own),
+        memory_mb=_decode_memory(own),
         heartbeat_s=provider.get("heartbeatIntervalMs", float) / 1000,
         bounds=_decode_bounds(fields.get_object("terms").get_object("bounds")),
     )
@@ -151,6 +154,13 @@
     return float(own.get_object("limits").get("linkMbps", float))
 
 
+def _decode_memory(own: _Fields) -> float:
+    """Return at how many megabytes the process is killed; the default if not set."""
+    if not own.has("limits") or not own.get_object("limits").has("memoryMb"):
+        return DEFAULT_MEMORY_MB
+    return float(own.get_object("limits").get("memoryMb", float))
+
+
 def _decode_bounds(bounds: _Fields) -> Bounds:
     return Bounds(
         revocation_s=bounds.get("revocationMs", float) / 1000,
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -12,6 +12,9 @@
 
 from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.buffers import BUFFER_SHARE
+from gentianhitch.buffers import MEGABYTE
+from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.pipelined_connection import CallerFactory
 from gentianhitch.callers.pipelined_connection import Exchange
@@ -108,8 +111,11 @@
         self._quotas = Quotas(
             settings.name, _quota_tolerance(settings), settings.bounds.revocation_s
         )
+        self._buffers = BufferAccount(
+            BUFFER_SHARE * settings.memory_mb * MEGABYTE, self.metrics.count
+        )
         self._connections = ServerConnections(
-            self._reactor, clock, HEADER_NAMES.request_id
+            self._reactor, clock, HEADER_NAMES.request_id, self._buffers
         )
         self._fleet = ServingFleet(settings.name, self.store_view)
         splits = TrafficSplits()
@@ -262,6 +268,7 @@
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "services_below_floor": self._changes.count_services_below_floor(),
+            "buffered_bytes": self._buffers.used_bytes,
             "log_lines_dropped": self._events.output.dropped,
         }
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -20,6 +20,9 @@
 from standins.deployment import wait_until
 
 ZONES = ("d1", "d2", "d3")
+MEMORY_MB = 200
+"""The least of the deployments' instances."""
+
 HOST = "shop.example"
 KEY = "key-north-1"
 WORKSPACE = "north"
@@ -88,6 +91,13 @@
         """Return what this process has written."""
         return self.log.read_text()[self.log_start :]
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """Return the most resident memory it has had."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = (each for each in status.splitlines() if each.startswith("VmHWM"))
+        return int(line.split()[1]) / 1000
+
     def stop(self) -> int:
         """Ask it to stop and return its exit code."""
         if self.process.poll() is None:
@@ -216,6 +226,7 @@
             "zone": zone,
             "region": "r",
             "ipAddress": "127.0.0.1",
+            "limits": {"cpuShare": 1.0, "cpuCores": 1, "memoryMb": MEMORY_MB},
         },
         "network": {
             "listenAddresses": {"frontend": own, "ready": own, "directory": own},
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -4,9 +4,10 @@
 Each server registers itself, sends heartbeats, and answers any path with its own id.
 ``PUT /admin/fault?kind=KIND`` on its address switches a fault: ``none``, ``errors``,
 ``hang``, ``decline``, ``repeat`` (a refusal without an id before each answer),
-``cut-head`` (the connection ends amid the head of the answer) or ``busy`` (a refusal
-with ``Retry-After``). ``drain`` and ``leave`` last: all answers say that the server
-leaves, and with ``drain`` its entry says so too.
+``cut-head`` (the connection ends amid the head of the answer), ``busy`` (a refusal
+with ``Retry-After``) or one of ``ENDLESS``, which sends until it is closed. ``drain``
+and ``leave`` last: all answers say that the server leaves, and with ``drain`` its entry
+says so too.
 """
 
 from __future__ import annotations
@@ -32,6 +33,22 @@
     b"HTTP/1.1 503 Busy\r\n%b: 1\r\nContent-Length: 0\r\n\r\n" % wire_names.NOT_EXECUTED
 )
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Le"
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "endless-line": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"y" * 65_536),
+    "endless-headers": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 10_000),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_500),
+    "endless-body": (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        b"z" * 65_536,
+    ),
+    "endless-unframed": (b"HTTP/1.1 200 OK\r\n\r\n", b"z" * 65_536),
+    "endless-chunks": (_CHUNKED, b"2\r\nok\r\n" * 9_000),
+    "endless-trailers": (_CHUNKED + b"0\r\n", b"a: b\r\n" * 10_000),
+    "endless-others": (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 1_500),
+}
+"""The first bytes of each, and those that are repeated."""
+
 SLOTS = 6
 BUSY_S = 2.5
 _loops: list[LoopingCall] = []
@@ -133,6 +150,8 @@
             await serving.never()
         if self.fault == "repeat":
             request.channel.transport.write(REPEATED_REFUSAL)
+        if self.fault in ENDLESS:
+            await _send_without_end(request, *ENDLESS[self.fault])
         if self.fault == "cut-head":
             request.channel.transport.write(CUT_HEAD)
             request.channel.transport.loseConnection()
@@ -174,6 +193,16 @@
         return serving.answer_json(request, self.ran)
 
 
+async def _send_without_end(request: Any, first: bytes, part: bytes) -> None:
+    transport = request.channel.transport
+    transport.write(first)
+    while transport.connected:
+        if not transport.dataBuffer:
+            transport.write(part)
+        await serving.after(0.001)
+    await serving.never()
+
+
 def _put(url: str, data: bytes) -> None:
     request = urllib.request.Request(url, method="PUT", data=data)
     urllib.request.urlopen(request, timeout=HEARTBEAT_S).read()
--- a/tests/backend_servers/test_server_connections.py
+++ b/tests/backend_servers/test_server_connections.py
@@ -10,12 +10,13 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from gentianhitch.backend_servers.complete_responses import MAX_BUFFERED_BYTES
 from gentianhitch.backend_servers.errors import InvalidResponseError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.backend_servers.server_connections import MAX_IDLE_S
 from gentianhitch.backend_servers.server_connections import ServerConnection
 from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.buffers import BufferAccount
+from tests.allocations import allocated_bytes
 
 KEY = ("s-1", 1)
 OWN_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok"
@@ -60,12 +61,27 @@
 
     def __init__(self) -> None:
         self.clock = Clock()
-        self.pool = ServerConnections(None, self.clock, b"X-Id")
+        self.buffers = BufferAccount(MAX_BUFFERED_BYTES)
+        self.pool = ServerConnections(None, self.clock, b"X-Id", self.buffers)
         self.waiter = Waiter()
-        self.connection = ServerConnection(self.pool, KEY, self.waiter)
         self.transport = Transport()
-        self.connection.makeConnection(self.transport)
-        self.connection.send(b"r-1", b"GET / HTTP/1.1\r\n\r\n", self.waiter)
+        self.connection = self.connect(self.waiter, self.transport)
+
+    def connect(
+        self, waiter: Waiter, transport: Transport | None = None
+    ) -> ServerConnection:
+        """Return a further connection, with a pending request."""
+        connection = ServerConnection(self.pool, KEY, waiter)
+        connection.makeConnection(transport or Transport())
+        connection.send(b"r-1", b"GET / HTTP/1.1\r\n\r\n", waiter)
+        return connection
+
+    def assert_dropped(self) -> None:
+        """Check that the connection was reset with an error, and nothing is kept."""
+        errors = [type(error) for error in self.waiter.errors]
+        assert errors == [InvalidResponseError]
+        assert self.transport.aborted
+        assert self.buffers.used_bytes == 0
 
     @property
     def is_reusable(self) -> bool:
@@ -253,7 +269,13 @@
 
 
 MEBIBYTE = 1024 * 1024
-BODY_WITHOUT_END = b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n\r\n"
+MAX_BUFFERED_BYTES = 32 * MEBIBYTE
+SHORT_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\n"
+BODY_WITHOUT_END = SHORT_HEAD + b"\r\n"
+CHUNKED = SHORT_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+LONG_RESPONSE = (
+    SHORT_HEAD + b"Content-Length: %d\r\n\r\n" % (4 * MEBIBYTE) + b"z" * 4 * MEBIBYTE
+)
 
 
 class TestUnboundedResponses:
@@ -270,42 +292,92 @@
             scenario.connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Long: ")
         for _ in range(MEBIBYTE // len(part)):
             scenario.connection.dataReceived(part)
-        assert [type(error) for error in scenario.waiter.errors] == [
-            InvalidResponseError
-        ]
-        assert scenario.transport.aborted
-        assert scenario.pool.memory.buffered_bytes == 0
+        scenario.assert_dropped()
 
     def test_a_body_without_end_is_dropped(self) -> None:
         scenario = Scenario()
         scenario.connection.dataReceived(BODY_WITHOUT_END)
         for _ in range(MAX_BUFFERED_BYTES // MEBIBYTE + 1):
             scenario.connection.dataReceived(b"z" * MEBIBYTE)
-        assert [type(error) for error in scenario.waiter.errors] == [
-            InvalidResponseError
-        ]
-        assert scenario.transport.aborted
-        assert scenario.pool.memory.buffered_bytes == 0
+        scenario.assert_dropped()
+
+    def test_trailers_without_end_are_dropped(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(CHUNKED + b"2\r\nok\r\n0\r\n")
+        for _ in range(MEBIBYTE // 1300):
+            scenario.connection.dataReceived(b"X-More: yes\r\n" * 100)
+        scenario.assert_dropped()
+
+    def test_responses_to_other_requests_without_end_are_dropped(self) -> None:
+        # Guards against a request that waits for its deadline meanwhile.
+        scenario = Scenario()
+        for _ in range(100):
+            scenario.connection.dataReceived(OTHER_RESPONSE)
+        scenario.assert_dropped()
 
     def test_bodies_without_end_share_one_memory_bound(self) -> None:
         scenario = Scenario()
         waiters = [Waiter() for _ in range(8)]
         for waiter in waiters:
-            connection = ServerConnection(scenario.pool, KEY, waiter)
-            connection.makeConnection(Transport())
-            connection.send(b"r-1", b"GET / HTTP/1.1\r\n\r\n", waiter)
-            connection.dataReceived(BODY_WITHOUT_END)
+            scenario.connect(waiter).dataReceived(BODY_WITHOUT_END)
         for _ in range(MAX_BUFFERED_BYTES // MEBIBYTE):
             for waiter in waiters:
                 if not waiter.errors:
                     waiter.connection.dataReceived(b"z" * MEBIBYTE)
-                assert (
-                    scenario.pool.memory.buffered_bytes <= MAX_BUFFERED_BYTES + MEBIBYTE
-                )
+                assert scenario.pool.buffers.used_bytes <= MAX_BUFFERED_BYTES
+
+    def test_the_largest_response_is_dropped_first(self) -> None:
+        # Guards against responses of other servers that are dropped for a faulty one.
+        scenario = Scenario()
+        faulty = Waiter()
+        scenario.connect(faulty).dataReceived(BODY_WITHOUT_END)
+        while scenario.buffers.used_bytes < MAX_BUFFERED_BYTES - 2 * MEBIBYTE:
+            faulty.connection.dataReceived(b"z" * MEBIBYTE)
+        scenario.connection.dataReceived(LONG_RESPONSE[:-1])
+        assert faulty.errors
+        scenario.connection.dataReceived(LONG_RESPONSE[-1:])
+        assert [len(each.body) for each in scenario.waiter.responses] == [4 * MEBIBYTE]
 
     def test_a_short_response_is_read_while_memory_is_full(self) -> None:
         scenario = Scenario()
-        scenario.pool.memory.buffered_bytes = 2 * MAX_BUFFERED_BYTES
+        for _ in range(64):
+            scenario.connect(Waiter()).dataReceived(BODY_WITHOUT_END + b"z" * MEBIBYTE)
         scenario.connection.dataReceived(OWN_RESPONSE[:20])
         scenario.connection.dataReceived(OWN_RESPONSE[20:])
         assert [response.body for response in scenario.waiter.responses] == [b"ok"]
+
+    @pytest.mark.parametrize("is_closed_by_server", [True, False])
+    def test_the_end_of_a_connection_frees_its_buffers_at_once(
+        self, is_closed_by_server: bool
+    ) -> None:
+        # Guards against buffers of closed connections that fill the memory until the
+        # garbage collector runs.
+        with allocated_bytes() as count:
+            connections = []
+            for _ in range(4):
+                scenario = Scenario()
+                connections.append(scenario.connection)
+                scenario.connection.dataReceived(BODY_WITHOUT_END)
+                scenario.connection.dataReceived(b"z" * MEBIBYTE * 4)
+                if is_closed_by_server:
+                    scenario.lose_connection(ConnectionLost())
+                else:
+                    scenario.connection.close()
+            assert count() < MEBIBYTE
+
+    @pytest.mark.parametrize(
+        ("head", "part", "parts"),
+        [(CHUNKED, b"2\r\nok\r\n", 200_000), (SHORT_HEAD, b"a:\r\n", 10_000)],
+        ids=["chunks of two bytes", "headers of two bytes"],
+    )
+    def test_small_parts_are_counted_as_they_are_kept(
+        self, head: bytes, part: bytes, parts: int
+    ) -> None:
+        # Guards against memory that is many times what was counted.
+        scenario = Scenario()
+        with allocated_bytes() as count:
+            scenario.connection.dataReceived(head)
+            scenario.connection.dataReceived(part * parts)
+            assert not scenario.waiter.errors
+            kept_bytes = count()
+        assert kept_bytes < 1.5 * scenario.pool.buffers.used_bytes
