Bound what callers make an instance keep

What callers saw: callers without any key, who send part of a body and leave, cost an instance its memory. Ruled out: refusing the newest instead of the largest, which lets one caller's long request end others' short ones. Served requests count and aren't dropped; reading pauses above a megabyte a connection; a refused request has not run.

--- a/src/gentianhitch/callers/complete_requests.py
+++ b/src/gentianhitch/callers/complete_requests.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 import httptools
 
+from gentianhitch.buffers import HEADER_MEMORY_BYTES
 from gentianhitch.callers.errors import RequestError
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.requests import HOP_BY_HOP
@@ -80,7 +83,7 @@
         self._names = names
         self._dropped = NOT_FORWARDED | names.reserved()
         self._limits = limits
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._requests: list[CallerRequest] = []
         self.awaits_continue = False
         self.is_amid_request = False
@@ -90,8 +93,7 @@
         self._url = b""
         self._headers: Headers = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._method = b""
         self._keep_alive = False
         self._is_head_complete = False
@@ -101,6 +103,23 @@
         self._requests = []
         return self._requests, self._parse(data)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return about how much memory the incomplete request takes."""
+        headers = HEADER_MEMORY_BYTES * len(self._headers)
+        return self._head_bytes + headers + len(self._body)
+
+    def release(self) -> None:
+        """Free the buffers; nothing may be fed afterwards.
+
+        The parser and the reader refer to each other, so that they would be kept until
+        the next run of the garbage collector, which large buffers don't hasten.
+        """
+        self._parser = None
+        self._requests = []
+        self.is_amid_request = False
+        self._clear()
+
     def _parse(self, data: bytes) -> RequestError | None:
         while True:
             try:
@@ -169,10 +188,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer body bytes; raise RequestError if there are too many."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.max_body_bytes:
+        if len(self._body) + len(data) > self._limits.max_body_bytes:
             raise RequestError(Cause.LARGE_BODY)
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that ``feed`` returns."""
@@ -209,7 +227,7 @@
                 for name, value in self._headers
                 if name.lower() not in dropped
             ],
-            body=b"".join(self._body),
+            body=bytes(self._body),
             keep_alive=self._keep_alive,
             request_id=values.get(self._names.request_id.lower(), b""),
             remaining_s=_remaining_s(values.get(self._names.remaining_ms.lower())),
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -14,10 +14,12 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
+from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.complete_requests import CompleteRequestReader
 from gentianhitch.callers.complete_requests import HeaderNames
 from gentianhitch.callers.delivery import undelivered_bytes
+from gentianhitch.callers.delivery import unsent_bytes
 from gentianhitch.callers.encoding import CONTINUE
 from gentianhitch.callers.errors import RequestError
 from gentianhitch.callers.refusals import Cause
@@ -31,6 +33,9 @@
 MAX_PIPELINED_REQUESTS = 64
 """Pending responses of one connection at which reading pauses."""
 
+MAX_PIPELINED_BYTES = 1_000_000
+"""Bodies of a connection's pending requests at which reading pauses."""
+
 LINGER_S = 1.0
 """A closing connection is reset so long after its last byte has been delivered."""
 
@@ -72,6 +77,12 @@
             self.closes_connection = self.will_close
             self.data = data
             self._connection.flush()
+            self._connection.update_buffered()
+
+    @property
+    def request_bytes(self) -> int:
+        """Return the size of the request's body."""
+        return 0 if self.request is None else len(self.request.body)
 
     @property
     def will_close(self) -> bool:
@@ -95,6 +106,7 @@
         self._is_last_read = False
         self._is_closing = False
         self._is_paused = False
+        self._is_lost = False
         self._last_active_s = factory.seconds()
         self._is_delivering = False
         self._undelivered_bytes = 0
@@ -153,12 +165,36 @@
         elif self._reader.awaits_continue and not self._pending_responses:
             self._reader.awaits_continue = False
             self.transport.write(CONTINUE)
-        if (
-            len(self._pending_responses) >= MAX_PIPELINED_REQUESTS
-            and not self._is_paused
-        ):
+        if self._has_many_pending and not self._is_paused:
             self._is_paused = True
             self.transport.pauseProducing()
+        self.update_buffered()
+
+    @property
+    def _has_many_pending(self) -> bool:
+        pending = self._pending_responses
+        if len(pending) >= MAX_PIPELINED_REQUESTS:
+            return True
+        return sum(each.request_bytes for each in pending) >= MAX_PIPELINED_BYTES
+
+    def update_buffered(self) -> None:
+        """Count what this connection buffers; its buffer may be dropped for it."""
+        if self._is_lost:
+            return
+        pending = self._pending_responses
+        waiting = sum(len(each.data) for each in pending if each.data is not None)
+        self._factory.buffers.set_size(
+            self,
+            self._reader.buffered_bytes + waiting + unsent_bytes(self.transport),
+            sum(each.request_bytes for each in pending),
+        )
+
+    def drop_buffer(self) -> None:
+        """Refuse an incomplete request, or reset the connection of a slow reader."""
+        if self._reader.buffered_bytes:
+            self._refuse(RequestError(Cause.NO_MEMORY))
+        else:
+            self.transport.abortConnection()
 
     def _serve(self, request: CallerRequest) -> None:
         self._is_last_read = not request.keep_alive
@@ -170,6 +206,7 @@
 
     def _refuse(self, error: RequestError) -> None:
         self._is_last_read = True
+        self._reader.release()
         response = PendingResponse(self, None)
         self._pending_responses.append(response)
         refusal = Refusal(error.cause, detail=error.detail)
@@ -192,7 +229,8 @@
             # Requests were dropped after the last response had been encoded.
             self._close()
             return
-        if len(self._pending_responses) < MAX_PIPELINED_REQUESTS // 2:
+        is_calm = len(self._pending_responses) < MAX_PIPELINED_REQUESTS // 2
+        if is_calm and not self._has_many_pending:
             self._resume()
         self._factory.notify_if_idle()
 
@@ -210,6 +248,7 @@
         """
         self._is_closing = True
         self._last_active_s = self._factory.seconds()
+        self._reader.release()
         self._cancel_all()
         self._resume()
         self.transport.loseWriteConnection()
@@ -222,6 +261,7 @@
         that receives nothing.
         """
         undelivered = self._count_undelivered()
+        self.update_buffered()
         if undelivered != self._undelivered_bytes:
             self._undelivered_bytes = undelivered
             self._last_active_s = now
@@ -253,8 +293,10 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Cancel what is being served."""
-        self._is_closing = True
+        self._is_closing = self._is_lost = True
         self._factory.connections.discard(self)
+        self._factory.buffers.release(self)
+        self._reader.release()
         self._cancel_all()
         self._factory.notify_if_idle()
 
@@ -280,8 +322,10 @@
         names: HeaderNames,
         limits: Callable[[], CallerLimits],
         serve: Serve,
+        buffers: BufferAccount,
     ) -> None:
         self._clock = clock
+        self.buffers = buffers
         self.names = names
         self.limits = limits
         self.serve = serve
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -197,7 +197,7 @@
             self._random,
         )
         self._callers = CallerFactory(
-            clock, HEADER_NAMES, self._caller_limits, self._serve
+            clock, HEADER_NAMES, self._caller_limits, self._serve, self._buffers
         )
         self._housekeeping = Repeating(
             clock, HOUSEKEEPING_INTERVAL_S, self._run_housekeeping, events.failure
--- a/tests/builders_callers.py
+++ b/tests/builders_callers.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.pipelined_connection import CallerFactory
 from gentianhitch.callers.pipelined_connection import PendingResponse
@@ -51,12 +52,18 @@
 class Scenario:
     """A caller's connection over an in-memory transport."""
 
-    def __init__(self, limits: CallerLimits | None = None) -> None:
+    def __init__(
+        self, limits: CallerLimits | None = None, buffers: BufferAccount | None = None
+    ) -> None:
         self.clock = Clock()
         self.served: list[Served] = []
         caller_limits = limits or CallerLimits()
         self.factory = CallerFactory(
-            self.clock, HEADER_NAMES, lambda: caller_limits, self._serve
+            self.clock,
+            HEADER_NAMES,
+            lambda: caller_limits,
+            self._serve,
+            buffers or BufferAccount(),
         )
         self.connection: Any = self.factory.buildProtocol(None)
         self.transport = Transport()
