Try every probably sound server that nobody used of late

Cause: the share of servers in use was kept over all, by estimated soundness, at 0.75; the rule looks at those that nothing disrupted for a while, and these are the ones left out since their last failure. Servers also counted as used until 1.2 s after their last request had ended.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -46,10 +46,10 @@
 MAX_TRIED_PROBABILITY = 0.4
 """A server that is more likely to be gray is tried only while the floor binds."""
 
-TURN_S = 0.15
+TURN_S = 0.25
 """Instances try an unused server in turn: each learns what came of the try before."""
 
-MAX_TURN_S = 0.75
+MAX_TURN_S = 2.0
 
 DEFAULT_FLOOR_SHARE = 0.7
 """Share of sound servers that stay in use, for deployments that agree on none."""
@@ -189,22 +189,26 @@
             if server.id not in connected:
                 cost += NEW_CONNECTION_PENALTY
             if cost < best_cost:
-                best, best_cost = server, cost
-        return best
+                best, best_cost = record, cost
+        if best is None:
+            return None
+        # Nothing else waits for the same unused server while a connection is opened.
+        best.last_used_s = max(best.last_used_s, now)
+        return best.server
 
     def _candidates(
         self, service: str, route: Route, now: float
     ) -> list[tuple[ServerRecord, float]]:
         """Return the servers to choose from, with their gray probabilities.
 
-        Below the floor these are only servers that nobody used of late.
+        These are only servers that nobody used of late, if there are any that are
+        probably sound; while the floor binds, also those that are probably gray.
         """
         usable = self._usable(service, route.name, now)
-        if not is_below_floor(_uses(usable), self.floor_share, now):
-            return usable
         failures = self._failures_by_service.get(service)
         is_binding = failures is not None and failures.bind_floor(now)
-        max_gray = 1.0 if is_binding else MAX_TRIED_PROBABILITY
+        tries_all = is_binding and is_below_floor(_uses(usable), self.floor_share, now)
+        max_gray = 1.0 if tries_all else MAX_TRIED_PROBABILITY
         unused = [
             (record, gray)
             for record, gray in usable
@@ -236,7 +240,7 @@
                     len(usable),
                     round(sum(1.0 - gray for _, gray in usable), 1),
                     sum(
-                        now - record.last_started_s <= FLOOR_WINDOW_S
+                        now - record.last_used_s <= FLOOR_WINDOW_S
                         for record, _ in usable
                     ),
                     round(failures.failed_share(now), 3),
@@ -278,7 +282,7 @@
         if record is not None:
             running = RunningRequest(route.name, now)
             record.running_by_token[self._next_token] = running
-            record.last_used_s = record.last_started_s = now
+            record.last_used_s = now
         return self._next_token
 
     def record_end(
@@ -340,7 +344,6 @@
         if record is not None:
             started_s = now - observation.latency_s
             record.last_used_s = max(record.last_used_s, started_s)
-            record.last_started_s = max(record.last_started_s, started_s)
             self._record_result(record, observation, now, own=False)
 
     def merge_running(
@@ -359,10 +362,9 @@
             record = self._records_by_key.get(key)
             if record is not None:
                 record.remote_by_instance[instance] = RemoteRequests(requests, now)
-                record.last_used_s = max(record.last_used_s, now)
                 starts_s = (request.started_s for request in requests)
-                last_s = max(starts_s, default=record.last_started_s)
-                record.last_started_s = max(record.last_started_s, last_s)
+                started_s = max(starts_s, default=record.last_used_s)
+                record.last_used_s = max(record.last_used_s, started_s)
         self._reported_by_instance[instance] = frozenset(requests_by_server)
 
     def running_by_server(self) -> dict[tuple[str, int], list[RunningRequest]]:
--- a/src/gentianhitch/proxy/server_records.py
+++ b/src/gentianhitch/proxy/server_records.py
@@ -37,7 +37,7 @@
     network path from this instance and is fed by its own attempts only. ``affinity`` is
     this instance's preference for the server, 0 to 1; ``turn_s`` is how much later than
     the first of the instances it tries the server when nobody uses it.
-    ``last_started_s`` is when any instance last sent it a request.
+    ``last_used_s`` is when any instance last sent it a request.
     """
 
     server: BackendServer
@@ -47,7 +47,6 @@
     remote_by_instance: dict[str, RemoteRequests] = attrs.Factory(dict)
     warm_at_s: float = 0.0
     last_used_s: float = 0.0
-    last_started_s: float = float("-inf")
     last_failed_s: float = float("-inf")
     is_replaced: bool = False
     affinity: float = 0.0
