Count attempts that servers turn away as failures of their service

Cause: a declined attempt returned before it was counted, so that the floor was never seen to bind. Evidence: test_sound_servers_get_requests_while_others_decline, 12 of 12 cases red before (2 of 7 servers in use), 12 green after. Ruled out: declines as evidence that a server is gray; full servers decline too, and the evidence outlasts a full queue. Only own declines count, as reports of them would read as good answers at older instances.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -296,7 +296,10 @@
         """Record the result of an own attempt."""
         record = self._records_by_key.get(server.key)
         running = record.running_by_token.pop(token, None) if record else None
-        if record is None or running is None or result is AttemptResult.DECLINED:
+        if record is None or running is None:
+            return
+        if result is AttemptResult.DECLINED:
+            self._count_result(server.service, now, failed=True)
             return
         latency_s = now - running.started_s
         observation = Observation(server.key, route.name, latency_s, result)
@@ -386,9 +389,7 @@
         result = observation.result
         service = record.server.service
         failed = result in FAILURES
-        self._failures_by_service.setdefault(service, RecentFailures()).record(
-            now, failed=failed
-        )
+        self._count_result(service, now, failed=failed)
         if failed:
             record.last_failed_s = max(record.last_failed_s, now - latency_s)
         _update_filter(
@@ -405,6 +406,10 @@
         if estimate is not None and observation.result is AttemptResult.GOOD:
             estimate.add(latency_s)
 
+    def _count_result(self, service: str, now: float, *, failed: bool) -> None:
+        failures = self._failures_by_service.setdefault(service, RecentFailures())
+        failures.record(now, failed=failed)
+
     def _gray_probability_of(
         self, record: ServerRecord, route: str, now: float
     ) -> float:
--- a/tests/proxy/test_floor.py
+++ b/tests/proxy/test_floor.py
@@ -82,6 +82,33 @@
             used[chosen.id] = used.get(chosen.id, 0) + 1
         assert len(used) >= FLOOR_SHARE * len(servers)
 
+    @pytest.mark.parametrize("errors", [1, 2, 3, 5])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_sound_servers_get_requests_while_others_decline(
+        self, seed: int, errors: int
+    ) -> None:
+        # Guards against requests that two servers turn away while five sound ones get
+        # none (FLOOR): a declined attempt didn't count as a failure.
+        balancer = Balancer("e-1", "a", Random(seed))
+        servers = [make_server(f"s-{number}") for number in range(7)]
+        balancer.update(servers, 0.0)
+        for server in servers[:5]:
+            for _ in range(errors):
+                error = Observation(server.key, "order", 0.01, AttemptResult.ERROR)
+                balancer.merge_observation(error, 1.0)
+        used: dict[str, int] = {}
+        now = 3.2
+        while now < 5.2:
+            now += 0.04
+            chosen = balancer.choose("stock", ORDERS, now)
+            assert chosen is not None
+            token = balancer.record_start(chosen, ORDERS, now)
+            declines = chosen.id in ("s-5", "s-6") and used.get(chosen.id, 0) % 4 == 0
+            result = AttemptResult.DECLINED if declines else AttemptResult.GOOD
+            balancer.record_end(chosen, ORDERS, token, result, now + 0.01)
+            used[chosen.id] = used.get(chosen.id, 0) + 1
+        assert len(used) >= FLOOR_SHARE * len(servers)
+
     @pytest.mark.parametrize("seed", range(2))
     @pytest.mark.parametrize("service", SERVICES, ids=SERVICE_IDS)
     def test_servers_that_hung_return_to_use(
