Go on to other servers when the unused ones can't take a request

What callers saw: second attempts that found no server, and requests refused for want of one, while others were free. Cause: once some servers counted as unused, only these were candidates, also if the request had been at all of them, or they were full. Evidence: TestSecondAttempts red before (None), green after. Ruled out: dropping only excluded servers from the unused ones, which leaves full ones. Conclusion: fixed.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -180,43 +180,46 @@
         max_queue = max(
             MAX_QUEUE_FACTOR - QUEUE_FACTOR_STEP * priority, MIN_QUEUE_FACTOR
         )
+        usable = [
+            (record, gray)
+            for record, gray in self._usable(service, route.name, now)
+            if record.server.id not in exclude
+        ]
         best, best_cost = None, float("inf")
-        for record, gray in self._candidates(service, route, now):
-            server = record.server
-            if server.id in exclude:
-                continue
-            cost = self._cost(record, gray, max_queue, now)
-            if server.id not in connected:
-                cost += NEW_CONNECTION_PENALTY
-            if cost < best_cost:
-                best, best_cost = record, cost
+        for candidates in (self._unused(service, usable, now), usable):
+            for record, gray in candidates:
+                cost = self._cost(record, gray, max_queue, now)
+                if record.server.id not in connected:
+                    cost += NEW_CONNECTION_PENALTY
+                if cost < best_cost:
+                    best, best_cost = record, cost
+            if best is not None:
+                break
         if best is None:
             return None
         # Nothing else waits for the same unused server while a connection is opened.
         best.last_used_s = max(best.last_used_s, now)
         return best.server
 
-    def _candidates(
-        self, service: str, route: Route, now: float
+    def _unused(
+        self, service: str, usable: list[tuple[ServerRecord, float]], now: float
     ) -> list[tuple[ServerRecord, float]]:
-        """Return the servers to choose from, with their gray probabilities.
+        """Return the servers to try first, with their gray probabilities.
 
-        These are only servers that nobody used of late, if there are any that are
-        probably sound; while the floor binds, also those that are probably gray.
+        These are probably sound, and nobody used them of late; while the floor binds,
+        also those that are probably gray.
         """
-        usable = self._usable(service, route.name, now)
         failures = self._failures_by_service.get(service)
         is_binding = failures is not None and failures.bind_floor(now)
         tries_all = is_binding and is_below_floor(_uses(usable), self.floor_share, now)
         max_gray = 1.0 if tries_all else MAX_TRIED_PROBABILITY
-        unused = [
+        return [
             (record, gray)
             for record, gray in usable
             if gray <= max_gray
             and now - record.last_failed_s > FLOOR_WINDOW_S
             and now - record.last_used_s > MAX_UNUSED_S + record.turn_s
         ]
-        return unused or usable
 
     def _usable(
         self, service: str, route: str, now: float
--- a/tests/proxy/test_floor.py
+++ b/tests/proxy/test_floor.py
@@ -172,6 +172,22 @@
         )
 
 
+class TestSecondAttempts:
+    def test_go_on_when_the_unused_servers_are_excluded_or_full(self) -> None:
+        # Guards against second attempts that find no server, as the first one went to
+        # the only server that counts as unused, and hangs there.
+        balancer = Balancer("e-1", "a", Random(1))
+        servers = [make_server("s-0", slots=1), make_server("s-1")]
+        balancer.update(servers, 0.0)
+        good = Observation(servers[1].key, "order", 0.1, AttemptResult.GOOD)
+        balancer.merge_observation(good, 2.9)
+        excluded = frozenset({"s-0"})
+        assert balancer.choose("stock", ORDERS, 3.0, exclude=excluded) == servers[1]
+        running = {servers[0].key: (RunningRequest("order", 0.1),) * 9}
+        balancer.merge_running("e-2", running, 2.9)
+        assert balancer.choose("stock", ORDERS, 3.0) == servers[1]
+
+
 class TestTurns:
     def test_one_instance_tries_an_unused_server_at_a_time(self) -> None:
         # Guards against an order from each instance at once, for a server that is
