--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from gentianhitch.proxy.attempt_cost import attempt_cost
+from gentianhitch.proxy.attempt_cost import max_queue_factor
 from gentianhitch.proxy.digests import route_digest
 from gentianhitch.proxy.digests import server_digest
 from gentianhitch.proxy.floor import FLOOR_WINDOW_S
@@ -15,7 +17,6 @@
 from gentianhitch.proxy.floor import ServerUse
 from gentianhitch.proxy.floor import ServiceUse
 from gentianhitch.proxy.floor import is_below_floor
-from gentianhitch.proxy.gray_filter import GRAY_FAILURE_PROBABILITY
 from gentianhitch.proxy.gray_filter import GrayFilter
 from gentianhitch.proxy.gray_filter import PendingRequest
 from gentianhitch.proxy.latencies import LatencyEstimate
@@ -32,17 +33,6 @@
 SLOW_SURVIVAL = 0.03
 """A response slower than all but this share of responses counts as slow."""
 
-LOAD_WEIGHT = 0.15
-OVERLOAD_WEIGHT = 0.4
-"""A queue as long as the slots adds one service time, a third of the objective."""
-
-IDLE_BONUS_PER_S = 0.1
-MAX_IDLE_BONUS = 0.15
-"""Exceeds the cost of a new connection, so that new servers get requests."""
-
-MAX_IDLE_BONUS_PROBABILITY = 0.2
-"""Servers that are more likely to be gray are tried again only on their merits."""
-
 MAX_TRIED_PROBABILITY = 0.4
 """A server that is more likely to be gray is tried only while the floor binds."""
 
@@ -54,15 +44,6 @@
 DEFAULT_FLOOR_SHARE = 0.7
 """Share of sound servers that stay in use, for deployments that agree on none."""
 
-REMOTE_DOMAIN_PENALTY = 0.06
-"""Traffic between failure domains is charged for."""
-
-WARMUP_PENALTY = 0.15
-NEW_CONNECTION_PENALTY = 0.05
-AFFINITY_WEIGHT = 0.04
-"""Spreads instances with equal evidence: each has its own order of servers."""
-
-MAX_JITTER = 0.01
 MAX_DIGEST = 2**32 - 1
 BROKEN_PATH_PRIOR = 0.01
 """Prior probability that the path from this instance to a server is broken."""
@@ -70,14 +51,6 @@
 PATH = ""
 """Stands for all routes in a filter that judges a network path."""
 
-MAX_QUEUE_FACTOR = 4.0
-"""Maximum of concurrent requests at a server, as a multiple of its slots."""
-
-QUEUE_FACTOR_STEP = 0.5
-"""Reduction of the maximum for each step of lower priority."""
-
-MIN_QUEUE_FACTOR = 2.0
-
 
 class Balancer:
     """Choose servers by the results of own attempts and those of other instances.
@@ -177,9 +150,7 @@
         ``connected`` names the servers to which a connection is idle. Requests of lower
         priority (a higher number) have a lower limit of concurrent requests.
         """
-        max_queue = max(
-            MAX_QUEUE_FACTOR - QUEUE_FACTOR_STEP * priority, MIN_QUEUE_FACTOR
-        )
+        max_queue = max_queue_factor(priority)
         usable = [
             (record, gray)
             for record, gray in self._usable(service, route.name, now)
@@ -188,9 +159,16 @@
         best, best_cost = None, float("inf")
         for candidates in (self._unused(service, usable, now), usable):
             for record, gray in candidates:
-                cost = self._cost(record, gray, max_queue, now)
-                if record.server.id not in connected:
-                    cost += NEW_CONNECTION_PENALTY
+                server = record.server
+                cost = attempt_cost(
+                    record,
+                    gray,
+                    max_queue,
+                    now,
+                    jitter=self._random.random(),
+                    is_remote=server.failure_domain != self._failure_domain,
+                    is_connected=server.id in connected,
+                )
                 if cost < best_cost:
                     best, best_cost = record, cost
             if best is not None:
@@ -440,27 +418,6 @@
         age_s = max(now - request.started_s, 0.0)
         return PendingRequest(age_s, estimate.survival(age_s))
 
-    def _cost(
-        self, record: ServerRecord, gray: float, max_queue: float, now: float
-    ) -> float:
-        server = record.server
-        running = len(record.running_by_token) + len(record.remote_requests(now))
-        load = (running + 1) / server.slots
-        if load > max_queue + 1.0 / server.slots:
-            return float("inf")
-        cost = gray * GRAY_FAILURE_PROBABILITY + LOAD_WEIGHT * load
-        cost += OVERLOAD_WEIGHT * max(load - 1.0, 0.0)
-        if gray < MAX_IDLE_BONUS_PROBABILITY:
-            idle_s = max(now - record.last_used_s - record.turn_s, 0.0)
-            cost -= min(IDLE_BONUS_PER_S * idle_s, MAX_IDLE_BONUS)
-        cost += MAX_JITTER * self._random.random()
-        cost -= AFFINITY_WEIGHT * record.affinity
-        if server.failure_domain != self._failure_domain:
-            cost += REMOTE_DOMAIN_PENALTY
-        if now < record.warm_at_s:
-            cost += WARMUP_PENALTY
-        return cost
-
 
 def _uses(usable: list[tuple[ServerRecord, float]]) -> list[ServerUse]:
     return [
