Refuse requests whose bodies come in very many chunks

What callers saw: orders refused as not fresh while 72 callers without a key sent chunks of two bytes; their parsing took all processor time, and reads of the store stalled. Cause: each chunk costs a callback or more, whatever its size, and 1 MB may come in 500,000 of them. Ruled out: smaller reads for each connection, which share the same time more evenly.

--- a/src/gentianhitch/callers/complete_requests.py
+++ b/src/gentianhitch/callers/complete_requests.py
@@ -19,6 +19,9 @@
 """The colon, the space and the line end, which the parser doesn't report."""
 
 BEARER_PREFIX = b"bearer "
+MAX_CHUNKS = 10_000
+"""Each chunk takes processor time; bodies of the usual size have a few."""
+
 MAX_DEADLINE_DIGITS = 12
 DEFAULT_REMAINING_S = 30.0
 """Time allowed for requests without a deadline header."""
@@ -94,6 +97,7 @@
         self._headers: Headers = []
         self._head_bytes = 0
         self._body = bytearray()
+        self._chunks = 0
         self._method = b""
         self._keep_alive = False
         self._is_head_complete = False
@@ -186,6 +190,12 @@
         if codings not in ([], [b"chunked"]):
             raise RequestError(Cause.MALFORMED, "only chunked transfer is known")
 
+    def on_chunk_header(self) -> None:
+        """Count the chunks of the body; raise RequestError if there are too many."""
+        self._chunks += 1
+        if self._chunks > MAX_CHUNKS:
+            raise RequestError(Cause.LARGE_BODY, f"more than {MAX_CHUNKS} chunks")
+
     def on_body(self, data: bytes) -> None:
         """Buffer body bytes; raise RequestError if there are too many."""
         if len(self._body) + len(data) > self._limits.max_body_bytes:
