Describe the floor and the account of memory as they are now

Callers see no change: docs and the description of one module. Cause: the pages still said that servers are tried only below the floor. Ruled out: none.

--- a/src/gentianhitch/proxy/floor.py
+++ b/src/gentianhitch/proxy/floor.py
@@ -1,8 +1,8 @@
-"""Keep enough sound servers of a service in use while some of its requests fail.
+"""Tell whether enough sound servers of a service are in use.
 
-The evidence against a server outlasts the failure. If that keeps too many servers out
-of use at once, the least suspect of them get single requests, which show whether they
-have recovered.
+The evidence against a server outlasts the failure. Servers that nobody used of late
+get single requests, which show whether they have recovered: those that are probably
+sound at any time, the others while too few are in use and many requests fail.
 """
 
 from __future__ import annotations
