Try unused servers at any time again

Cause: a share of 0.92 of the probably sound servers isn't enough when the rule looks at 13 of them.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -36,15 +36,6 @@
 MAX_TRIED_PROBABILITY = 0.4
 """A server that is more likely to be gray is tried only while the floor binds."""
 
-MIN_USED_SHARE = 0.92
-"""Share of the probably sound servers to keep in use.
-
-The floor looks at a part of them that instances can't tell. A try may lose a request.
-"""
-
-RECENT_USE_S = 1.5
-"""Below the window of the floor by the time that reports take."""
-
 TURN_S = 0.25
 """Instances try an unused server in turn: each learns what came of the try before."""
 
@@ -193,25 +184,19 @@
     ) -> list[tuple[ServerRecord, float]]:
         """Return the servers to try first, with their gray probabilities.
 
-        Nobody used them of late. They are probably sound, and too many of these are out
-        of use; or the floor binds.
+        These are probably sound, and nobody used them of late; while the floor binds,
+        also those that are probably gray.
         """
         failures = self._failures_by_service.get(service)
         is_binding = failures is not None and failures.bind_floor(now)
         tries_all = is_binding and is_below_floor(_uses(usable), self.floor_share, now)
         max_gray = 1.0 if tries_all else MAX_TRIED_PROBABILITY
-        tried = [
-            (record, gray)
-            for record, gray in usable
-            if gray <= max_gray and now - record.last_failed_s > FLOOR_WINDOW_S
-        ]
-        used = sum(now - record.last_used_s <= RECENT_USE_S for record, _ in tried)
-        if not tries_all and used >= MIN_USED_SHARE * len(tried):
-            return []
         return [
             (record, gray)
-            for record, gray in tried
-            if now - record.last_used_s > MAX_UNUSED_S + record.turn_s
+            for record, gray in usable
+            if gray <= max_gray
+            and now - record.last_failed_s > FLOOR_WINDOW_S
+            and now - record.last_used_s > MAX_UNUSED_S + record.turn_s
         ]
 
     def _usable(
