Move the factory of callers' connections into a module of its own

Cause: pipelined_connection.py held two jobs, one connection's requests and the set of all connections with their time-outs, and how connections end is about to be recorded and changed there. No change of behaviour. Ruled out: splitting the connection itself. Before and after: tests/callers and tests/proxy/test_shutdown.py pass (166).

--- /dev/null
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -0,0 +1,101 @@
+"""Accept callers' connections and check their timeouts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall
+
+from gentianhitch.buffers import BufferAccount
+from gentianhitch.callers.complete_requests import HeaderNames
+from gentianhitch.callers.pipelined_connection import PipelinedConnection
+from gentianhitch.callers.pipelined_connection import Serve
+from gentianhitch.proxy.model import CallerLimits
+
+CHECK_INTERVAL_S = 0.5
+
+
+class CallerFactory(Factory):
+    """Accepts callers' connections and checks their timeouts.
+
+    ``on_idle`` is called once, when no request is being read or served and all
+    responses have been delivered.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        clock: Any,
+        names: HeaderNames,
+        limits: Callable[[], CallerLimits],
+        serve: Serve,
+        buffers: BufferAccount,
+    ) -> None:
+        self._clock = clock
+        self.buffers = buffers
+        self.names = names
+        self.limits = limits
+        self.serve = serve
+        self.connections: set[PipelinedConnection] = set()
+        self.is_leaving = False
+        self.on_idle: Callable[[], None] | None = None
+        self._check_loop = LoopingCall(self._check_timeouts)
+        self._check_loop.clock = clock
+
+    def seconds(self) -> float:
+        """Return the time of the clock in seconds."""
+        now: float = self._clock.seconds()
+        return now
+
+    def doStart(self) -> None:  # noqa: N802
+        """Start the periodic timeout checks."""
+        super().doStart()  # type: ignore[no-untyped-call]
+        if not self._check_loop.running:
+            self._check_loop.start(CHECK_INTERVAL_S, now=False)
+
+    def buildProtocol(self, addr: IAddress | None) -> PipelinedConnection:  # noqa: N802
+        """Return the protocol for a new connection."""
+        return PipelinedConnection(self)
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether any connection is busy."""
+        return any(connection.is_busy for connection in self.connections)
+
+    def close_idle(self) -> None:
+        """Close every connection without a request in progress."""
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    def notify_if_idle(self) -> None:
+        """Call ``on_idle`` if no connection is busy."""
+        if self.on_idle is not None and not self.is_busy:
+            self._notify_idle()
+
+    def respond_now(self) -> None:
+        """End all pending requests now, then call ``on_idle``."""
+        for connection in tuple(self.connections):
+            connection.respond_now()
+        self._notify_idle()
+
+    def _notify_idle(self) -> None:
+        on_idle, self.on_idle = self.on_idle, None
+        if on_idle is not None:
+            on_idle()
+
+    def close(self) -> None:
+        """Close every connection at once."""
+        if self._check_loop.running:
+            self._check_loop.stop()
+        for connection in tuple(self.connections):
+            connection.transport.abortConnection()
+
+    def _check_timeouts(self) -> None:
+        now = self.seconds()
+        for connection in tuple(self.connections):
+            connection.check(now)
+        self.notify_if_idle()
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -15,8 +15,8 @@
 from gentianhitch.buffers import BUFFER_SHARE
 from gentianhitch.buffers import MEGABYTE
 from gentianhitch.buffers import BufferAccount
+from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.callers.complete_requests import CallerRequest
-from gentianhitch.callers.pipelined_connection import CallerFactory
 from gentianhitch.callers.pipelined_connection import Exchange
 from gentianhitch.callers.pipelined_connection import PendingResponse
 from gentianhitch.http_client import make_agent
--- a/src/gentianhitch/proxy/shutdown.py
+++ b/src/gentianhitch/proxy/shutdown.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from gentianhitch.callers.pipelined_connection import CallerFactory
+from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.proxy.registration import Registration
 
 CLOSE_IDLE_AFTER_S = 2.0
--- a/tests/builders_callers.py
+++ b/tests/builders_callers.py
@@ -9,8 +9,8 @@
 from twisted.internet.testing import StringTransport
 
 from gentianhitch.buffers import BufferAccount
+from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.callers.complete_requests import CallerRequest
-from gentianhitch.callers.pipelined_connection import CallerFactory
 from gentianhitch.callers.pipelined_connection import PendingResponse
 from gentianhitch.platform.caller_interface import HEADER_NAMES
 from gentianhitch.proxy.model import CallerLimits
