Log and count why callers' connections end

Cause: the reasons were known only where the connection was closed, and an answer that was written counted as given.

Each ended connection now has a reason that is counted, `not_delivered` names the requests whose responses were not received, and `finished` with `caller-gone` says how the caller's connection ended; `explain` reports both. Volume: one counter a connection, lines only for responses that were cut. No decision changes. Ruled out: a line for each connection, and asking the kernel at the end (the socket is gone by then; the last check is used). Before: no such tests; after: tests/callers/test_pipelined_connection.py::TestEnds and the new case of tests/proxy/test_explain.py pass.

--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -11,6 +11,7 @@
 
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.complete_requests import HeaderNames
+from gentianhitch.callers.connection_ends import EndedConnection
 from gentianhitch.callers.pipelined_connection import PipelinedConnection
 from gentianhitch.callers.pipelined_connection import Serve
 from gentianhitch.proxy.model import CallerLimits
@@ -21,8 +22,9 @@
 class CallerFactory(Factory):
     """Accepts callers' connections and checks their timeouts.
 
-    ``on_idle`` is called once, when no request is being read or served and all
-    responses have been delivered.
+    ``on_end`` is called with each connection that has ended, and ``on_idle`` once, when
+    no request is being read or served and all responses have been delivered.
+    ``is_exiting`` tells that connections end since the process does.
     """
 
     noisy = False
@@ -34,14 +36,17 @@
         limits: Callable[[], CallerLimits],
         serve: Serve,
         buffers: BufferAccount,
+        on_end: Callable[[EndedConnection], None],
     ) -> None:
         self._clock = clock
         self.buffers = buffers
         self.names = names
         self.limits = limits
         self.serve = serve
+        self.on_end = on_end
         self.connections: set[PipelinedConnection] = set()
         self.is_leaving = False
+        self.is_exiting = False
         self.on_idle: Callable[[], None] | None = None
         self._check_loop = LoopingCall(self._check_timeouts)
         self._check_loop.clock = clock
@@ -92,7 +97,7 @@
         if self._check_loop.running:
             self._check_loop.stop()
         for connection in tuple(self.connections):
-            connection.transport.abortConnection()
+            connection.reset()
 
     def _check_timeouts(self) -> None:
         now = self.seconds()
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -14,6 +14,9 @@
 
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.complete_requests import CompleteRequestReader
+from gentianhitch.callers.connection_ends import EndedConnection
+from gentianhitch.callers.connection_ends import EndReason
+from gentianhitch.callers.connection_ends import reason_of_loss
 from gentianhitch.callers.delivery import undelivered_bytes
 from gentianhitch.callers.delivery import unsent_bytes
 from gentianhitch.callers.encoding import CONTINUE
@@ -36,6 +39,9 @@
 LINGER_S = 1.0
 """A closing connection is reset so long after its last byte has been delivered."""
 
+MAX_UNDELIVERED_IDS = 16
+"""Ids kept of responses that are being delivered, for the log."""
+
 IDLE_MARGIN_S = 1.0
 """Callers reuse a connection until just before the idle limit."""
 
@@ -43,8 +49,8 @@
 class Exchange(TypingProtocol):
     """One request that is being served."""
 
-    def caller_disconnected(self) -> None:
-        """Cancel the request: the response has no receiver."""
+    def caller_disconnected(self, detail: str = "") -> None:
+        """Cancel the request: the response has no receiver; ``detail`` says why."""
         ...
 
     def respond_now(self) -> None:
@@ -107,6 +113,8 @@
         self._last_active_s = factory.seconds()
         self._is_delivering = False
         self._undelivered_bytes = 0
+        self._undelivered_ids: deque[bytes] = deque(maxlen=MAX_UNDELIVERED_IDS)
+        self._end_reason: EndReason | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Enable keepalive probes and register the connection for timeouts."""
@@ -141,6 +149,8 @@
         # The kernel is asked only after a write.
         count = undelivered_bytes(self.transport) if self._is_delivering else 0
         self._is_delivering = count > 0
+        if not count:
+            self._undelivered_ids.clear()
         return count
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -193,7 +203,12 @@
         if self._reader.buffered_bytes:
             self._refuse(RequestError(Cause.NO_MEMORY))
         else:
-            self.transport.abortConnection()
+            self._abort(EndReason.NO_MEMORY)
+
+    def _abort(self, reason: EndReason) -> None:
+        self._undelivered_bytes = self._count_undelivered()
+        self._end_reason = reason
+        self.transport.abortConnection()
 
     def _serve(self, request: CallerRequest) -> None:
         self._is_last_read = not request.keep_alive
@@ -221,12 +236,14 @@
             assert response.data is not None
             write_at_once(self.transport, response.data)
             self._is_delivering = True
+            if response.request is not None:
+                self._undelivered_ids.append(response.request.request_id)
             if response.closes_connection:
-                self._close()
+                self._close(EndReason.LAST_RESPONSE)
                 return
         if self._is_last_read and not self._pending_responses:
             # Requests were dropped after the last response had been encoded.
-            self._close()
+            self._close(EndReason.LAST_RESPONSE)
             return
         is_calm = len(self._pending_responses) < MAX_PIPELINED_REQUESTS // 2
         if is_calm and not self._has_many_pending:
@@ -238,7 +255,7 @@
             self._is_paused = False
             self.transport.resumeProducing()
 
-    def _close(self) -> None:
+    def _close(self, reason: EndReason) -> None:
         """Close once everything is written.
 
         Received bytes are dropped until everything is delivered and for LINGER_S more:
@@ -246,9 +263,10 @@
         response.
         """
         self._is_closing = True
+        self._end_reason = reason
         self._last_active_s = self._factory.seconds()
         self._reader.release()
-        self._cancel_all()
+        self._cancel_all(reason.value)
         self._resume()
         self.transport.loseWriteConnection()
         self._factory.notify_if_idle()
@@ -267,7 +285,9 @@
         silent_s = now - self._last_active_s
         limits = self._factory.limits()
         if self._is_closing:
-            if silent_s > (limits.idle_timeout_s if undelivered else LINGER_S):
+            if undelivered and silent_s > limits.idle_timeout_s:
+                self._abort(EndReason.NOT_DELIVERED)
+            elif not undelivered and silent_s > LINGER_S:
                 self.transport.abortConnection()
             return
         if self._reader.is_amid_request and not self._pending_responses:
@@ -277,12 +297,16 @@
             not self._pending_responses
             and silent_s > limits.idle_timeout_s + IDLE_MARGIN_S
         ):
-            self._close()
+            self._close(EndReason.IDLE)
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or served."""
         if not self._is_closing and not self.is_serving:
-            self._close()
+            self._close(EndReason.LEAVING)
+
+    def reset(self) -> None:
+        """Reset the connection: the instance ends."""
+        self._abort(EndReason.EXIT)
 
     def respond_now(self) -> None:
         """End all pending requests now: each blocks the responses after it."""
@@ -293,14 +317,28 @@
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Cancel what is being served."""
         self._is_closing = self._is_lost = True
+        end = self._describe_end(reason)
         self._factory.connections.discard(self)
         self._factory.buffers.release(self)
         self._reader.release()
-        self._cancel_all()
+        self._cancel_all(end.detail or end.reason.value)
+        self._factory.on_end(end)
         self._factory.notify_if_idle()
 
-    def _cancel_all(self) -> None:
+    def _describe_end(self, failure: Failure | None) -> EndedConnection:
+        detail = "" if failure is None else failure.getErrorMessage()
+        reason = self._end_reason
+        if reason is None:
+            is_exiting = self._factory.is_exiting
+            reason = EndReason.EXIT if is_exiting else reason_of_loss(failure)
+        if not self._is_delivering or reason is EndReason.CALLER_CLOSED:
+            return EndedConnection(reason, detail)
+        # As of the last check: the transport has no socket any more.
+        ids = tuple(self._undelivered_ids)
+        return EndedConnection(reason, detail, ids, self._undelivered_bytes)
+
+    def _cancel_all(self, detail: str) -> None:
         responses, self._pending_responses = self._pending_responses, deque()
         for response in responses:
             if response.exchange is not None and response.data is None:
-                response.exchange.caller_disconnected()
+                response.exchange.caller_disconnected(detail)
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -134,6 +134,9 @@
 
 
 def _cause(request_lines: list[LogLine]) -> str:
+    cuts = [line for line in request_lines if line.event == "not_delivered"]
+    if cuts:
+        return _describe_cut(cuts[-1])
     ends = [line for line in request_lines if line.event == "finished"]
     if not ends:
         return "unknown: there is no finished event; the instance may have stopped"
@@ -146,6 +149,15 @@
     return f"{cause} ({detail})" if detail else cause
 
 
+def _describe_cut(line: LogLine) -> str:
+    fields = line.fields
+    count, reason = fields.get("undelivered_bytes"), fields.get("reason")
+    return (
+        f"the connection ended ({reason}) while the response was delivered; the caller"
+        f" had not received about {count} bytes of it ({fields.get('detail', '')})"
+    )
+
+
 def explain(request_id: str, *files: Path) -> None:
     """Show the log events of one request at several instances.
 
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -17,6 +17,7 @@
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.callers.complete_requests import CallerRequest
+from gentianhitch.callers.connection_ends import EndedConnection
 from gentianhitch.callers.pipelined_connection import Exchange
 from gentianhitch.callers.pipelined_connection import PendingResponse
 from gentianhitch.http_client import make_agent
@@ -197,7 +198,12 @@
             self._random,
         )
         self._callers = CallerFactory(
-            clock, HEADER_NAMES, self._caller_limits, self._serve, self._buffers
+            clock,
+            HEADER_NAMES,
+            self._caller_limits,
+            self._serve,
+            self._buffers,
+            self._record_end,
         )
         self._housekeeping = Repeating(
             clock, HOUSEKEEPING_INTERVAL_S, self._run_housekeeping, events.failure
@@ -315,6 +321,17 @@
         self.metrics.count(f"requests.{outcome}")
         self.metrics.time("total", workspace, elapsed_s)
 
+    def _record_end(self, end: EndedConnection) -> None:
+        self.metrics.count(f"caller_connections_ended.{end.reason.value}")
+        for request_id in end.undelivered_requests:
+            self._events.request(
+                "not_delivered",
+                request_id,
+                reason=end.reason.value,
+                undelivered_bytes=end.undelivered_bytes,
+                detail=end.detail,
+            )
+
     def reload(self) -> None:
         """Read the settings file again; addresses stay as they are."""
         self._settings_file.reload()
@@ -350,6 +367,7 @@
         self._server.refuses_requests = True
 
     def _exit(self) -> None:
+        self._callers.is_exiting = True
         for part in (self._refresher, self._registration, self._reports):
             part.stop()
         self._reactor.callLater(0, self._reactor.stop)
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -201,12 +201,12 @@
             )
         )
 
-    def caller_disconnected(self) -> None:
+    def caller_disconnected(self, detail: str = "") -> None:
         """Cancel the request, since its response can't be delivered."""
         self._leave_queue()
         if self._dispatch is not None:
             self._dispatch.cancel()
-        self._finish("caller-gone", None)
+        self._finish("caller-gone", None, detail=detail)
 
     def respond_now(self) -> None:
         """Fail the dispatch, since the instance is stopping."""
--- a/tests/builders_callers.py
+++ b/tests/builders_callers.py
@@ -11,6 +11,7 @@
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.callers.complete_requests import CallerRequest
+from gentianhitch.callers.connection_ends import EndedConnection
 from gentianhitch.callers.pipelined_connection import PendingResponse
 from gentianhitch.platform.caller_interface import HEADER_NAMES
 from gentianhitch.proxy.model import CallerLimits
@@ -42,7 +43,7 @@
     response: PendingResponse
     is_cancelled: bool = False
 
-    def caller_disconnected(self) -> None:
+    def caller_disconnected(self, detail: str = "") -> None:
         self.is_cancelled = True
 
     def respond_now(self) -> None:
@@ -57,6 +58,7 @@
     ) -> None:
         self.clock = Clock()
         self.served: list[Served] = []
+        self.ends: list[EndedConnection] = []
         caller_limits = limits or CallerLimits()
         self.factory = CallerFactory(
             self.clock,
@@ -64,6 +66,7 @@
             lambda: caller_limits,
             self._serve,
             buffers or BufferAccount(),
+            self.ends.append,
         )
         self.connection: Any = self.factory.buildProtocol(None)
         self.transport = Transport()
--- a/tests/callers/test_pipelined_connection.py
+++ b/tests/callers/test_pipelined_connection.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
 import pytest
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
 
+from gentianhitch.callers.connection_ends import EndReason
 from gentianhitch.callers.pipelined_connection import LINGER_S
 from gentianhitch.callers.pipelined_connection import MAX_PIPELINED_REQUESTS
 from gentianhitch.proxy.model import CallerLimits
@@ -266,3 +270,42 @@
         scenario.factory.respond_now()
         assert scenario.transport.value() == b"given up;ready"
         assert notifications == [True]
+
+
+class TestEnds:
+    @pytest.mark.parametrize(
+        ("failure", "reason"),
+        [
+            (ConnectionDone(), EndReason.CALLER_CLOSED),
+            (ConnectionLost(), EndReason.CONNECTION_LOST),
+        ],
+    )
+    def test_of_the_caller_are_told_from_lost_connections(
+        self, failure: Exception, reason: EndReason
+    ) -> None:
+        scenario = Scenario()
+        scenario.connection.connectionLost(Failure(failure))
+        assert [end.reason for end in scenario.ends] == [reason]
+
+    def test_name_the_requests_whose_responses_were_not_delivered(self) -> None:
+        scenario = Scenario()
+        scenario.send("X-Gentianhitch-Request-Id: r-1")
+        scenario.served[0].response.send(b"answer")
+        scenario.connection.connectionLost(Failure(ConnectionLost()))
+        assert scenario.ends[0].undelivered_requests == (b"r-1",)
+
+    def test_of_idle_connections_have_no_undelivered_request(self) -> None:
+        scenario = Scenario(CallerLimits(idle_timeout_s=1.0))
+        scenario.send("X-Gentianhitch-Request-Id: r-1")
+        scenario.served[0].response.send(b"answer")
+        scenario.factory.doStart()
+        scenario.clock.pump([0.5] * 6)
+        scenario.connection.connectionLost(Failure(ConnectionDone()))
+        assert [end.reason for end in scenario.ends] == [EndReason.IDLE]
+        assert scenario.ends[0].undelivered_requests == ()
+
+    def test_in_an_exit_are_not_the_callers(self) -> None:
+        scenario = Scenario()
+        scenario.factory.is_exiting = True
+        scenario.connection.connectionLost(Failure(ConnectionLost()))
+        assert scenario.ends[0].reason is EndReason.EXIT
--- a/tests/proxy/test_explain.py
+++ b/tests/proxy/test_explain.py
@@ -48,6 +48,16 @@
             "there is no finished event" in explain_request("r-1", make_logs(line))[-1]
         )
 
+    def test_a_response_that_was_not_delivered_is_the_cause(self) -> None:
+        cut = {"request": "r-1", "reason": "not-delivered", "undelivered_bytes": 9}
+        lines = (
+            make_line("finished", 1.0, request="r-1", outcome="200", server="s-1"),
+            make_line("not_delivered", 4.0, **cut),
+        )
+        cause = explain_request("r-1", make_logs(*lines))[-1]
+        assert "the connection ended (not-delivered)" in cause
+        assert "9 bytes" in cause
+
     def test_text_before_the_event_is_ignored(self) -> None:
         line = "  4.2 edge-1 " + make_line("finished", 1.0, request="r", outcome="200")
         assert len(make_logs(line).lines) == 1
