Take what has arrived before a connection or the port is closed

Cause: closes looked at what had been parsed. Requests that waited in the kernel while the event loop lagged, on kept and new connections and in the backlog, were dropped at 2.0 s and 2.6 s after SIGTERM, at the idle limit, or refused with 408. The class: a decision to end something is made before what has arrived is taken in.

The fix: a close reads until there is nothing, then decides, in one iteration; a port accepts its backlog and closes in the same iteration (twisted's stopListening closes in a later one); a new connection has 0.5 s for its first request. What is still lost crosses the close on the link. Ruled out: to keep idle connections to the end of the drain, which moves the race there.

--- /dev/null
+++ b/src/gentianhitch/arrived.py
@@ -0,0 +1,44 @@
+"""Take what the kernel has received, so that a decision to close knows of it."""
+
+from __future__ import annotations
+
+import fcntl
+import struct
+import termios
+from typing import Any
+
+MAX_READS = 32
+"""Reads of one connection in a row, of 64 KiB each."""
+
+MAX_ACCEPT_ROUNDS = 64
+"""Rounds in which a port accepts; each may accept more than the one before."""
+
+_INT = struct.Struct("i")
+
+
+def read_arrived(transport: Any) -> None:
+    """Pass the bytes that have arrived to the protocol, without waiting for more."""
+    for _ in range(MAX_READS):
+        if not unread_bytes(transport) or transport.doRead() is not None:
+            return
+
+
+def unread_bytes(transport: Any) -> int:
+    """Return the bytes received that were not read; 0 without a socket."""
+    handle = getattr(transport, "socket", None)
+    if handle is None or not transport.connected or transport.disconnecting:
+        return 0
+    try:
+        data = fcntl.ioctl(handle.fileno(), termios.FIONREAD, bytes(_INT.size))
+    except OSError:
+        return 0
+    return int(_INT.unpack(data)[0])
+
+
+def accept_arrived(port: Any) -> None:
+    """Accept the connections in the backlog of ``port``."""
+    for _ in range(MAX_ACCEPT_ROUNDS):
+        accepted = port.sessionno
+        port.doRead()
+        if port.sessionno == accepted:
+            return
--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -47,6 +47,7 @@
         self.connections: set[PipelinedConnection] = set()
         self.is_leaving = False
         self.is_exiting = False
+        self._closes_idle = False
         self.on_idle: Callable[[], None] | None = None
         self._check_loop = LoopingCall(self._check_timeouts)
         self._check_loop.clock = clock
@@ -72,7 +73,11 @@
         return any(connection.is_busy for connection in self.connections)
 
     def close_idle(self) -> None:
-        """Close every connection without a request in progress."""
+        """Close connections without a request, now and whenever they become idle.
+
+        New ones have some time for their first request.
+        """
+        self._closes_idle = True
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
@@ -103,4 +108,6 @@
         now = self.seconds()
         for connection in tuple(self.connections):
             connection.check(now)
+            if self._closes_idle:
+                connection.close_if_idle()
         self.notify_if_idle()
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -12,6 +12,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from gentianhitch.arrived import read_arrived
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.complete_requests import CompleteRequestReader
 from gentianhitch.callers.connection_ends import EndedConnection
@@ -42,6 +43,9 @@
 MAX_UNDELIVERED_IDS = 16
 """Ids kept of responses that are being delivered, for the log."""
 
+FIRST_REQUEST_S = 0.5
+"""A stop waits so long for the first request on a new connection."""
+
 IDLE_MARGIN_S = 1.0
 """Callers reuse a connection until just before the idle limit."""
 
@@ -110,7 +114,8 @@
         self._is_closing = False
         self._is_paused = False
         self._is_lost = False
-        self._last_active_s = factory.seconds()
+        self._made_s = self._last_active_s = factory.seconds()
+        self._has_received = False
         self._is_delivering = False
         self._undelivered_bytes = 0
         self._undelivered_ids: deque[bytes] = deque(maxlen=MAX_UNDELIVERED_IDS)
@@ -142,8 +147,16 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being served or its response delivered."""
-        return self.is_serving or self._count_undelivered() > 0
+        """Return whether a request is expected or served, or a response delivered."""
+        if self.is_serving or self._count_undelivered() > 0:
+            return True
+        return not self._is_closing and self._awaits_first_request
+
+    @property
+    def _awaits_first_request(self) -> bool:
+        if self._has_received:
+            return False
+        return self._factory.seconds() - self._made_s < FIRST_REQUEST_S
 
     def _count_undelivered(self) -> int:
         # The kernel is asked only after a write.
@@ -158,6 +171,7 @@
         if not self._accepts_requests:
             self._is_last_read = True
             return
+        self._has_received = True
         self._last_active_s = self._factory.seconds()
         requests, error = self._reader.feed(data)
         for request in requests:
@@ -282,28 +296,49 @@
         if undelivered != self._undelivered_bytes:
             self._undelivered_bytes = undelivered
             self._last_active_s = now
-        silent_s = now - self._last_active_s
-        limits = self._factory.limits()
         if self._is_closing:
-            if undelivered and silent_s > limits.idle_timeout_s:
-                self._abort(EndReason.NOT_DELIVERED)
-            elif not undelivered and silent_s > LINGER_S:
-                self.transport.abortConnection()
-            return
-        if self._reader.is_amid_request and not self._pending_responses:
-            if silent_s > limits.head_timeout_s:
-                self._refuse(RequestError(Cause.BODY_TIMEOUT))
-        elif (
-            not self._pending_responses
-            and silent_s > limits.idle_timeout_s + IDLE_MARGIN_S
-        ):
+            self._check_close(now - self._last_active_s, undelivered)
+        elif self._is_silent(now):
+            # What arrived while the loop lagged is no silence.
+            read_arrived(self.transport)
+            if self._is_silent(now):
+                self._end_silent()
+
+    def _check_close(self, silent_s: float, undelivered: int) -> None:
+        if undelivered and silent_s > self._factory.limits().idle_timeout_s:
+            self._abort(EndReason.NOT_DELIVERED)
+        elif not undelivered and silent_s > LINGER_S:
+            self.transport.abortConnection()
+
+    def _is_silent(self, now: float) -> bool:
+        """Return whether the caller sends nothing for longer than it may."""
+        if self._is_closing or self._pending_responses:
+            return False
+        limits = self._factory.limits()
+        limit_s = limits.idle_timeout_s + IDLE_MARGIN_S
+        if self._reader.is_amid_request:
+            limit_s = limits.head_timeout_s
+        return now - self._last_active_s > limit_s
+
+    def _end_silent(self) -> None:
+        if self._reader.is_amid_request:
+            self._refuse(RequestError(Cause.BODY_TIMEOUT))
+        else:
             self._close(EndReason.IDLE)
 
     def close_if_idle(self) -> None:
-        """Close unless a request is being read or served."""
-        if not self._is_closing and not self.is_serving:
+        """Close unless a request is expected, being read or served."""
+        if not self._is_idle:
+            return
+        read_arrived(self.transport)
+        if self._is_idle:
             self._close(EndReason.LEAVING)
 
+    @property
+    def _is_idle(self) -> bool:
+        is_in_use = self._is_closing or self.is_serving
+        return not is_in_use and not self._awaits_first_request
+
     def reset(self) -> None:
         """Reset the connection: the instance ends."""
         self._abort(EndReason.EXIT)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -49,6 +49,7 @@
 from gentianhitch.proxy.internal_resources import metrics_resource
 from gentianhitch.proxy.listeners import Listeners
 from gentianhitch.proxy.listeners import bound_address
+from gentianhitch.proxy.listeners import close_port
 from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
@@ -354,7 +355,7 @@
             drain(
                 self._reactor,
                 self._callers,
-                self._callers_port,
+                lambda: close_port(self._callers_port),
                 self._registration,
                 self._refuse_requests,
                 self._settings.bounds.shutdown_grace_s,
--- a/src/gentianhitch/proxy/shutdown.py
+++ b/src/gentianhitch/proxy/shutdown.py
@@ -24,7 +24,7 @@
 async def drain(
     reactor: Any,
     callers: CallerFactory,
-    callers_port: Any,
+    stop_listening: Callable[[], None],
     registration: Registration,
     refuse_requests: Callable[[], None],
     grace_s: float,
@@ -40,7 +40,7 @@
     await deferLater(reactor, CLOSE_IDLE_AFTER_S, lambda: None)
     callers.close_idle()
     await deferLater(reactor, STOP_LISTENING_AFTER_S - CLOSE_IDLE_AFTER_S, lambda: None)
-    callers_port.stopListening()
+    stop_listening()
     refuse_requests()
     callers.close_idle()
     await _when_idle(reactor, callers, end_s)
