Deliver the final responses of a planned stop before the process ends

What callers may see: no answer at the end of the grace. Cause: the drain ended in the same iteration in which the last responses were written, and the process closes its sockets then; with unread bytes on the connection the kernel resets it and drops what it hadn't sent. A request that was still arriving got nothing.

After: the drain ends when they are delivered, or 0.1 s later, within the margin of 0.4 s before the process is killed; an incomplete request is refused with 503. Not seen live. Ruled out: to answer sooner, which would cut requests that still have time.

--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -87,9 +87,13 @@
             self._notify_idle()
 
     def respond_now(self) -> None:
-        """End all pending requests now, then call ``on_idle``."""
+        """End all requests now: their responses say whether they may have run."""
         for connection in tuple(self.connections):
             connection.respond_now()
+        self.notify_if_idle()
+
+    def stop_waiting(self) -> None:
+        """Call ``on_idle`` although responses are still being delivered."""
         self._notify_idle()
 
     def _notify_idle(self) -> None:
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -344,7 +344,9 @@
         self._abort(EndReason.EXIT)
 
     def respond_now(self) -> None:
-        """End all pending requests now: each blocks the responses after it."""
+        """End all requests now: each pending one blocks the responses after it."""
+        if self._reader.is_amid_request and not self._pending_responses:
+            self._refuse(RequestError(Cause.LEAVING))
         for response in tuple(self._pending_responses):
             if response.exchange is not None and response.data is None:
                 response.exchange.respond_now()
--- a/src/gentianhitch/proxy/shutdown.py
+++ b/src/gentianhitch/proxy/shutdown.py
@@ -20,6 +20,9 @@
 KILL_MARGIN_S = 0.4
 """Margin between the end of a drain and the time at which the process is killed."""
 
+LAST_DELIVERY_S = 0.1
+"""Part of the margin in which the last responses are delivered."""
+
 
 async def drain(
     reactor: Any,
@@ -48,13 +51,19 @@
 
 
 def _when_idle(reactor: Any, callers: CallerFactory, end_s: float) -> Deferred[None]:
-    """Fire when no request is being served any more, or at ``end_s``."""
+    """Fire when nothing is served or delivered any more, or shortly after ``end_s``.
+
+    At ``end_s`` the requests that are still served get their final response.
+    """
     idle: Deferred[None] = Deferred()
     remaining_s = end_s - reactor.seconds()
     if not callers.is_busy or remaining_s <= 0:
         idle.callback(None)
         return idle
     callers.on_idle = lambda: idle.callback(None)
-    timer = reactor.callLater(remaining_s, callers.respond_now)
-    idle.addBoth(lambda _: timer.cancel() if timer.active() else None)
+    timers = [
+        reactor.callLater(remaining_s, callers.respond_now),
+        reactor.callLater(remaining_s + LAST_DELIVERY_S, callers.stop_waiting),
+    ]
+    idle.addBoth(lambda _: [timer.cancel() for timer in timers if timer.active()])
     return idle
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import succeed
 
 from gentianhitch.proxy.shutdown import KILL_MARGIN_S
+from gentianhitch.proxy.shutdown import LAST_DELIVERY_S
 from gentianhitch.proxy.shutdown import STOP_LISTENING_AFTER_S
 from gentianhitch.proxy.shutdown import drain
 from tests.builders_callers import GET
@@ -105,3 +106,25 @@
         stop.advance(GRACE_S - KILL_MARGIN_S + 0.1)
         assert stop.ended_s is not None
         assert scenario.written == b"given up;"
+
+    # Guards against a final response that is cut: the process ended while the response
+    # lay in the kernel, and its close with unread bytes reset the connection.
+    def test_waits_until_the_final_responses_are_delivered(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(GET)
+        undelivered = [9]
+        scenario.connection._count_undelivered = lambda: undelivered[0]
+        stop = Stop(scenario)
+        stop.advance(GRACE_S - KILL_MARGIN_S)
+        scenario.clock.advance(LAST_DELIVERY_S / 2)
+        assert scenario.written == b"given up;"
+        assert stop.ended_s is None
+        stop.advance(LAST_DELIVERY_S + 0.1)
+        assert stop.ended_s is not None
+
+    def test_refuses_incomplete_requests(self) -> None:
+        scenario = Scenario()
+        stop = Stop(scenario)
+        scenario.connection.dataReceived(POST)
+        stop.advance(GRACE_S - KILL_MARGIN_S + 0.1)
+        assert scenario.written.startswith(b"HTTP/1.1 503")
