Read what has arrived before time-outs of the other edge

What callers may see: at `gentianhitch entry`, a request on a kept connection ends without an answer, or with 408, if the event loop lagged beyond a limit while it waited. Cause: the same as at the proxy; the time-outs looked at what had been read, and the port was closed an iteration after its backlog was last looked at. close_port moves to a shared module.

Evidence: tests/callers/test_sockets.py::TestWhatHasArrived, 2 of 2 red before (closed, and 408 in place of 200), pass after. The port of entry has no test of its own (the function is tested in test_closes.py). Ruled out: reading while the body is paused, which would buffer past the limit of an upload.

--- a/src/gentianhitch/arrived.py
+++ b/src/gentianhitch/arrived.py
@@ -1,4 +1,4 @@
-"""Take what the kernel has received, so that a decision to close knows of it."""
+"""Take what the kernel has received before a connection or a port is closed."""
 
 from __future__ import annotations
 
@@ -7,6 +7,9 @@
 import termios
 from typing import Any
 
+from twisted.internet.main import CONNECTION_DONE
+from twisted.python.failure import Failure
+
 MAX_READS = 32
 """Reads of one connection in a row, of 64 KiB each."""
 
@@ -35,10 +38,20 @@
     return int(_INT.unpack(data)[0])
 
 
-def accept_arrived(port: Any) -> None:
+def _accept_arrived(port: Any) -> None:
     """Accept the connections in the backlog of ``port``."""
     for _ in range(MAX_ACCEPT_ROUNDS):
         accepted = port.sessionno
         port.doRead()
         if port.sessionno == accepted:
             return
+
+
+def close_port(port: Any) -> None:
+    """Accept the connections that have arrived, then close the port.
+
+    ``stopListening`` closes it in a later iteration, which resets those that arrive
+    until then.
+    """
+    _accept_arrived(port)
+    port.connectionLost(Failure(CONNECTION_DONE))
--- a/src/gentianhitch/callers/connection.py
+++ b/src/gentianhitch/callers/connection.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from gentianhitch.arrived import read_arrived
 from gentianhitch.callers.exchange import Exchange
 from gentianhitch.callers.incoming import IncomingRequest
 from gentianhitch.callers.incoming import RequestReader
@@ -168,23 +169,35 @@
 
     def check(self, now: float) -> None:
         """Close the connection, or refuse or abort its request, after a timeout."""
-        silent_s = now - self._last_active_s
         if self._is_lingering:
-            if silent_s > LINGER_S:
+            if now - self._last_active_s > LINGER_S:
                 self.transport.abortConnection()
-        elif self._reader.is_amid_request:
-            if silent_s > REQUEST_TIMEOUT_S:
-                self._request_timed_out()
-        elif self._exchange is None:
-            limit_s = LEAVING_IDLE_S if self._context.is_leaving else IDLE_TIMEOUT_S
-            if silent_s > limit_s:
-                self._close()
+        elif self._is_silent(now):
+            if not self._is_paused:
+                # What arrived while the loop lagged is no silence.
+                read_arrived(self.transport)
+            if self._is_silent(now):
+                self._end_silent()
         exchange = self._exchange
         if exchange is not None and now - exchange.last_progress_s > STALL_TIMEOUT_S:
             exchange.abort_stalled()
 
-    def _request_timed_out(self) -> None:
-        self._fail_request(Cause.BODY_TIMEOUT)
+    def _is_silent(self, now: float) -> bool:
+        """Return whether the caller sends nothing for longer than it may."""
+        if self._is_ending:
+            return False
+        limit_s = LEAVING_IDLE_S if self._context.is_leaving else IDLE_TIMEOUT_S
+        if self._reader.is_amid_request:
+            limit_s = REQUEST_TIMEOUT_S
+        elif self._exchange is not None:
+            return False
+        return now - self._last_active_s > limit_s
+
+    def _end_silent(self) -> None:
+        if self._reader.is_amid_request:
+            self._fail_request(Cause.BODY_TIMEOUT)
+        else:
+            self._close()
 
     def _fail_request(self, cause: Cause) -> None:
         incoming = self._reader.unfinished
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -17,6 +17,7 @@
 from twisted.internet.task import deferLater
 
 from gentianhitch.addresses import Address
+from gentianhitch.arrived import close_port
 from gentianhitch.backend_servers.probing import Prober
 from gentianhitch.backend_servers.probing import fetch_with
 from gentianhitch.callers.directory import MAX_AGE_S
@@ -297,7 +298,7 @@
         self.path.begin_leaving()
         await self.path.when_idle()
         await self.limits.begin_leaving()
-        self._port.stopListening()
+        close_port(self._port)
         await self.path.when_idle()
 
     def _exit(self) -> None:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred
 
 from gentianhitch.addresses import Address
+from gentianhitch.arrived import close_port
 from gentianhitch.backend_servers.server_connections import ServerConnections
 from gentianhitch.buffers import BUFFER_SHARE
 from gentianhitch.buffers import MEGABYTE
@@ -49,7 +50,6 @@
 from gentianhitch.proxy.internal_resources import metrics_resource
 from gentianhitch.proxy.listeners import Listeners
 from gentianhitch.proxy.listeners import bound_address
-from gentianhitch.proxy.listeners import close_port
 from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
--- a/src/gentianhitch/proxy/listeners.py
+++ b/src/gentianhitch/proxy/listeners.py
@@ -5,12 +5,9 @@
 from typing import Any
 
 import attrs
-from twisted.internet.main import CONNECTION_DONE
-from twisted.python.failure import Failure
 from twisted.web.server import Site
 
 from gentianhitch.addresses import Address
-from gentianhitch.arrived import accept_arrived
 
 LISTEN_BACKLOG = 1024
 
@@ -42,13 +39,3 @@
     """Return the address at which a port is bound, with the actual port number."""
     host = port.getHost()
     return Address(host.host, host.port)
-
-
-def close_port(port: Any) -> None:
-    """Accept the connections that have arrived, then close the port.
-
-    ``stopListening`` closes it in a later iteration, which resets those that arrive
-    until then.
-    """
-    accept_arrived(port)
-    port.connectionLost(Failure(CONNECTION_DONE))
--- a/tests/builders_closes.py
+++ b/tests/builders_closes.py
@@ -18,6 +18,7 @@
 
 HOST = "127.0.0.1"
 GET = b"GET /stock/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+CONNECT_TIMEOUT_S = 1.0
 SETTLE_S = 0.05
 
 
@@ -61,8 +62,7 @@
 
     def connect(self) -> KernelCaller:
         """Connect a caller; the connection waits in the backlog of the port."""
-        address = (HOST, self.port.getHost().port)
-        return KernelCaller(self.reactor, socket.create_connection(address, 1.0))
+        return KernelCaller.connect(self.reactor, self.port.getHost().port)
 
     async def connect_kept(self) -> KernelCaller:
         """Connect a caller and serve its first request."""
@@ -79,6 +79,11 @@
     reactor: Any
     connection: socket.socket
 
+    @classmethod
+    def connect(cls, reactor: Any, port: int) -> KernelCaller:
+        """Open a connection, which waits in the backlog of the port."""
+        return cls(reactor, socket.create_connection((HOST, port), CONNECT_TIMEOUT_S))
+
     def send(self, data: bytes = GET) -> None:
         """Send bytes, which are in the kernel's buffer of the port's side at once."""
         self.connection.sendall(data)
--- a/tests/callers/test_closes.py
+++ b/tests/callers/test_closes.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from gentianhitch.proxy.listeners import close_port
+from gentianhitch.arrived import close_port
 from gentianhitch.proxy.model import CallerLimits
 from tests.builders_closes import GET
 from tests.builders_closes import Entry
--- a/tests/callers/test_sockets.py
+++ b/tests/callers/test_sockets.py
@@ -16,11 +16,15 @@
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
+from twisted.internet.task import Clock
 from zope.interface import implementer
 
 from gentianhitch.addresses import Address
+from gentianhitch.callers.connection import IDLE_TIMEOUT_S
+from gentianhitch.callers.connection import REQUEST_TIMEOUT_S
 from gentianhitch.callers.request_path import RequestPath
 from gentianhitch.decisions.targets.slots import QueuedSlots
+from tests.builders_closes import KernelCaller
 from tests.builders_path import FakeAgreement
 from tests.builders_path import FakeLimiter
 from tests.builders_path import FakeSelector
@@ -243,3 +247,38 @@
             return cancelled
 
         assert run_scenario(scenario) is True
+
+
+# Guards against requests that end without an answer although they had arrived: a
+# time-out or the close of the port looked only at what had been read.
+class TestWhatHasArrived:
+    def test_is_served_when_the_idle_limit_has_passed(self):
+        async def scenario(reactor):
+            clock = Clock()
+            path, port = listen(reactor, clock=clock)
+            caller = KernelCaller.connect(reactor, port)
+            caller.send(make_request())
+            first = await caller.outcome()
+            caller.send(make_request())
+            clock.advance(IDLE_TIMEOUT_S + 1.0)
+            second = await caller.outcome()
+            path.close()
+            return [first, second]
+
+        assert run_scenario(scenario) == ["200", "200"]
+
+    def test_is_served_when_a_request_took_too_long(self):
+        async def scenario(reactor):
+            clock = Clock()
+            path, port = listen(reactor, clock=clock)
+            caller = KernelCaller.connect(reactor, port)
+            request = make_request()
+            caller.send(request[:20])
+            first = await caller.outcome()
+            caller.send(request[20:])
+            clock.advance(REQUEST_TIMEOUT_S + 1.0)
+            second = await caller.outcome()
+            path.close()
+            return [first, second]
+
+        assert run_scenario(scenario) == ["open", "200"]
