Split attempts and what dispatches share from the dispatch

Attempts and the context of dispatches get modules of their own; no change of behaviour. tests/proxy/test_dispatch.py and test_request_server.py pass before and after (36). Ruled out: splitting hedging off, which shares the state of the attempts.

--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -2,35 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
-from typing import Protocol
-
-import attrs
 
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
 from gentianhitch.backend_servers.errors import BackendServerError
 from gentianhitch.backend_servers.errors import ConnectError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
-from gentianhitch.backend_servers.server_connections import Connecting
 from gentianhitch.backend_servers.server_connections import ServerConnection
-from gentianhitch.backend_servers.server_connections import ServerConnections
 from gentianhitch.callers.complete_requests import CallerRequest
-from gentianhitch.callers.complete_requests import HeaderNames
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.proxy.answer_kinds import attempt_result
 from gentianhitch.proxy.answer_kinds import is_declined
 from gentianhitch.proxy.answer_kinds import is_unusable
 from gentianhitch.proxy.answer_kinds import says_leaving
-from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.attempts import Attempt
+from gentianhitch.proxy.dispatch_context import DispatchContext
+from gentianhitch.proxy.dispatch_context import DispatchOwner
 from gentianhitch.proxy.gray_filter import hedge_survival
 from gentianhitch.proxy.messages import encode_request
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.model import Workspace
 from gentianhitch.proxy.model import effective_priority
-from gentianhitch.proxy.retry_budget import RetryBudget
 from gentianhitch.proxy.server_notices import requested_wait_s
 from gentianhitch.proxy.server_records import AttemptResult
 
@@ -50,90 +44,6 @@
 MAX_CONNECT_FAILURES = 4
 
 
-class DispatchOwner(Protocol):
-    """Receives the result of a dispatch, exactly one, and its log events."""
-
-    def dispatch_succeeded(
-        self, response: CompleteResponse, server: BackendServer
-    ) -> None:
-        """Handle the response to forward to the caller."""
-        ...
-
-    def dispatch_failed(self, cause: Cause, *, may_have_run: bool) -> None:
-        """Handle a failure: there is no response to forward."""
-        ...
-
-    def log_dispatch_event(
-        self, event: str, server: BackendServer, detail: str
-    ) -> None:
-        """Log one event of an attempt."""
-        ...
-
-
-@attrs.define(eq=False)
-class DispatchContext:
-    """The parts that all dispatches of one instance share."""
-
-    clock: Any
-    balancer: Balancer
-    connections: ServerConnections
-    names: HeaderNames
-    create_budget: Callable[[], RetryBudget]
-    slack_share: Callable[[], float]
-    _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
-
-    def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service; create it if there is none."""
-        budget = self._budgets_by_service.get(service)
-        if budget is None:
-            budget = self._budgets_by_service[service] = self.create_budget()
-        return budget
-
-    def try_spend_retry(self, service: str, now: float, *, hedge: bool) -> bool:
-        """Spend one retry of the budget of ``service``; False if there is none left."""
-        return self.budget(service).try_spend(now, self.slack_share(), hedge=hedge)
-
-
-class _Attempt:
-    """One attempt at one server, from the connect to the response."""
-
-    def __init__(self, dispatch: Dispatch, server: BackendServer) -> None:
-        self._dispatch = dispatch
-        self.server = server
-        self.token: int | None = None
-        self.connection: ServerConnection | None = None
-        self.connecting: Connecting | None = None
-
-    def connected(self, connection: ServerConnection) -> None:
-        """Send the request on ``connection``."""
-        self.connecting = None
-        self._dispatch.write(self, connection)
-
-    def connect_failed(self, error: ConnectError) -> None:
-        """Have another server tried: nothing was written."""
-        self.connecting = None
-        self._dispatch.connect_failed(self, error)
-
-    def response_received(self, response: CompleteResponse) -> None:
-        """Pass a response to the dispatch."""
-        self.connection = None
-        self._dispatch.handle_response(self, response)
-
-    def response_failed(self, error: BackendServerError) -> None:
-        """Pass a failure to the dispatch."""
-        self.connection = None
-        self._dispatch.handle_failure(self, error)
-
-    def cancel(self) -> None:
-        """Close the connection, so that the server cancels the request."""
-        if self.connecting is not None:
-            self.connecting.cancel()
-            self.connecting = None
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
-
-
 class Dispatch:
     """The attempts of one request.
 
@@ -160,7 +70,7 @@
         self._priority = effective_priority(route, workspace)
         self._deadline = deadline
         self._owner = owner
-        self._attempts: list[_Attempt] = []
+        self._attempts: list[Attempt] = []
         self._tried_ids: frozenset[str] = frozenset()
         self._writes = 0
         self._connect_failures = 0
@@ -216,7 +126,7 @@
 
     def _start_attempt(self, server: BackendServer) -> None:
         self._tried_ids |= {server.id}
-        attempt = _Attempt(self, server)
+        attempt = Attempt(self, server)
         self._attempts.append(attempt)
         idempotent = self._route.idempotent
         attempt.connecting = self._context.connections.acquire(
@@ -228,7 +138,7 @@
         if attempt.connection is not None:
             attempt.connecting = None
 
-    def write(self, attempt: _Attempt, connection: ServerConnection) -> None:
+    def write(self, attempt: Attempt, connection: ServerConnection) -> None:
         """Write the request, unless too little time is left after the connect."""
         now = self._context.clock.seconds()
         if self._ended or self._deadline - now < MIN_REMAINING_S:
@@ -253,7 +163,7 @@
         connection.send(self._request.request_id, data, attempt)
         self._schedule_hedge(attempt, now)
 
-    def connect_failed(self, attempt: _Attempt, error: ConnectError) -> None:
+    def connect_failed(self, attempt: Attempt, error: ConnectError) -> None:
         """Try another server; without one, wait for the attempts under way."""
         self._attempts.remove(attempt)
         if self._ended:
@@ -267,7 +177,7 @@
         if not (may_retry and self._try_next_server()) and not self._attempts:
             self._finish_with_last_result()
 
-    def handle_response(self, attempt: _Attempt, response: CompleteResponse) -> None:
+    def handle_response(self, attempt: Attempt, response: CompleteResponse) -> None:
         """Finish with the response, or try another server if it is a failure."""
         names = self._context.names
         self._read_notices(attempt.server, response)
@@ -306,7 +216,7 @@
             detail = f"{until_s - now:g} s"
             self._owner.log_dispatch_event("server_asked_to_wait", server, detail)
 
-    def handle_failure(self, attempt: _Attempt, error: BackendServerError) -> None:
+    def handle_failure(self, attempt: Attempt, error: BackendServerError) -> None:
         """Try another server if the request may be repeated."""
         self._record_result(attempt, AttemptResult.FAILED)
         is_truncated = isinstance(error, TruncatedResponseError)
@@ -314,7 +224,7 @@
         self._owner.log_dispatch_event("failed", attempt.server, str(error))
         self._retry_after_failure(attempt, cause)
 
-    def _handle_declined(self, attempt: _Attempt, response: CompleteResponse) -> None:
+    def _handle_declined(self, attempt: Attempt, response: CompleteResponse) -> None:
         """Try another server after one that did not run the request."""
         self._record_result(attempt, AttemptResult.DECLINED)
         self._owner.log_dispatch_event("declined", attempt.server, str(response.status))
@@ -330,7 +240,7 @@
     def _only_write_was_declined(self) -> bool:
         return self._writes == 1 and not self._attempts and self._last_response is None
 
-    def _retry_after_failure(self, attempt: _Attempt, cause: Cause) -> None:
+    def _retry_after_failure(self, attempt: Attempt, cause: Cause) -> None:
         self._attempts.remove(attempt)
         self._last_cause = cause
         if self._may_repeat() and self._try_next_server():
@@ -345,7 +255,7 @@
         connecting = sum(each.connecting is not None for each in self._attempts)
         return self._writes + connecting < self._route.max_attempts
 
-    def _record_result(self, attempt: _Attempt, result: AttemptResult) -> None:
+    def _record_result(self, attempt: Attempt, result: AttemptResult) -> None:
         if attempt.token is not None:
             token, attempt.token = attempt.token, None
             self._context.balancer.record_end(
@@ -358,7 +268,7 @@
 
     # Hedging.
 
-    def _schedule_hedge(self, attempt: _Attempt, now: float) -> None:
+    def _schedule_hedge(self, attempt: Attempt, now: float) -> None:
         if self._hedge is not None or not self._may_repeat():
             return
         balancer = self._context.balancer
--- /dev/null
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -0,0 +1,61 @@
+"""What a dispatch shares with others, and whom it reports to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol
+
+import attrs
+
+from gentianhitch.backend_servers.complete_responses import CompleteResponse
+from gentianhitch.backend_servers.server_connections import ServerConnections
+from gentianhitch.callers.complete_requests import HeaderNames
+from gentianhitch.callers.refusals import Cause
+from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.model import BackendServer
+from gentianhitch.proxy.retry_budget import RetryBudget
+
+
+class DispatchOwner(Protocol):
+    """Receives the result of a dispatch, exactly one, and its log events."""
+
+    def dispatch_succeeded(
+        self, response: CompleteResponse, server: BackendServer
+    ) -> None:
+        """Handle the response to forward to the caller."""
+        ...
+
+    def dispatch_failed(self, cause: Cause, *, may_have_run: bool) -> None:
+        """Handle a failure: there is no response to forward."""
+        ...
+
+    def log_dispatch_event(
+        self, event: str, server: BackendServer, detail: str
+    ) -> None:
+        """Log one event of an attempt."""
+        ...
+
+
+@attrs.define(eq=False)
+class DispatchContext:
+    """The parts that all dispatches of one instance share."""
+
+    clock: Any
+    balancer: Balancer
+    connections: ServerConnections
+    names: HeaderNames
+    create_budget: Callable[[], RetryBudget]
+    slack_share: Callable[[], float]
+    _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service; create it if there is none."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = self._budgets_by_service[service] = self.create_budget()
+        return budget
+
+    def try_spend_retry(self, service: str, now: float, *, hedge: bool) -> bool:
+        """Spend one retry of the budget of ``service``; False if there is none left."""
+        return self.budget(service).try_spend(now, self.slack_share(), hedge=hedge)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -44,7 +44,7 @@
 from gentianhitch.proxy.configuration_server import ConfigurationServer
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryResponse
-from gentianhitch.proxy.dispatch import DispatchContext
+from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.internal_resources import configuration_resource
 from gentianhitch.proxy.internal_resources import metrics_resource
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -19,7 +19,7 @@
 from gentianhitch.proxy.admission_queue import AdmissionQueue
 from gentianhitch.proxy.admission_queue import HeldRequest
 from gentianhitch.proxy.dispatch import Dispatch
-from gentianhitch.proxy.dispatch import DispatchContext
+from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.messages import encode_response
 from gentianhitch.proxy.model import BackendServer
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -15,7 +15,7 @@
 from gentianhitch.platform.caller_interface import HEADER_NAMES
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.dispatch import Dispatch
-from gentianhitch.proxy.dispatch import DispatchContext
+from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.retry_budget import RetryBudget
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -14,7 +14,7 @@
 from gentianhitch.platform.caller_interface import HEADER_NAMES
 from gentianhitch.proxy.admission_queue import AdmissionQueue
 from gentianhitch.proxy.balancing import Balancer
-from gentianhitch.proxy.dispatch import DispatchContext
+from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.quotas import Quotas
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.request_server import ServedRequest
