Answer a request whose serving meets an unexpected error

What callers may see: no answer. Cause: an error while one request was served went up to the event loop, which closed the caller's connection with all that it served, or, when it came from a server's answer, left the request without a response for good.

Each step of a request is guarded now: the error is logged, the attempts are abandoned, and the request is answered, with "not-run" only if nothing was written to a server. Ruled out: a guard at the connection alone, which doesn't see errors in servers' answers and in timers.

--- a/src/gentianhitch/callers/refusals.py
+++ b/src/gentianhitch/callers/refusals.py
@@ -55,6 +55,7 @@
     LEAVING = "leaving", 503, "Ask the directory for another instance."
     DEADLINE = "deadline", 504, "Allow more time in Gentianhitch-Deadline-Ms."
     SILENT = "silent", 504, "Find out whether it ran before repeating it."
+    INTERNAL_ERROR = "internal-error", 502, "Find out whether it ran before repeating."
     OLD_VERSION = "old-version", 505, "Use HTTP/1.1."
 
     def __init__(self, label: str, status: int, advice: str) -> None:
--- a/src/gentianhitch/proxy/attempts.py
+++ b/src/gentianhitch/proxy/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
 from typing import Protocol
 
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
@@ -15,6 +17,10 @@
 class AttemptOwner(Protocol):
     """Receives what becomes of an attempt."""
 
+    def guard(self, step: Callable[..., None], *args: Any) -> None:
+        """Run a step of the request, whose errors must not leave it unanswered."""
+        ...
+
     def write(self, attempt: Attempt, connection: ServerConnection) -> None:
         """Write the request to the connection that was made."""
         ...
@@ -45,22 +51,22 @@
     def connected(self, connection: ServerConnection) -> None:
         """Send the request on ``connection``."""
         self.connecting = None
-        self._owner.write(self, connection)
+        self._owner.guard(self._owner.write, self, connection)
 
     def connect_failed(self, error: ConnectError) -> None:
         """Have another server tried: nothing was written."""
         self.connecting = None
-        self._owner.connect_failed(self, error)
+        self._owner.guard(self._owner.connect_failed, self, error)
 
     def response_received(self, response: CompleteResponse) -> None:
         """Pass a response to the dispatch."""
         self.connection = None
-        self._owner.handle_response(self, response)
+        self._owner.guard(self._owner.handle_response, self, response)
 
     def response_failed(self, error: BackendServerError) -> None:
         """Pass a failure to the dispatch."""
         self.connection = None
-        self._owner.handle_failure(self, error)
+        self._owner.guard(self._owner.handle_failure, self, error)
 
     def cancel(self) -> None:
         """Close the connection, so that the server cancels the request."""
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
+from twisted.python.failure import Failure
+
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
 from gentianhitch.backend_servers.errors import BackendServerError
 from gentianhitch.backend_servers.errors import ConnectError
@@ -86,7 +89,9 @@
         now = self._context.clock.seconds()
         self._context.budget(self._service).record_request(now)
         delay = max(self._deadline - now, 0.0)
-        self._timer = self._context.clock.callLater(delay, self._deadline_passed)
+        self._timer = self._context.clock.callLater(
+            delay, self.guard, self._deadline_passed
+        )
         if not self._try_next_server():
             self._fail(Cause.NO_CAPACITY)
 
@@ -95,6 +100,26 @@
         if not self._ended:
             self._end()
 
+    def abandon(self) -> None:
+        """Close the connections of all attempts, after an unexpected error."""
+        self._ended = True
+        self._cancel_timers()
+        attempts, self._attempts = self._attempts, []
+        for attempt in attempts:
+            attempt.cancel()
+
+    def guard(self, step: Callable[..., None], *args: Any) -> None:
+        """Run a step; the owner answers the request after an unexpected error."""
+        try:
+            step(*args)
+        except Exception:
+            self._owner.dispatch_broke(Failure(), may_have_run=self._may_have_run)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a server may have run the request."""
+        return self._may_have_run
+
     def fail_now(self) -> None:
         """Fail at once, as when the deadline has passed."""
         self._deadline_passed()
@@ -279,7 +304,9 @@
         latest_s = max(self._route.objective_s - typical_s, typical_s)
         wait_s = max(min(wait_s, latest_s), MIN_HEDGE_DELAY_S)
         if now + wait_s < self._deadline:
-            self._hedge = self._context.clock.callLater(wait_s, self._send_hedge)
+            self._hedge = self._context.clock.callLater(
+                wait_s, self.guard, self._send_hedge
+            )
 
     def _send_hedge(self) -> None:
         self._hedge = None
@@ -312,10 +339,13 @@
 
     def _end(self) -> None:
         self._ended = True
-        for timer in (self._hedge, self._timer):
-            if timer is not None and timer.active():
-                timer.cancel()
+        self._cancel_timers()
         attempts, self._attempts = self._attempts, []
         for attempt in attempts:
             self._record_result(attempt, AttemptResult.CANCELLED)
             attempt.cancel()
+
+    def _cancel_timers(self) -> None:
+        for timer in (self._hedge, self._timer):
+            if timer is not None and timer.active():
+                timer.cancel()
--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import attrs
+from twisted.python.failure import Failure
 
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
 from gentianhitch.backend_servers.server_connections import ServerConnections
@@ -30,6 +31,10 @@
         """Handle a failure: there is no response to forward."""
         ...
 
+    def dispatch_broke(self, failure: Failure, *, may_have_run: bool) -> None:
+        """Handle an unexpected error; the dispatch may not have ended."""
+        ...
+
     def log_dispatch_event(
         self, event: str, server: BackendServer, detail: str
     ) -> None:
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -40,6 +40,7 @@
     "no-connection": "no backend server could be reached; the request did not run",
     "no-capacity": "no backend server had capacity left; the request did not run",
     "shed": "the backend servers declined the request; it did not run",
+    "internal-error": "a fault of the program; it may have run the request",
     "caller-gone": "the caller closed its connection before the response",
 }
 
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import wraps
 from http import HTTPStatus
 from random import Random
 from typing import Any
 
 import attrs
+from twisted.python.failure import Failure
 
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
 from gentianhitch.callers.complete_requests import CallerRequest
@@ -126,6 +128,19 @@
     return Refusal(cause)
 
 
+def _answers_errors(step: Callable[..., None]) -> Callable[..., None]:
+    """Make an unexpected error of a step end its request with an answer."""
+
+    @wraps(step)
+    def run(request: ServedRequest, *args: Any) -> None:
+        try:
+            step(request, *args)
+        except Exception:
+            request.handle_error()
+
+    return run
+
+
 class ServedRequest:
     """One request, from its arrival to its response."""
 
@@ -146,6 +161,7 @@
         self._held: HeldRequest | None = None
         self._service = ""
 
+    @_answers_errors
     def start(self) -> None:
         """Admit the request and dispatch it, hold it for its quota, or refuse it."""
         allowed = self._server.check(self._request, self._started_s)
@@ -164,6 +180,7 @@
             self._held = held
             self._log_quota("held", allowed.workspace)
 
+    @_answers_errors
     def admitted(self) -> None:
         """Dispatch the request: it is within its quota."""
         if self._allowed is None:
@@ -187,6 +204,7 @@
         )
         self._dispatch.start()
 
+    @_answers_errors
     def over_rate(self, retry_after_s: float) -> None:
         """Refuse the request: its workspace has used its quota."""
         self._held = None
@@ -208,6 +226,7 @@
             self._dispatch.cancel()
         self._finish("caller-gone", None, detail=detail)
 
+    @_answers_errors
     def respond_now(self) -> None:
         """Fail the dispatch, since the instance is stopping."""
         if self._held is not None:
@@ -246,6 +265,21 @@
             cause = Cause.NO_CAPACITY
         self._refuse(Refusal(cause, retry_after_s=self._retry_after_s()))
 
+    def dispatch_broke(self, failure: Failure, *, may_have_run: bool) -> None:
+        """Answer the request after an unexpected error; others are not affected."""
+        self._server.events.failure(failure)
+        if self._dispatch is not None:
+            self._dispatch.abandon()
+        outcome = RefusalOutcome.UNKNOWN if may_have_run else RefusalOutcome.NOT_RUN
+        cause = Cause.INTERNAL_ERROR if may_have_run else Cause.NO_CAPACITY
+        self._refuse(Refusal(cause, outcome, detail=type(failure.value).__name__))
+
+    def handle_error(self) -> None:
+        """Answer the request after the error that is being handled."""
+        dispatch = self._dispatch
+        may_have_run = dispatch is not None and dispatch.may_have_run
+        self.dispatch_broke(Failure(), may_have_run=may_have_run)
+
     def _retry_after_s(self) -> float:
         """Return when to come back: later if all servers asked to wait."""
         server = self._server
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -8,7 +8,6 @@
 from twisted.internet.task import Clock
 
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
-from gentianhitch.backend_servers.errors import ConnectError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.refusals import Cause
@@ -19,68 +18,13 @@
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.retry_budget import RetryBudget
+from tests.builders_dispatch import FakeConnections
+from tests.builders_dispatch import make_response
 from tests.builders_proxy import make_route
 from tests.builders_proxy import make_server
 from tests.builders_proxy import make_workspace
 
 
-@attrs.define(eq=False)
-class FakeConnection:
-    """Record the data written to one server."""
-
-    server: str
-    waiter: Any
-    sent: list[bytes] = attrs.Factory(list)
-    closed: bool = False
-
-    def send(self, request_id: bytes, data: bytes, waiter: Any) -> None:
-        self.sent.append(data)
-
-    def close(self) -> None:
-        self.closed = True
-
-
-class FakeConnecting:
-    """A connection that is being opened."""
-
-    def cancel(self) -> None:
-        pass
-
-
-@attrs.define(eq=False)
-class FakeConnections:
-    """Connect at once, except to the ``unreachable`` servers."""
-
-    unreachable: set[str] = attrs.Factory(set)
-    made: list[FakeConnection] = attrs.Factory(list)
-    max_idle_s: list[float] = attrs.Factory(list)
-    is_slow: bool = False
-    connecting: list[FakeConnection] = attrs.Factory(list)
-
-    def acquire(self, key: Any, address: Any, waiter: Any, *, max_idle_s: float) -> Any:
-        self.max_idle_s.append(max_idle_s)
-        if self.is_slow:
-            self.connecting.append(FakeConnection(key[0], waiter))
-            return FakeConnecting()
-        if key[0] in self.unreachable:
-            waiter.connect_failed(ConnectError("refused"))
-            return None
-        connection = FakeConnection(key[0], waiter)
-        self.made.append(connection)
-        waiter.connected(connection)
-        return None
-
-    def finish_connecting(self) -> None:
-        """Connect where ``is_slow`` had delayed it."""
-        connecting, self.connecting = self.connecting, []
-        for connection in connecting:
-            self.made.append(connection)
-            connection.waiter.connected(connection)
-
-    def servers_with_idle_connections(self) -> frozenset[str]:
-        return frozenset()
-
-
 @attrs.define(eq=False)
 class Owner:
     """Record the result of a dispatch."""
@@ -117,11 +61,6 @@
     )
 
 
-def make_response(status: int = 200, *headers: tuple[bytes, bytes]) -> CompleteResponse:
-    signature = (b"X-Gentianhitch-Response-Signature", b"sig")
-    return CompleteResponse(status, b"", [signature, *headers], b"body", True)
-
-
 DECLINED = (b"X-Gentianhitch-Not-Executed", b"1")
 
 
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -4,7 +4,6 @@
 
 import re
 from random import Random
-from typing import Any
 
 import attrs
 import pytest
@@ -23,6 +22,9 @@
 from gentianhitch.proxy.server_notices import RETURN_SPREAD_S
 from gentianhitch.proxy.store_view import StoreView
 from gentianhitch.proxy.traffic_split import TrafficSplits
+from tests.builders_dispatch import HELD
+from tests.builders_dispatch import RecordedEvents
+from tests.builders_dispatch import RecordedResponse
 from tests.builders_proxy import HOST
 from tests.builders_proxy import KEY
 from tests.builders_proxy import TOLERANCE
@@ -32,32 +34,9 @@
 from tests.builders_proxy import make_stored
 from tests.builders_proxy import make_workspace
 
-HELD = b""
 REVOCATION_S = 60.0
 
 
-@attrs.define
-class RecordedEvents:
-    """Record the names of the events of requests."""
-
-    names: list[str] = attrs.Factory(list)
-
-    def request(self, event: str, request_id: bytes, **inputs: Any) -> None:
-        self.names.append(event)
-
-
-@attrs.define(eq=False)
-class RecordedResponse:
-    """Record the response to one request."""
-
-    data: bytes = HELD
-    will_close: bool = False
-
-    def send(self, data: bytes) -> None:
-        assert self.data == HELD
-        self.data = data
-
-
 @attrs.define(eq=False)
 class RecordedConnections:
     """Count the connections that are asked for; none is ever made."""
