End a drain at once if no final response was due

What could be seen: a process with only a paused caller left exits 5.88 to 6.08 s after SIGTERM (three runs, load average 23 on 8 cores; grace 6 s), so one may be killed. Cause: the 0.1 s for final responses was also spent where none was written; what was still undelivered then had had the whole grace.

Evidence: test_shutdown.py::TestEnd:: test_waits_no_longer_for_a_caller_that_has_paused, red before (the drain had not ended after 5.65 s), passes after. Not treated: the 0.17 to 0.24 s from "stopped" to the exit.

--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -87,10 +87,17 @@
             self._notify_idle()
 
     def respond_now(self) -> None:
-        """End all requests now: their responses say whether they may have run."""
+        """End all requests now: their responses say whether they may have run.
+
+        Without any, the remaining responses had their time to be delivered.
+        """
+        is_serving = any(connection.is_serving for connection in self.connections)
         for connection in tuple(self.connections):
             connection.respond_now()
-        self.notify_if_idle()
+        if is_serving:
+            self.notify_if_idle()
+        else:
+            self.stop_waiting()
 
     def stop_waiting(self) -> None:
         """Call ``on_idle`` although responses are still being delivered."""
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -122,6 +122,19 @@
         stop.advance(LAST_DELIVERY_S + 0.1)
         assert stop.ended_s is not None
 
+    # Guards against a process that is killed since its exit begins too late: the time
+    # for final responses was spent on a caller that had paused before.
+    def test_waits_no_longer_for_a_caller_that_has_paused(self) -> None:
+        scenario = Scenario()
+        scenario.connection.dataReceived(GET)
+        scenario.served[0].response.send(b"answer")
+        scenario.connection._count_undelivered = lambda: 9
+        stop = Stop(scenario)
+        stop.advance(GRACE_S - KILL_MARGIN_S - 0.1)
+        assert stop.ended_s is None
+        scenario.clock.advance(0.1 + LAST_DELIVERY_S / 2)
+        assert stop.ended_s is not None
+
     def test_refuses_incomplete_requests(self) -> None:
         scenario = Scenario()
         stop = Stop(scenario)
