Keep the connections of peers that pause before they read

What callers saw: requests that ended without an answer, or with a 502, at any time.

Cause: TCP_USER_TIMEOUT of 3 s. Linux applies it to the whole time for which the window is closed, though the peer acknowledges each probe of it. Same class: each socket with watch_for_silence, thus both edges' servers.

Now: every 0.5 s the connections with undelivered bytes or a pending request are looked at (TCP_INFO). While the window is closed, the limit reaches 6 s beyond the latest acknowledgement; else it is 3 s as before, also where the kernel doesn't tell. Callers are kept to the idle limit, servers' requests to their deadline.

Ruled out: the limit off while the window is closed (probes get rare, a peer that vanishes isn't found), the age of the latest acknowledgement alone (grows between probes).

--- a/src/gentianhitch/backend_servers/connection.py
+++ b/src/gentianhitch/backend_servers/connection.py
@@ -13,6 +13,7 @@
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.backend_servers.responses import ResponsePart
 from gentianhitch.backend_servers.responses import ResponseReader
+from gentianhitch.silence import SilenceLimit
 from gentianhitch.writing import write_at_once
 
 
@@ -61,6 +62,12 @@
         """Record the time, as if data had been received, and disable Nagle's delay."""
         self.last_received_s = self._owner.seconds()
         self.transport.setTcpNoDelay(True)
+        self._silence_limit = SilenceLimit(self.transport)
+
+    def update_silence_limit(self, now: float) -> None:
+        """Adapt the limit for silence while a request is pending."""
+        if self._receiver is not None or self._silence_limit.is_extended:
+            self._silence_limit.update(now)
 
     @property
     def is_closed(self) -> bool:
--- a/src/gentianhitch/backend_servers/pool.py
+++ b/src/gentianhitch/backend_servers/pool.py
@@ -60,6 +60,7 @@
         self._reactor = reactor
         self._clock = clock
         self._pools_by_address: dict[Address, _TargetPool] = {}
+        self.connections: set[TargetConnection] = set()
 
     def seconds(self) -> float:
         """Return the time of the pool's clock in seconds."""
@@ -94,6 +95,11 @@
                 if now - connection.last_received_s >= max_idle_s:
                     connection.close()
 
+    def update_silence_limits(self, now: float) -> None:
+        """Adapt the limits for silence; call this periodically."""
+        for connection in self.connections:
+            connection.update_silence_limit(now)
+
     def open_by_address(self) -> dict[Address, int]:
         """Return the number of open connections for each address."""
         return {
@@ -140,12 +146,17 @@
     _connection_pool: ConnectionPool
     _pool: _TargetPool
 
+    def connection_made(self, connection: TargetConnection) -> None:
+        """Add a new connection to all of the pool."""
+        self._connection_pool.connections.add(connection)
+
     def connection_idle(self, connection: TargetConnection) -> None:
         """Add a connection to the idle ones."""
         self._pool.idle.append(connection)
 
     def connection_closed(self, connection: TargetConnection) -> None:
         """Remove a closed connection from the pool."""
+        self._connection_pool.connections.discard(connection)
         self._pool.open_connections -= 1
         if connection in self._pool.idle:
             self._pool.idle.remove(connection)
@@ -186,14 +197,16 @@
 
     def __init__(self, owner: _PoolOwner, connecting: Connecting) -> None:
         super().__init__(owner)
+        self._pool_owner = owner
         self._connecting = connecting
 
     def connectionMade(self) -> None:  # noqa: N802
         """Pass the connection to its waiter, or to the pool if there is none."""
         super().connectionMade()
         watch_for_silence(self.transport)
+        self._pool_owner.connection_made(self)
         waiter, self._connecting.waiter = self._connecting.waiter, None
         if waiter is None:
-            self._owner.connection_idle(self)
+            self._pool_owner.connection_idle(self)
         else:
             waiter.connected(self)
--- a/src/gentianhitch/backend_servers/server_connections.py
+++ b/src/gentianhitch/backend_servers/server_connections.py
@@ -20,6 +20,7 @@
 from gentianhitch.backend_servers.errors import InvalidResponseError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.buffers import BufferAccount
+from gentianhitch.silence import SilenceLimit
 from gentianhitch.socket_options import watch_for_silence
 from gentianhitch.writing import write_at_once
 
@@ -91,6 +92,8 @@
         """Pass the connection to its waiter, or to the pool if there is none."""
         self.transport.setTcpNoDelay(True)
         watch_for_silence(self.transport)
+        self._silence_limit = SilenceLimit(self.transport)
+        self._pool.connections.add(self)
         waiter, self._waiter = self._waiter, None
         if waiter is None:
             self._pool.put_idle(self._key, self)
@@ -104,6 +107,11 @@
         self._is_reusable = len(data) <= MAX_REUSABLE_REQUEST_BYTES
         write_at_once(self.transport, data)
 
+    def update_silence_limit(self, now: float) -> None:
+        """Adapt the limit for silence while a request is pending."""
+        if self._waiter is not None or self._silence_limit.is_extended:
+            self._silence_limit.update(now)
+
     def close(self) -> None:
         """Reset the connection, which makes the server cancel a pending request."""
         self._waiter = None
@@ -252,6 +260,7 @@
         self._clock = clock
         self.request_id_header = request_id_header.lower()
         self._idle_by_server: dict[ServerKey, list[ServerConnection]] = {}
+        self.connections: set[ServerConnection] = set()
         self.buffers = buffers
         self.opened = 0
 
@@ -298,7 +307,8 @@
         self._idle_by_server.setdefault(key, []).append(connection)
 
     def discard(self, key: ServerKey, connection: ServerConnection) -> None:
-        """Remove a connection from the idle ones, if it is there."""
+        """Remove a connection that is closed."""
+        self.connections.discard(connection)
         idle = self._idle_by_server.get(key)
         if idle and connection in idle:
             idle.remove(connection)
@@ -310,6 +320,11 @@
                 for connection in self._idle_by_server.pop(key):
                     connection.close()
 
+    def update_silence_limits(self, now: float) -> None:
+        """Adapt the limits for silence; call this periodically."""
+        for connection in self.connections:
+            connection.update_silence_limit(now)
+
     def close_idle(self, now: float) -> None:
         """Close connections that were idle for longer than their ``max_idle_s``."""
         for idle in self._idle_by_server.values():
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -25,6 +25,7 @@
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.refusals import Refusal
 from gentianhitch.callers.refusals import encode_refusal
+from gentianhitch.silence import SilenceLimit
 from gentianhitch.socket_options import watch_for_silence
 from gentianhitch.writing import write_at_once
 
@@ -125,6 +126,7 @@
         """Enable keepalive probes and register the connection for timeouts."""
         self.transport.setTcpNoDelay(True)
         watch_for_silence(self.transport)
+        self._silence_limit = SilenceLimit(self.transport)
         self._factory.connections.add(self)
 
     @property
@@ -288,10 +290,12 @@
     def check(self, now: float) -> None:
         """Close the connection, or refuse a partial request, after a timeout.
 
-        A caller that receives slowly is active; the kernel resets the connection of one
-        that receives nothing.
+        A caller that receives slowly is active. The kernel resets the connection of one
+        that is gone.
         """
         undelivered = self._count_undelivered()
+        if undelivered or self._silence_limit.is_extended:
+            self._silence_limit.update(now)
         self.update_buffered()
         if undelivered != self._undelivered_bytes:
             self._undelivered_bytes = undelivered
--- a/src/gentianhitch/callers/request_path.py
+++ b/src/gentianhitch/callers/request_path.py
@@ -178,3 +178,4 @@
         for connection in tuple(self._context.connections):
             connection.check(now)
         self.pool.close_idle(now)
+        self.pool.update_silence_limits(now)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -314,6 +314,7 @@
     def _run_housekeeping(self) -> None:
         now = self._reactor.seconds()
         self._connections.close_idle(now)
+        self._connections.update_silence_limits(now)
         self._changes.update(now)
         self._changes.log_service_use(now)
         self._settings_file.reload_if_changed()
--- a/tests/builders_path.py
+++ b/tests/builders_path.py
@@ -48,7 +48,7 @@
     )
 
 
-def build_document(keys=(KEY,), routes=None, targets=None):
+def build_document(keys=(KEY,), routes=None, targets=None, deadline_ms=1000):
     return Document(
         environment="production",
         workspaces=(
@@ -59,7 +59,7 @@
                 tuple(hashlib.sha256(key).hexdigest() for key in keys),
             ),
         ),
-        services=(Service("stock", 2, 1000), Service("orders", 2, 1000)),
+        services=tuple(Service(name, 2, deadline_ms) for name in ("stock", "orders")),
         backend_servers=build_targets() if targets is None else targets,
         routes=(GET_STOCK, OPEN_PRICES, HEAD_STOCK, PUT_STOCK, POST_ORDER)
         if routes is None
--- a/tests/builders_raw_callers.py
+++ b/tests/builders_raw_callers.py
@@ -87,10 +87,19 @@
 
 
 class SlowReader:
-    """Receives one answer of ``size`` bytes at ``bytes_per_s``, in a thread."""
+    """Receives one answer of ``size`` bytes at ``bytes_per_s``, in a thread.
+
+    It reads nothing for ``pause_s`` seconds before.
+    """
 
     def __init__(
-        self, address: str, size: int, bytes_per_s: int, window_bytes: int
+        self,
+        address: str,
+        size: int,
+        bytes_per_s: int,
+        window_bytes: int,
+        *,
+        pause_s: float = 0.0,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._connection = socket.socket()
@@ -99,6 +108,7 @@
         self._connection.connect((host, int(port)))
         self._size = size
         self._bytes_per_s = bytes_per_s
+        self._pause_s = pause_s
         self._piece_bytes = window_bytes // 2
         self._end = "open"
         self._thread = Thread(target=self._read, daemon=True)
@@ -128,6 +138,7 @@
 
     def _read(self) -> None:
         received = bytearray()
+        time.sleep(self._pause_s)
         try:
             while not _is_whole(received):
                 data = self._connection.recv(self._piece_bytes)
--- a/tests/callers/test_sockets.py
+++ b/tests/callers/test_sockets.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 import resource
+import socket
 from pathlib import Path
 
 import attrs
@@ -23,11 +24,13 @@
 from gentianhitch.callers.connection import IDLE_TIMEOUT_S
 from gentianhitch.callers.connection import REQUEST_TIMEOUT_S
 from gentianhitch.callers.request_path import RequestPath
+from gentianhitch.decisions.interfaces import AgreedState
 from gentianhitch.decisions.targets.slots import QueuedSlots
 from tests.builders_closes import KernelCaller
 from tests.builders_path import FakeAgreement
 from tests.builders_path import FakeLimiter
 from tests.builders_path import FakeSelector
+from tests.builders_path import build_document
 from tests.builders_path import build_targets
 from tests.builders_path import make_order
 from tests.builders_path import make_request
@@ -42,9 +45,20 @@
         self.transport.write(make_response(b"from the target"))
 
 
-def listen(reactor, internal=None, target=EchoTarget, **options):
+def listen(
+    reactor,
+    internal=None,
+    target=EchoTarget,
+    *,
+    agreement=None,
+    window_bytes=None,
+    **options,
+):
     """Start a target and a request path to it; return the path and its port."""
     listening = reactor.listenTCP(0, Factory.forProtocol(target), interface="127.0.0.1")
+    if window_bytes is not None:
+        receive_buffer = (socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        listening.socket.setsockopt(*receive_buffer)
     address = Address("127.0.0.1", listening.getHost().port)
     targets = tuple(
         attrs.evolve(target, address=address) for target in build_targets(slots=64)
@@ -52,7 +66,7 @@
     selector = FakeSelector(targets)
     path = RequestPath(
         reactor,
-        FakeAgreement(),
+        agreement or FakeAgreement(),
         FakeLimiter(),
         selector,
         QueuedSlots(selector, reactor),
@@ -94,6 +108,8 @@
         assert responses[2].body == b"again Bearer key-of-nord"
 
 
+PAUSE_S = 4.0
+DEADLINE_MS = 9000
 GIGABYTE = 1024**3
 BLOCK = bytes(64 * 1024)
 MAX_GROWTH_BYTES = 64 * 1024 * 1024
@@ -131,6 +147,43 @@
         self.paused = True
 
 
+class PausingTarget(Protocol):
+    """Reads nothing for ``PAUSE_S``, then the whole request, and responds."""
+
+    def connectionMade(self):  # noqa: N802
+        self.parser = HttpRequestParser(self)
+        self.transport.pauseProducing()
+        resume = self.transport.resumeProducing
+        self.transport.reactor.callLater(PAUSE_S, resume)
+
+    def dataReceived(self, data):  # noqa: N802
+        self.parser.feed_data(data)
+
+    def on_message_complete(self):
+        self.transport.write(make_response(b"read"))
+
+
+# Guards against requests that fail while a target pauses before it reads a body: the
+# kernel reset connections whose window had been closed for 3 s.
+class TestPausingTarget:
+    def test_gets_the_whole_request(self):
+        async def scenario(reactor):
+            document = build_document(deadline_ms=DEADLINE_MS)
+            path, port = listen(
+                reactor,
+                target=PausingTarget,
+                agreement=FakeAgreement((AgreedState(1, {}, document),)),
+                window_bytes=16_384,
+            )
+            caller = await connect_caller(reactor, port)
+            caller.transport.write(make_order(bytes(4_000_000)))
+            response = await caller.answer()
+            path.close()
+            return response
+
+        assert run_scenario(scenario).body == b"read"
+
+
 class SlowReader(Protocol):
     """Counts bytes and pauses reading for 0.1 s after each eighth."""
 
