Have the fault soak pause, send waves at closes, and count lost requests

The soak missed them: its callers never paused, its planned stops fell amid other faults, which excuse what a stop cuts, and a request that no server had seen was never counted as lost.

Now callers pause once in each request (before or in the head, in the body, before or in the answer; 0.3 to 4.6 s) with default and small receive buffers, and ask backend servers of a service of their own to pause before they read a body or amid their answer. After the last fault and the calm time, a third of the instances stop while waves of callers come about 2.0, 2.3 and 2.6 s after SIGTERM, on kept and on new connections. A request is answered, refused, failed, crossed (its connection ended within 200 ms of its last byte and no server saw it) or lost. LOST is broken by what a stop cuts, by a failure in place of an answer on which a server was at work, and by more than three requests on kept connections of instances in touch. No request is excused by its own pause, but for pauses that last longer than the grace of the process. Stops of other instances excuse nothing any longer. The other checks are as they were; the calm time is that before the waves, of the same callers as before.

Evidence: tests/standins/test_fault_soak_checks.py covers each outcome. Ruled out: pauses as disturbances, which would have hidden all of these.

--- a/standins/fault_soak/__main__.py
+++ b/standins/fault_soak/__main__.py
@@ -24,12 +24,15 @@
     parser.add_argument("--proxies", type=int, default=6)
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--faults-s", type=float, default=12.0)
+    parser.add_argument("--wave", type=int, default=40)
+    parser.add_argument("--pausing", type=int, default=8)
     parser.add_argument("--keep", type=Path)
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.count):
         options = Options(
-            seed, arguments.proxies, arguments.callers, arguments.faults_s
+            *(seed, arguments.proxies, arguments.callers),
+            *(arguments.faults_s, arguments.wave, arguments.pausing),
         )
         with scratch_folder() as folder:
             broken, soak = run_soak(options, Path(folder))
--- a/standins/fault_soak/callers.py
+++ b/standins/fault_soak/callers.py
@@ -32,6 +32,7 @@
     prefix: str
     key: str | None
     workspace: str
+    timeout_s: float = 2.0
 
 
 @attrs.define
@@ -39,7 +40,10 @@
     """One request as its caller saw it; ``status`` 0 means no whole answer.
 
     ``address`` is the instance that it was sent to; ``server_leaves`` if the answer
-    says so of its server.
+    says so of its server. ``sent_s`` is when its first byte was sent, ``whole_s`` when
+    the last one was, or 0. ``kept`` if the connection had brought an answer before,
+    ``behind`` if it was sent behind a request that still waited. ``paused_until_s`` is
+    the end of the caller's own pause.
     """
 
     request: str
@@ -52,6 +56,17 @@
     answer: dict[str, Any] = attrs.Factory(dict)
     left: bool = False
     server_leaves: bool = False
+    query: str = ""
+    whole_s: float = 0.0
+    kept: bool = False
+    behind: bool = False
+    pauses: bool = False
+    paused_until_s: float = 0.0
+
+    @property
+    def path(self) -> str:
+        """Return the path and the query that were sent."""
+        return f"{self.kind.prefix}{self.request}{self.query}"
 
 
 @attrs.define
@@ -66,6 +81,7 @@
     stopped: threading.Event = attrs.Factory(threading.Event)
     _connection: HTTPConnection | None = None
     _address: str = ""
+    _is_kept: bool = False
 
     def run(self) -> None:
         """Send until stopped."""
@@ -83,7 +99,8 @@
         if self._connection is None:
             self._address = self.random.choice(addresses)
             self._connection = HTTPConnection(self._address, timeout=TIMEOUT_S)
-        seen = Seen(request, kind, self._address, time.monotonic())
+            self._is_kept = False
+        seen = Seen(request, kind, self._address, time.monotonic(), kept=self._is_kept)
         self.seen.append(seen)
         try:
             self._exchange(self._connection, seen)
@@ -101,8 +118,8 @@
         }
         if seen.kind.key is not None:
             headers["Authorization"] = f"Bearer {seen.kind.key}"
-        path = f"{seen.kind.prefix}{seen.request}"
-        connection.request(seen.kind.method, path, headers=headers)
+        connection.request(seen.kind.method, seen.path, headers=headers)
+        seen.whole_s = time.monotonic()
         if self.random.random() < LEAVE_SHARE:
             seen.left = True
             self._drop()
@@ -114,6 +131,7 @@
         seen.server_leaves = said == "1"
         seen.answer = json.loads(body) if body else {}
         seen.status = answer.status
+        self._is_kept = True
         if answer.headers.get("Connection", "").lower() == "close":
             self._drop()
 
--- a/standins/fault_soak/checks.py
+++ b/standins/fault_soak/checks.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from functools import cached_property
 from typing import Any
 
 import attrs
@@ -19,6 +20,9 @@
 CONTACT_S = 3.0
 WAIT_SLACK_S = 0.5
 MAX_IN_WAIT = 2
+LOSS_SLACK_S = 0.2
+GRACE_S = 6.0
+MAX_LOST_IN_TOUCH = 3
 SERVED_AFTER_RECOVERY = 0.9
 
 
@@ -74,6 +78,7 @@
     limits: list[Limit]
     disturbances: list[Disturbance]
     arrivals_by_server: dict[str, list[dict[str, Any]]] = attrs.Factory(dict)
+    reached: set[str] = attrs.Factory(set)
 
     def broken(self) -> list[str]:
         """Return a line for each broken promise."""
@@ -88,8 +93,34 @@
             *self._left(),
             *self._crowded(),
             *self._lost(),
+            *self._lost_in_touch(),
         ]
 
+    def outcome(self, seen: Seen) -> str:
+        """Return what became of a request, by what its caller and the servers saw."""
+        if seen.status:
+            if seen.status in NOT_RUN_STATUSES and not seen.signed:
+                return "refused"
+            return "answered" if seen.signed or seen.status < 500 else "failed"
+        if seen.left:
+            return "left by its caller"
+        if seen.request in self._ran:
+            return "lost"
+        if not seen.whole_s:
+            return "not sent whole"
+        if self._was_passed_on(seen):
+            return "lost"
+        if seen.behind or seen.ended_s - seen.whole_s <= LOSS_SLACK_S:
+            return "crossed"
+        return "lost"
+
+    def _was_passed_on(self, seen: Seen) -> bool:
+        return seen.request in self._ran or seen.request in self.reached
+
+    @cached_property
+    def _ran(self) -> set[str]:
+        return {run["request"] for run in self.runs}
+
     def _run_twice(self) -> Iterable[str]:
         counts = Counter(run["request"] for run in self.runs)
         for seen in self.seen:
@@ -116,7 +147,7 @@
             seen = by_request.get(run["request"])
             if seen is None:
                 yield f"UNASKED {run['request']} was sent by nobody"
-            elif run["path"] != f"{seen.kind.prefix}{seen.request}":
+            elif run["path"] != seen.path:
                 yield f"UNASKED {run['request']} ran as {run['path']}"
             elif run["workspace"] != seen.kind.workspace or run["authorization"]:
                 yield f"UNASKED {run['request']} ran for {run['workspace']!r}"
@@ -206,18 +237,60 @@
 
     def _lost(self) -> Iterable[str]:
         """Find requests that a planned stop cut, with no other fault about."""
-        ran = {run["request"] for run in self.runs}
         for stop in self.disturbances:
             for seen in self.seen:
-                if seen.address != stop.stopped or seen.status or seen.left:
-                    continue
                 during = stop.began_s <= seen.ended_s <= stop.ended_s
-                alone = not any(
-                    each is not stop and each.touches(seen.sent_s, seen.ended_s)
-                    for each in self.disturbances
-                )
-                if during and alone and seen.request in ran:
-                    yield f"LOST {seen.request} ran and got no answer"
+                if seen.address != stop.stopped or not during:
+                    continue
+                # No process may outlive its grace, however long its caller pauses.
+                if seen.paused_until_s > stop.began_s + GRACE_S:
+                    continue
+                is_lost = self.outcome(seen) == "lost" or self._was_broken_off(seen)
+                if is_lost and self._is_alone(stop, seen):
+                    yield self._describe(seen, stop)
+
+    def _lost_in_touch(self) -> Iterable[str]:
+        lost = self.lost_in_touch()
+        if len(lost) > MAX_LOST_IN_TOUCH:
+            yield from (self._describe(seen) for seen in lost)
+
+    def lost_in_touch(self) -> list[Seen]:
+        """Return requests amid which instances in touch closed kept connections."""
+        lost = []
+        for seen in self.seen:
+            is_lost = seen.kept and self.outcome(seen) == "lost"
+            is_excused = any(
+                (not each.stopped or each.stopped == seen.address)
+                and each.touches(seen.sent_s, seen.ended_s)
+                for each in self.disturbances
+            )
+            if is_lost and self._was_passed_on(seen) and not is_excused:
+                lost.append(seen)
+        return lost
+
+    def _was_broken_off(self, seen: Seen) -> bool:
+        """Tell whether a failure of the instance took the place of an answer."""
+        is_own = seen.status >= 500 and not seen.signed
+        is_early = seen.ended_s - seen.sent_s < seen.kind.timeout_s
+        return is_own and is_early and self._was_passed_on(seen)
+
+    def _is_alone(self, stop: Disturbance, seen: Seen) -> bool:
+        """Tell whether no fault but stops of other instances is about."""
+        return not any(
+            each is not stop
+            and (not each.stopped or each.stopped == stop.stopped)
+            and each.touches(seen.sent_s, seen.ended_s)
+            for each in self.disturbances
+        )
+
+    def _describe(self, seen: Seen, stop: Disturbance | None = None) -> str:
+        what = f"got {seen.status}" if seen.status else "got no answer"
+        ran = "reached a server" if self._was_passed_on(seen) else "was not passed on"
+        after_s = seen.ended_s - seen.whole_s
+        line = f"LOST {seen.request}{seen.query} {ran} and {what} for {after_s:.2f} s"
+        if stop is not None:
+            line += f", sent {seen.sent_s - stop.began_s:.2f} s after the stop began"
+        return f"{line}, at {seen.address}"
 
 
 def recovered(seen: Iterable[Seen], since_s: float) -> str | None:
--- a/standins/fault_soak/deployment.py
+++ b/standins/fault_soak/deployment.py
@@ -25,6 +25,12 @@
 SMALL_KEY = "key-south-1"
 SMALL_RATE_PER_S = 4
 SMALL_BURST = 4
+FILES = "files"
+FILES_SERVERS = 4
+FILES_TIMEOUT_S = 10.0
+"""Longer than any pause of a caller or of a backend server."""
+
+FILES_ROUTES = {"download": "/downloads/", "upload": "/uploads/"}
 
 
 @attrs.define
@@ -32,6 +38,7 @@
     """Hold the processes of one soak; it ends only what it started."""
 
     links: str = ""
+    files_by_id: dict[str, str] = attrs.Factory(dict)
     links_by_proxy: dict[str, str] = attrs.Factory(dict)
     version: int = 1
     keys: list[str] = attrs.Factory(lambda: [KEY])
@@ -44,6 +51,11 @@
         self.links = self.start_standin("standins.faulty_links")["address"]
         self.server_arguments = ("--links", self.links, "--work-ms", "40")
         super().__enter__()
+        self.files_by_id = self.start_standin(
+            "standins.platform_server",
+            *("--store", self.store, "--service", FILES, "--work-ms", "40"),
+            *("--count", str(FILES_SERVERS), "--buffer-bytes", "16384"),
+        )["addresses"]
         self.publish()
         return self
 
@@ -68,6 +80,23 @@
         )
         document["tenants"][0].update({"name": WORKSPACE, "ratePerS": 0, "burst": 0})
         rules = document["listeners"][0]["rules"]
+        document["clusters"].append({**document["clusters"][0], "name": FILES})
+        action = {
+            **rules[0]["action"],
+            "service": FILES,
+            "timeoutMs": int(FILES_TIMEOUT_S * 1000),
+        }
+        for name, prefix in FILES_ROUTES.items():
+            kind = "unsafe" if name == "upload" else "safe"
+            rules.append(
+                {
+                    **rules[0],
+                    "name": name,
+                    "type": kind,
+                    "match": {"prefix": prefix},
+                    "action": action,
+                }
+            )
         for prefix in self.extra_routes:
             rules.append({**rules[0], "name": prefix, "match": {"prefix": prefix}})
         self.configure(document)
@@ -129,10 +158,21 @@
         """Return every request that a server began to work on."""
         return [
             run
-            for address in self.servers_by_id.values()
+            for address in self._server_addresses()
             for run in call("GET", address, "/admin/runs")
         ]
 
+    def reached(self) -> set[str]:
+        """Return the requests whose heads reached a server."""
+        return {
+            request
+            for address in self._server_addresses()
+            for request in call("GET", address, "/admin/reached")
+        }
+
+    def _server_addresses(self) -> list[str]:
+        return [*self.servers_by_id.values(), *self.files_by_id.values()]
+
     def arrivals_by_server(self) -> dict[str, list[dict[str, Any]]]:
         """Return every request that reached a server, refused ones included."""
         return {
--- a/standins/fault_soak/pipelining.py
+++ b/standins/fault_soak/pipelining.py
@@ -53,16 +53,27 @@
             return
         now = time.monotonic()
         group = [
-            Seen(f"{request}.{index}", kind, self._address, now)
+            Seen(
+                *(f"{request}.{index}", kind, self._address, now),
+                kept=self._is_kept,
+                behind=index > 0,
+            )
             for index in range(count)
         ]
         self.seen += group
         body = b"x" * (SLOW_BODY_BYTES if is_slow else 0)
         try:
-            connection.sendall(b"".join(_encode(seen, body) for seen in group))
+            connection.sendall(
+                b"".join(
+                    encode_head(seen, len(body), REMAINING_S) + body for seen in group
+                )
+            )
+            for seen in group:
+                seen.whole_s = time.monotonic()
             for seen in group:
                 answer = read_answer(connection, self._buffer)
-                _record(seen, answer)
+                record(seen, answer)
+                self._is_kept = True
                 if answer.closes_connection:
                     self._drop()
                     break
@@ -76,11 +87,8 @@
     def _connect(self, addresses: list[str], *, is_slow: bool) -> socket.socket:
         if self._socket is None:
             self._address = self.random.choice(addresses)
-            self._socket = SlowSocket() if is_slow else socket.socket()
-            if is_slow:
-                self._socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_WINDOW_BYTES
-                )
+            self._is_kept = False
+            self._socket = self._make_socket(is_slow=is_slow)
             self._socket.settimeout(TIMEOUT_S)
             host, _, port = self._address.rpartition(":")
             try:
@@ -90,6 +98,12 @@
                 raise
         return self._socket
 
+    def _make_socket(self, *, is_slow: bool) -> socket.socket:
+        made = SlowSocket() if is_slow else socket.socket()
+        if is_slow:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_WINDOW_BYTES)
+        return made
+
     def _drop(self) -> None:
         if self._socket is not None:
             self._socket.close()
@@ -97,21 +111,23 @@
         self._buffer.clear()
 
 
-def _encode(seen: Seen, body: bytes) -> bytes:
+def encode_head(seen: Seen, body_bytes: int, remaining_s: float) -> bytes:
+    """Return the head of a request."""
     kind = seen.kind
     head = [
-        f"{kind.method} {kind.prefix}{seen.request} HTTP/1.1",
+        f"{kind.method} {seen.path} HTTP/1.1",
         f"Host: {HOST}",
         f"{wire_names.REQUEST_ID.decode()}: {seen.request}",
-        f"{wire_names.REMAINING_MS.decode()}: {REMAINING_S * 1000:.0f}",
-        f"Content-Length: {len(body)}",
+        f"{wire_names.REMAINING_MS.decode()}: {remaining_s * 1000:.0f}",
+        f"Content-Length: {body_bytes}",
     ]
     if kind.key is not None:
         head.append(f"Authorization: Bearer {kind.key}")
-    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
+    return "\r\n".join(head).encode() + b"\r\n\r\n"
 
 
-def _record(seen: Seen, answer: RawAnswer) -> None:
+def record(seen: Seen, answer: RawAnswer) -> None:
+    """Keep what an answer says."""
     seen.ended_s = time.monotonic()
     seen.signed = answer.header(wire_names.SIGNATURE) is not None
     seen.server_leaves = answer.header(wire_names.SERVER_LEAVING) == b"1"
--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import heapq
+import signal
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 from random import Random
 
@@ -19,6 +21,8 @@
 from standins.fault_soak.checks import Limit
 from standins.fault_soak.checks import Moment
 from standins.fault_soak.checks import recovered
+from standins.fault_soak.deployment import FILES_ROUTES
+from standins.fault_soak.deployment import FILES_TIMEOUT_S
 from standins.fault_soak.deployment import SMALL_BURST
 from standins.fault_soak.deployment import SMALL_KEY
 from standins.fault_soak.deployment import SMALL_RATE_PER_S
@@ -27,7 +31,9 @@
 from standins.fault_soak.faults import STORE_WELL
 from standins.fault_soak.faults import Fault
 from standins.fault_soak.faults import FaultPlan
+from standins.fault_soak.pausing import PausingCaller
 from standins.fault_soak.pipelining import PipeliningCaller
+from standins.fault_soak.waves import Wave
 from standins.platform_deployment import ROUTES
 from standins.platform_deployment import WORKSPACE
 
@@ -37,9 +43,12 @@
 PIPELINING_EACH = 4
 """Each such caller writes several requests at once."""
 
+STOPPED_SHARE = 0.34
+"""Instances that stop at once while waves of callers come."""
+
 CALM_S = 3.0
 RESOLVE_INTERVAL_S = 0.5
-LAST_ANSWERS_S = 7.0
+LAST_ANSWERS_S = 13.0
 
 
 Running = tuple[float, float, Fault]
@@ -48,12 +57,18 @@
 
 @attrs.frozen
 class Options:
-    """What one soak runs; ``faults_s`` is how long faults strike."""
+    """What one soak runs.
+
+    ``faults_s`` is how long faults strike, ``wave`` how many callers come at a close,
+    ``pausing`` how many callers pause, beside the others.
+    """
 
     seed: int
     proxies: int = 6
     callers: int = 8
     faults_s: float = 12.0
+    wave: int = 40
+    pausing: int = 8
 
 
 @attrs.define
@@ -69,6 +84,7 @@
     drained: list[Moment] = attrs.Factory(list)
     disturbances: list[Disturbance] = attrs.Factory(list)
     callers: list[Caller] = attrs.Factory(list)
+    waves: list[Wave] = attrs.Factory(list)
     _began_s: float = attrs.Factory(time.monotonic)
     _stopped: threading.Event = attrs.Factory(threading.Event)
 
@@ -82,18 +98,57 @@
             caller = kind(name, random, self._kinds, lambda: self.addresses)
             self.callers.append(caller)
             threads.append(threading.Thread(target=caller.run, daemon=True))
+        for number in range(self.options.pausing):
+            random = Random(f"{self.options.seed}/p{number}")
+            addresses = lambda: self.addresses  # noqa: E731
+            pausing = PausingCaller(f"p{number}", random, self._files, addresses)
+            self.callers.append(pausing)
+            threads.append(threading.Thread(target=pausing.run, daemon=True))
         for thread in threads:
             thread.start()
         self._strike()
         time.sleep(RECOVERY_S)
         calm_s = time.monotonic()
         time.sleep(CALM_S)
+        calm_until_s = time.monotonic()
+        if self.options.wave:
+            self._stop_with_waves()
         for caller in self.callers:
             caller.stopped.set()
         self._stopped.set()
         for thread in threads:
             thread.join(LAST_ANSWERS_S)
-        return self._check(calm_s)
+        return self._check(calm_s, calm_until_s)
+
+    def _stop_with_waves(self) -> None:
+        """Stop some instances at once; callers come in waves when they close."""
+        deployment = self.deployment
+        random = Random(f"{self.options.seed}/waves")
+        numbers = range(len(deployment.proxies))
+        chosen = random.sample(numbers, max(1, int(len(numbers) * STOPPED_SHARE)))
+        kinds = [each for each in self._kinds() if each.name in ("read", "order")]
+        for number in chosen:
+            name = f"w{number}"
+            address = deployment.proxies[number].addresses["callers"]
+            wave = Wave(name, address, self.options.wave, kinds, Random(name))
+            wave.open_kept()
+            self.waves.append(wave)
+        threads = []
+        began_s = time.monotonic()
+        for number, wave in zip(chosen, self.waves, strict=True):
+            deployment.send_signal(number, signal.SIGTERM)
+            threads.append(threading.Thread(target=wave.run, args=[time.monotonic()]))
+            threads[-1].start()
+        self._note(f"stop {sorted(chosen)} with waves of {self.options.wave}")
+        for number, wave in zip(chosen, self.waves, strict=True):
+            deployment.restart(number)
+            self.disturbances.append(
+                Disturbance(began_s, time.monotonic(), stopped=wave.address)
+            )
+        for thread in threads:
+            thread.join()
+        lag_s = max(wave.lag_s for wave in self.waves)
+        self._note(f"stopped; the waves were held up for {lag_s:.3f} s at most")
 
     def _note(self, line: str) -> None:
         self.lines.append(f"{time.monotonic() - self._began_s:7.2f} s  {line}")
@@ -166,6 +221,13 @@
         ]
         return kinds
 
+    def _files(self) -> list[Kind]:
+        key = self.deployment.keys[0]
+        return [
+            Kind(name, method, FILES_ROUTES[name], key, WORKSPACE, FILES_TIMEOUT_S)
+            for name, method in (("download", "GET"), ("upload", "POST"))
+        ]
+
     def _resolve(self) -> None:
         """Ask the directory as callers do, and keep the last answer."""
         while not self._stopped.is_set():
@@ -176,8 +238,9 @@
                     break
             self._stopped.wait(RESOLVE_INTERVAL_S)
 
-    def _check(self, calm_s: float) -> list[str]:
+    def _check(self, calm_s: float, calm_until_s: float) -> list[str]:
         seen = [each for caller in self.callers for each in caller.seen]
+        seen += [each for wave in self.waves for each in wave.seen]
         history = History(
             seen,
             self.deployment.runs(),
@@ -186,13 +249,25 @@
             [Limit(SMALL_WORKSPACE, SMALL_RATE_PER_S, SMALL_BURST)],
             self.disturbances,
             self.deployment.arrivals_by_server(),
+            self.deployment.reached(),
         )
         broken = [*history.broken(), *self.deployment.bad_exits]
         withdrawn = {moment.what for moment in self.withdrawn}
-        calm = [each for each in seen if each.kind.key not in withdrawn]
+        calm = [
+            each
+            for each in seen
+            if each.kind.key not in withdrawn
+            and each.sent_s <= calm_until_s
+            and not each.pauses
+        ]
         missing = recovered(calm, calm_s)
         served = sum(each.status == 200 for each in seen)
-        self._note(f"{len(seen)} requests, {served} served, {len(history.runs)} runs")
+        counts = Counter(history.outcome(each) for each in seen)
+        outcomes = ", ".join(f"{counts[name]} {name}" for name in sorted(counts))
+        self._note(
+            f"{len(seen)} requests, {served} served, {len(history.runs)} runs; "
+            + f"{outcomes}, {len(history.lost_in_touch())} lost in touch"
+        )
         return broken if missing is None else [*broken, missing]
 
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,7 +7,9 @@
 ``cut-head`` (the connection ends amid the head of the answer), ``busy`` (a refusal
 with ``Retry-After``) or one of ``ENDLESS``, which sends until it is closed. ``drain``
 and ``leave`` last: all answers say that the server leaves, and with ``drain`` its entry
-says so too.
+says so too. The query of a request may ask for an answer of ``bytes`` more, and for a
+pause before its body is read (``read_after_ms``) or in the middle of the answer
+(``pause_ms``).
 """
 
 from __future__ import annotations
@@ -17,12 +19,14 @@
 import time
 import urllib.request
 from typing import Any
+from urllib.parse import parse_qs
 
 import attrs
 from klein import Klein
 from twisted.internet import reactor
 from twisted.internet.task import LoopingCall
 from twisted.internet.threads import deferToThread
+from twisted.web.server import Request
 
 from gentianhitch.platform import wire_names
 from standins import serving
@@ -74,17 +78,27 @@
     ran: list[str] = attrs.Factory(list)
     runs: list[dict[str, Any]] = attrs.Factory(list)
     arrivals: list[dict[str, Any]] = attrs.Factory(list)
+    reached: list[str] = attrs.Factory(list)
 
-    def listen(self) -> None:
-        """Open a free port."""
+    def listen(self, buffer_bytes: int = 0) -> None:
+        """Open a free port; connections receive into ``buffer_bytes``."""
         app = Klein()
         route: Any = app.route
         route("/admin/fault", methods=["PUT"])(self._set_fault)
         route("/admin/ran")(self._show_ran)
         route("/admin/runs")(self._show_runs)
         route("/admin/arrivals")(self._show_arrivals)
+        route("/admin/reached")(self._show_reached)
         route("/", branch=True)(self._answer)
-        self.address = self.listed_address = serving.listen(app, 0)
+
+        def make_request(*arguments: Any, **named: Any) -> PausingRequest:
+            request = PausingRequest(*arguments, **named)
+            request.reached = self.reached
+            return request
+
+        self.address = self.listed_address = serving.listen(
+            app, 0, make_request, buffer_bytes
+        )
 
     def listen_behind(self, links: str) -> None:
         """Have callers come through a link of ``standins.faulty_links``."""
@@ -167,9 +181,10 @@
             "path": request.uri.decode(),
             "workspace": workspace,
             "authorization": headers.hasHeader("authorization"),
-            "body": request.content.read().decode(),
+            "body": "z" * _number(request.args, b"bytes")
+            or request.content.read().decode(),
         }
-        return json.dumps(shown).encode()
+        return await _begin(request, json.dumps(shown).encode())
 
     def _set_fault(self, request: Any) -> bytes:
         kind = request.args[b"kind"][0].decode()
@@ -189,10 +204,46 @@
     def _show_arrivals(self, request: Any) -> bytes:
         return serving.answer_json(request, self.arrivals)
 
+    def _show_reached(self, request: Any) -> bytes:
+        return serving.answer_json(request, self.reached)
+
     def _show_ran(self, request: Any) -> bytes:
         return serving.answer_json(request, self.ran)
 
 
+class PausingRequest(Request):
+    """Record that a head arrived, and pause before the body if the query says so."""
+
+    reached: list[str]
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Begin to take the body."""
+        super().gotLength(length)
+        headers = self.requestHeaders
+        request_id = headers.getRawHeaders(wire_names.REQUEST_ID, [b""])[0]
+        self.reached.append(request_id.decode())
+        channel: Any = self.channel
+        query = parse_qs(channel._path.partition(b"?")[2])
+        if after_ms := _number(query, b"read_after_ms"):
+            channel.transport.pauseProducing()
+            serving.call_later(after_ms / 1000, channel.transport.resumeProducing)
+
+
+async def _begin(request: Any, answer: bytes) -> bytes:
+    """Return the answer, or what is left of it after a pause in its middle."""
+    pause_ms = _number(request.args, b"pause_ms")
+    if not pause_ms:
+        return answer
+    request.setHeader(b"Content-Length", str(len(answer)).encode())
+    request.write(answer[: len(answer) // 2])
+    await serving.after(pause_ms / 1000)
+    return answer[len(answer) // 2 :]
+
+
+def _number(query: dict[bytes, list[bytes]], name: bytes) -> int:
+    return int(query.get(name, [b"0"])[0])
+
+
 async def _send_without_end(request: Any, first: bytes, part: bytes) -> None:
     transport = request.channel.transport
     transport.write(first)
@@ -216,6 +267,7 @@
     parser.add_argument("--zone", default="d1")
     parser.add_argument("--count", type=int, default=3)
     parser.add_argument("--work-ms", type=float, default=0.0)
+    parser.add_argument("--buffer-bytes", type=int, default=0)
     parser.add_argument("--links", help="address of standins.faulty_links")
     arguments = parser.parse_args()
     servers = [
@@ -229,7 +281,7 @@
         for number in range(arguments.count)
     ]
     for server in servers:
-        server.listen()
+        server.listen(arguments.buffer_bytes)
         if arguments.links:
             server.listen_behind(arguments.links)
         loop = LoopingCall(server.beat)
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -44,20 +44,24 @@
 
     ``buffer`` holds what was read of the next answers.
     """
-    while (end := buffer.find(b"\r\n\r\n")) < 0:
-        _receive(connection, buffer, piece_bytes)
+    while (answer := parse_answer(buffer)) is None:
+        data = connection.recv(piece_bytes)
+        if not data:
+            raise ConnectionResetError("closed by the proxy")
+        buffer += data
+    return answer
+
+
+def parse_answer(buffer: bytearray) -> RawAnswer | None:
+    """Take the first answer out of ``buffer`` if it is whole."""
+    end = buffer.find(b"\r\n\r\n")
+    if end < 0:
+        return None
     head = bytes(buffer[: end + 2])
     length = _LENGTH.search(head)
     total = end + 4 + (int(length[1]) if length else 0)
-    while len(buffer) < total:
-        _receive(connection, buffer, piece_bytes)
+    if len(buffer) < total:
+        return None
     body = bytes(buffer[end + 4 : total])
     del buffer[:total]
     return RawAnswer(head, body)
-
-
-def _receive(connection: socket.socket, buffer: bytearray, piece_bytes: int) -> None:
-    data = connection.recv(piece_bytes)
-    if not data:
-        raise ConnectionResetError("closed by the proxy")
-    buffer += data
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -19,11 +20,21 @@
 _reactor: Any = reactor
 
 
-def listen(app: Klein, port: int) -> str:
-    """Listen on a loopback port (0 takes a free one) and return ``IP:PORT``."""
-    site: Any = Site(app.resource())  # type: ignore[no-untyped-call]
+def listen(
+    app: Klein,
+    port: int,
+    make_request: Callable[..., Request] | None = None,
+    buffer_bytes: int = 0,
+) -> str:
+    """Listen on a loopback port (0 takes a free one) and return ``IP:PORT``.
+
+    Connections receive into ``buffer_bytes``; 0 leaves the kernel's default.
+    """
+    site: Any = Site(app.resource(), make_request)  # type: ignore[no-untyped-call]
     site.noisy = False
     listening: Any = _reactor.listenTCP(port, site, interface=LOOPBACK)
+    if buffer_bytes:
+        listening.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     return f"{LOOPBACK}:{listening.getHost().port}"
 
 
--- a/tests/standins/test_fault_soak_checks.py
+++ b/tests/standins/test_fault_soak_checks.py
@@ -138,6 +138,52 @@
         seen = make_seen(status=0)
         assert broken([seen], [make_run()], disturbances=[stop, other]) == []
 
+    def test_a_stop_that_left_a_request_in_silence(self) -> None:
+        stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
+        crossed = make_seen(status=0, whole_s=100.0, ended_s=100.19)
+        assert broken([crossed], [], disturbances=[stop]) == []
+        late = attrs.evolve(crossed, ended_s=100.21)
+        assert broken([late], [], disturbances=[stop]) == ["LOST"]
+        behind = attrs.evolve(late, behind=True)
+        assert broken([behind], [], disturbances=[stop]) == []
+        incomplete = attrs.evolve(late, whole_s=0.0)
+        assert broken([incomplete], [], disturbances=[stop]) == []
+        found = broken([crossed], [], disturbances=[stop], reached={"r-1"})
+        assert found == ["LOST"]
+
+    def test_a_stop_that_replaced_an_answer(self) -> None:
+        stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
+        failed = make_seen(status=502, signed=False)
+        assert broken([failed], [make_run()], disturbances=[stop]) == ["LOST"]
+        assert broken([failed], [], disturbances=[stop]) == []
+        signed = attrs.evolve(failed, signed=True)
+        assert broken([signed], [make_run()], disturbances=[stop]) == []
+        timed_out = attrs.evolve(failed, status=504, ended_s=102.0)
+        assert broken([timed_out], [make_run()], disturbances=[stop]) == []
+
+    def test_stops_of_other_instances_excuse_nothing(self) -> None:
+        stops = [Disturbance(99.0, 103.0, stopped=f"127.0.0.1:{n}") for n in (1, 2)]
+        seen = make_seen(status=0)
+        assert broken([seen], [make_run()], disturbances=stops) == ["LOST"]
+
+    def test_a_caller_that_pauses_beyond_the_grace(self) -> None:
+        stop = Disturbance(99.0, 106.0, stopped="127.0.0.1:1")
+        seen = make_seen(status=0, whole_s=100.0, ended_s=105.0, paused_until_s=104.0)
+        assert broken([seen], [make_run()], disturbances=[stop]) == ["LOST"]
+        beyond = attrs.evolve(seen, paused_until_s=105.1)
+        assert broken([beyond], [make_run()], disturbances=[stop]) == []
+
+    def test_kept_connections_closed_amid_requests_without_a_fault(self) -> None:
+        requests = [f"r-{n}" for n in range(4)]
+        seen = [make_seen(request=each, status=0, kept=True) for each in requests]
+        runs = [make_run(request=each, path=f"/orders/{each}") for each in requests]
+        assert broken(seen, runs) == ["LOST"] * 4
+        assert broken(seen[:3], runs[:3]) == []
+        others = [attrs.evolve(each, kept=False) for each in seen]
+        assert broken(others, runs) == []
+        fault = [Disturbance(99.0, 99.5, cuts_off=False)]
+        assert broken(seen, runs, disturbances=fault) == []
+
     def test_too_few_served_after_the_faults(self) -> None:
         failed = [make_seen(status=503) for _ in range(3)]
         assert recovered(failed, 90.0) is not None
