Go on checking callers' connections after an error in one

What callers may see: time-outs that never come, and a planned stop that waits for its end. Cause: an error in the check of one connection ended the loop of all checks without a log line.

Now it is logged, that connection alone is reset, and the loop goes on. Evidence: tests/callers/test_closes.py::TestErrors, red before (the other connection stayed open), passes after. Not seen live. Ruled out: to keep the broken connection, whose state isn't known.

--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
-from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
 
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.complete_requests import HeaderNames
@@ -15,6 +15,7 @@
 from gentianhitch.callers.pipelined_connection import PipelinedConnection
 from gentianhitch.callers.pipelined_connection import Serve
 from gentianhitch.proxy.model import CallerLimits
+from gentianhitch.repeating import Repeating
 
 CHECK_INTERVAL_S = 0.5
 
@@ -37,6 +38,7 @@
         serve: Serve,
         buffers: BufferAccount,
         on_end: Callable[[EndedConnection], None],
+        on_error: Callable[[Failure], None],
     ) -> None:
         self._clock = clock
         self.buffers = buffers
@@ -44,13 +46,15 @@
         self.limits = limits
         self.serve = serve
         self.on_end = on_end
+        self._on_error = on_error
         self.connections: set[PipelinedConnection] = set()
         self.is_leaving = False
         self.is_exiting = False
         self._closes_idle = False
         self.on_idle: Callable[[], None] | None = None
-        self._check_loop = LoopingCall(self._check_timeouts)
-        self._check_loop.clock = clock
+        self._checks = Repeating(
+            clock, CHECK_INTERVAL_S, self._check_timeouts, on_error
+        )
 
     def seconds(self) -> float:
         """Return the time of the clock in seconds."""
@@ -60,8 +64,7 @@
     def doStart(self) -> None:  # noqa: N802
         """Start the periodic timeout checks."""
         super().doStart()  # type: ignore[no-untyped-call]
-        if not self._check_loop.running:
-            self._check_loop.start(CHECK_INTERVAL_S, now=False)
+        self._checks.start(now=False)
 
     def buildProtocol(self, addr: IAddress | None) -> PipelinedConnection:  # noqa: N802
         """Return the protocol for a new connection."""
@@ -78,8 +81,7 @@
         New ones have some time for their first request.
         """
         self._closes_idle = True
-        for connection in tuple(self.connections):
-            connection.close_if_idle()
+        self._for_each(PipelinedConnection.close_if_idle)
 
     def notify_if_idle(self) -> None:
         """Call ``on_idle`` if no connection is busy."""
@@ -92,8 +94,7 @@
         Without any, the remaining responses had their time to be delivered.
         """
         is_serving = any(connection.is_serving for connection in self.connections)
-        for connection in tuple(self.connections):
-            connection.respond_now()
+        self._for_each(PipelinedConnection.respond_now)
         if is_serving:
             self.notify_if_idle()
         else:
@@ -110,15 +111,22 @@
 
     def close(self) -> None:
         """Close every connection at once."""
-        if self._check_loop.running:
-            self._check_loop.stop()
+        self._checks.stop()
         for connection in tuple(self.connections):
             connection.reset()
 
     def _check_timeouts(self) -> None:
         now = self.seconds()
-        for connection in tuple(self.connections):
-            connection.check(now)
-            if self._closes_idle:
-                connection.close_if_idle()
+        self._for_each(lambda connection: connection.check(now))
+        if self._closes_idle:
+            self._for_each(PipelinedConnection.close_if_idle)
         self.notify_if_idle()
+
+    def _for_each(self, step: Callable[[PipelinedConnection], None]) -> None:
+        """Run a step for each connection; reset those in which it fails."""
+        for connection in tuple(self.connections):
+            try:
+                step(connection)
+            except Exception:
+                self._on_error(Failure())
+                connection.reset()
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -210,6 +210,7 @@
             self._serve,
             self._buffers,
             self._record_end,
+            events.failure,
         )
         self._housekeeping = Repeating(
             clock, HOUSEKEEPING_INTERVAL_S, self._run_housekeeping, events.failure
--- a/tests/builders_callers.py
+++ b/tests/builders_callers.py
@@ -58,6 +58,7 @@
     ) -> None:
         self.clock = Clock()
         self.served: list[Served] = []
+        self.errors: list[str] = []
         self.ends: list[EndedConnection] = []
         caller_limits = limits or CallerLimits()
         self.factory = CallerFactory(
@@ -67,6 +68,7 @@
             self._serve,
             buffers or BufferAccount(),
             self.ends.append,
+            lambda failure: self.errors.append(failure.type.__name__),
         )
         self.connection: Any = self.factory.buildProtocol(None)
         self.transport = Transport()
--- a/tests/builders_closes.py
+++ b/tests/builders_closes.py
@@ -57,6 +57,7 @@
             serve,
             BufferAccount(),
             lambda end: None,
+            lambda failure: None,
         )
         self.port = self.reactor.listenTCP(0, self.factory, interface=HOST)
 
--- a/tests/callers/test_closes.py
+++ b/tests/callers/test_closes.py
@@ -6,6 +6,8 @@
 
 from gentianhitch.arrived import close_port
 from gentianhitch.proxy.model import CallerLimits
+from tests.builders_callers import Scenario
+from tests.builders_callers import Transport
 from tests.builders_closes import GET
 from tests.builders_closes import Entry
 from tests.reactors import run_scenario
@@ -99,3 +101,22 @@
             return [*waits, entry.factory.is_busy]
 
         assert run_scenario(scenario) == [True, False]
+
+
+class TestErrors:
+    # Guards against time-outs that end for good: an error in one connection's check
+    # stopped the checks of all.
+    def test_in_a_check_leave_the_checks_of_others(self) -> None:
+        scenario = Scenario(CallerLimits(idle_timeout_s=1.0))
+        broken = scenario.factory.buildProtocol(None)
+        broken.makeConnection(Transport())
+        broken.check = _fail  # type: ignore[method-assign]
+        scenario.factory.doStart()
+        scenario.clock.pump([0.5] * 8)
+        assert scenario.transport.half_closed
+        assert scenario.errors[0] == "ZeroDivisionError"
+        assert broken.transport.aborted
+
+
+def _fail(*args: Any) -> None:
+    raise ZeroDivisionError
