Time the steps of a planned stop from its signal

Processes were killed at the end of their grace.

Cause: each step was timed from the end of the one before, the first from when the event loop got to the signal, so that lags added up; requests were refused by a step, not by the clock. The review of the fix found three more in the same function: with the grace over, a drain ended without the final responses; after a lag it ended in the iteration that wrote them; an error in a step ended the process with requests at work.

Now the signal handler takes the time, each step waits for its time after it, requests are refused by the clock when they are read, the time for the delivery begins with the final responses, and errors of steps are logged. Ruled out: a longer margin before the kill, which cuts requests sooner.

Tests changed: the refusal of late requests is checked by its time, as the drain no longer calls back at that time, and by a request before and after it (test_request_server.py).

--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -75,6 +75,11 @@
         """Return whether any connection is busy."""
         return any(connection.is_busy for connection in self.connections)
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether a request is being read or served on any connection."""
+        return any(connection.is_serving for connection in self.connections)
+
     def close_idle(self) -> None:
         """Close connections without a request, now and whenever they become idle.
 
@@ -86,25 +91,14 @@
     def notify_if_idle(self) -> None:
         """Call ``on_idle`` if no connection is busy."""
         if self.on_idle is not None and not self.is_busy:
-            self._notify_idle()
+            self.stop_waiting()
 
     def respond_now(self) -> None:
-        """End all requests now: their responses say whether they may have run.
-
-        Without any, the remaining responses had their time to be delivered.
-        """
-        is_serving = any(connection.is_serving for connection in self.connections)
+        """End all requests now: their responses say whether they may have run."""
         self._for_each(PipelinedConnection.respond_now)
-        if is_serving:
-            self.notify_if_idle()
-        else:
-            self.stop_waiting()
 
     def stop_waiting(self) -> None:
-        """Call ``on_idle`` although responses are still being delivered."""
-        self._notify_idle()
-
-    def _notify_idle(self) -> None:
+        """Call ``on_idle`` although connections are busy."""
         on_idle, self.on_idle = self.on_idle, None
         if on_idle is not None:
             on_idle()
--- a/src/gentianhitch/proxy/command.py
+++ b/src/gentianhitch/proxy/command.py
@@ -73,7 +73,8 @@
 
 def _handle_signals(reactor: Any, instance: ProxyInstance) -> None:
     def stop(*_: object) -> None:
-        reactor.callFromThread(instance.lifecycle.stop_requested)
+        # The grace runs from the signal, however late the event loop gets to it.
+        reactor.callFromThread(instance.stop, reactor.seconds())
 
     def reload(*_: object) -> None:
         reactor.callFromThread(instance.reload)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -99,6 +99,7 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._callers_port: Any = None
         self._last_reply_s = float("-inf")
+        self._stop_requested_s = float("inf")
         self.state = "starting"
         self.lifecycle = create_lifecycle(
             LifecycleActions(self._record_state, self._leave, self._exit)
@@ -360,6 +361,11 @@
 
     # Shutdown.
 
+    def stop(self, requested_s: float) -> None:
+        """Start the graceful shutdown that was requested at ``requested_s``."""
+        self._stop_requested_s = min(self._stop_requested_s, requested_s)
+        self.lifecycle.stop_requested()
+
     def _record_state(self, state: str) -> None:
         if not state.startswith("still"):
             self.state = state
@@ -372,15 +378,17 @@
                 self._callers,
                 lambda: close_port(self._callers_port),
                 self._registration,
-                self._refuse_requests,
-                self._settings.bounds.shutdown_grace_s,
+                self._refuse_after,
+                self._events.failure,
+                began_s=self._stop_requested_s,
+                grace_s=self._settings.bounds.shutdown_grace_s,
             )
         )
         leaving.addErrback(self._events.failure)
         leaving.addBoth(lambda _: self.lifecycle.drained())
 
-    def _refuse_requests(self) -> None:
-        self._server.refuses_requests = True
+    def _refuse_after(self, at_s: float) -> None:
+        self._server.refuses_after_s = at_s
 
     def _exit(self) -> None:
         self._callers.is_exiting = True
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -68,8 +68,8 @@
 class RequestServer:
     """Serve callers' requests by the configuration in force.
 
-    With ``refuses_requests``, requests that arrive from now on are refused: the
-    instance may stop before they would be answered.
+    Requests that are read at ``refuses_after_s`` or later are refused: the instance may
+    stop before they would be answered.
     """
 
     clock: Any
@@ -82,7 +82,7 @@
     revocation_s: float
     on_finished: Callable[[str, str, float], None]
     random: Random = attrs.Factory(Random)
-    refuses_requests: bool = False
+    refuses_after_s: float = float("inf")
 
     def serve(
         self, request: CallerRequest, pending_response: PendingResponse
@@ -94,7 +94,7 @@
 
     def check(self, request: CallerRequest, now: float) -> AllowedRequest | Refusal:
         """Check a request against the configuration and its age."""
-        if self.refuses_requests:
+        if now >= self.refuses_after_s:
             return Refusal(Cause.LEAVING, retry_after_s=RETRY_AFTER_S)
         configuration = self.store_view.configuration
         if configuration is None:
--- a/src/gentianhitch/proxy/shutdown.py
+++ b/src/gentianhitch/proxy/shutdown.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.proxy.registration import Registration
@@ -29,41 +30,56 @@
     callers: CallerFactory,
     stop_listening: Callable[[], None],
     registration: Registration,
-    refuse_requests: Callable[[], None],
+    refuse_after: Callable[[float], None],
+    on_error: Callable[[Failure], None],
+    *,
+    began_s: float,
     grace_s: float,
 ) -> None:
     """Deregister, wait until cached directory responses expire, finish requests, close.
 
-    Requests that are complete only after the listener is closed are refused.
-    The platform kills the instance ``grace_s`` seconds after the start of the drain.
+    Requests that are complete only after the listener is closed are refused. The
+    platform kills the instance ``grace_s`` seconds after the stop signal, which came at
+    ``began_s``; the steps don't wait longer if the event loop lags.
     """
-    end_s = reactor.seconds() + grace_s - KILL_MARGIN_S
     callers.is_leaving = True
+    refuse_after(began_s + STOP_LISTENING_AFTER_S)
     leaving = Deferred.fromCoroutine(registration.leave())
-    await deferLater(reactor, CLOSE_IDLE_AFTER_S, lambda: None)
-    callers.close_idle()
-    await deferLater(reactor, STOP_LISTENING_AFTER_S - CLOSE_IDLE_AFTER_S, lambda: None)
-    stop_listening()
-    refuse_requests()
-    callers.close_idle()
-    await _when_idle(reactor, callers, end_s)
+    await _wait_until(reactor, began_s + CLOSE_IDLE_AFTER_S)
+    _run(callers.close_idle, on_error)
+    await _wait_until(reactor, began_s + STOP_LISTENING_AFTER_S)
+    _run(stop_listening, on_error)
+    _run(callers.close_idle, on_error)
+    await _when_idle(reactor, callers, began_s + grace_s - KILL_MARGIN_S)
+    if callers.is_serving:
+        callers.respond_now()
+        await _when_idle(reactor, callers, reactor.seconds() + LAST_DELIVERY_S)
+    # Refuses what has arrived since.
+    _run(callers.close_idle, on_error)
     await leaving
 
 
-def _when_idle(reactor: Any, callers: CallerFactory, end_s: float) -> Deferred[None]:
-    """Fire when nothing is served or delivered any more, or shortly after ``end_s``.
+def _run(step: Callable[[], None], on_error: Callable[[Failure], None]) -> None:
+    """Run a step whose errors must not end the requests that are being served."""
+    try:
+        step()
+    except Exception:
+        on_error(Failure())
 
-    At ``end_s`` the requests that are still served get their final response.
-    """
+
+def _wait_until(reactor: Any, at_s: float) -> Deferred[None]:
+    delay_s = max(at_s - reactor.seconds(), 0.0)
+    return deferLater(reactor, delay_s, lambda: None)
+
+
+def _when_idle(reactor: Any, callers: CallerFactory, end_s: float) -> Deferred[None]:
+    """Fire when nothing is served or delivered any more, or at ``end_s``."""
     idle: Deferred[None] = Deferred()
-    remaining_s = end_s - reactor.seconds()
-    if not callers.is_busy or remaining_s <= 0:
+    if not callers.is_busy:
         idle.callback(None)
         return idle
     callers.on_idle = lambda: idle.callback(None)
-    timers = [
-        reactor.callLater(remaining_s, callers.respond_now),
-        reactor.callLater(remaining_s + LAST_DELIVERY_S, callers.stop_waiting),
-    ]
-    idle.addBoth(lambda _: [timer.cancel() for timer in timers if timer.active()])
+    delay_s = max(end_s - reactor.seconds(), 0.0)
+    timer = reactor.callLater(delay_s, callers.stop_waiting)
+    idle.addBoth(lambda _: timer.cancel() if timer.active() else None)
     return idle
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -178,11 +178,14 @@
 class TestStop:
     def test_a_late_request_is_refused_as_not_run(self) -> None:
         instance = LimitedServer()
-        instance.server.refuses_requests = True
+        instance.server.refuses_after_s = instance.clock.seconds() + 1.0
+        instance.send()
+        instance.clock.advance(1.0)
+        acquired = instance.connections.acquired
         _, response = instance.send()
         assert response.data.startswith(b"HTTP/1.1 503 ")
         assert b"not-run" in response.data
-        assert instance.connections.acquired == 0
+        assert (acquired, instance.connections.acquired) == (1, 1)
 
 
 class TestWaitingServers:
