End a process without standard output by its exit code

What operators saw: exit code 1 and a traceback in place of 2 where standard output is closed at the start and the settings can't be read. Cause: the streams are None then. Ruled out: nothing; no test of its own.

--- a/src/gentianhitch/proxy/__main__.py
+++ b/src/gentianhitch/proxy/__main__.py
@@ -21,8 +21,10 @@
     The reactor has closed all sockets; log events are written without a buffer.
     """
     for stream in (sys.stdout, sys.stderr):
+        # A stream is None if its descriptor was closed at the start.
         with suppress(OSError):
-            stream.flush()
+            if stream is not None:
+                stream.flush()
     os._exit(code)
 
 
