Stop reading what has arrived once a connection pauses

What operators may see: buffers beyond their limits. Cause: the reads of a check or a close went on after the protocol had paused its transport, up to 2 MB and thousands of requests of one caller. Each read now asks whether the connection still takes more. Evidence: test_closes.py::TestPausing, red without the question, passes with it. Ruled out: a smaller number of reads, which cuts whole requests.

An error in a connection's check now ends it for a reason of its own (`error`), not as the end of the process, and not once more as that of an idle one.

--- a/src/gentianhitch/arrived.py
+++ b/src/gentianhitch/arrived.py
@@ -5,6 +5,7 @@
 import fcntl
 import struct
 import termios
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.main import CONNECTION_DONE
@@ -19,10 +20,15 @@
 _INT = struct.Struct("i")
 
 
-def read_arrived(transport: Any) -> None:
-    """Pass the bytes that have arrived to the protocol, without waiting for more."""
+def read_arrived(transport: Any, may_read: Callable[[], bool]) -> None:
+    """Pass the bytes that have arrived to the protocol, while ``may_read`` allows it.
+
+    A connection that ends meanwhile is left to the event loop.
+    """
     for _ in range(MAX_READS):
-        if not unread_bytes(transport) or transport.doRead() is not None:
+        if not (may_read() and unread_bytes(transport)):
+            return
+        if transport.doRead() is not None:
             return
 
 
--- a/src/gentianhitch/callers/caller_factory.py
+++ b/src/gentianhitch/callers/caller_factory.py
@@ -12,6 +12,7 @@
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.complete_requests import HeaderNames
 from gentianhitch.callers.connection_ends import EndedConnection
+from gentianhitch.callers.connection_ends import EndReason
 from gentianhitch.callers.pipelined_connection import PipelinedConnection
 from gentianhitch.callers.pipelined_connection import Serve
 from gentianhitch.proxy.model import CallerLimits
@@ -107,7 +108,7 @@
         """Close every connection at once."""
         self._checks.stop()
         for connection in tuple(self.connections):
-            connection.reset()
+            connection.reset(EndReason.EXIT)
 
     def _check_timeouts(self) -> None:
         now = self.seconds()
@@ -123,4 +124,4 @@
                 step(connection)
             except Exception:
                 self._on_error(Failure())
-                connection.reset()
+                connection.reset(EndReason.ERROR)
--- a/src/gentianhitch/callers/connection.py
+++ b/src/gentianhitch/callers/connection.py
@@ -173,15 +173,20 @@
             if now - self._last_active_s > LINGER_S:
                 self.transport.abortConnection()
         elif self._is_silent(now):
-            if not self._is_paused:
-                # What arrived while the loop lagged is no silence.
-                read_arrived(self.transport)
+            # What arrived while the loop lagged is no silence.
+            self.read_arrived()
             if self._is_silent(now):
                 self._end_silent()
         exchange = self._exchange
         if exchange is not None and now - exchange.last_progress_s > STALL_TIMEOUT_S:
             exchange.abort_stalled()
 
+    def read_arrived(self) -> None:
+        """Read what has arrived, unless reading is paused."""
+        read_arrived(
+            self.transport, lambda: not self._is_paused and not self._is_ending
+        )
+
     def _is_silent(self, now: float) -> bool:
         """Return whether the caller sends nothing for longer than it may."""
         if self._is_ending:
--- a/src/gentianhitch/callers/connection_ends.py
+++ b/src/gentianhitch/callers/connection_ends.py
@@ -25,6 +25,9 @@
     """The caller did not receive the rest of a closing response."""
 
     NO_MEMORY = "no-memory"
+    ERROR = "error"
+    """A fault of the program."""
+
     EXIT = "exit"
     """The instance ended its drain."""
 
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -304,10 +304,13 @@
             self._check_close(now - self._last_active_s, undelivered)
         elif self._is_silent(now):
             # What arrived while the loop lagged is no silence.
-            read_arrived(self.transport)
+            read_arrived(self.transport, self._may_read)
             if self._is_silent(now):
                 self._end_silent()
 
+    def _may_read(self) -> bool:
+        return not self._is_paused and not self._is_closing
+
     def _check_close(self, silent_s: float, undelivered: int) -> None:
         if undelivered and silent_s > self._factory.limits().idle_timeout_s:
             self._abort(EndReason.NOT_DELIVERED)
@@ -334,7 +337,7 @@
         """Close unless a request is expected, being read or served."""
         if not self._is_idle:
             return
-        read_arrived(self.transport)
+        read_arrived(self.transport, self._may_read)
         if self._is_idle:
             self._close(EndReason.LEAVING)
 
@@ -343,9 +346,10 @@
         is_in_use = self._is_closing or self.is_serving
         return not is_in_use and not self._awaits_first_request
 
-    def reset(self) -> None:
-        """Reset the connection: the instance ends."""
-        self._abort(EndReason.EXIT)
+    def reset(self, reason: EndReason) -> None:
+        """Reset the connection, without further responses."""
+        self._is_closing = True
+        self._abort(reason)
 
     def respond_now(self) -> None:
         """End all requests now: each pending one blocks the responses after it."""
--- a/tests/callers/test_closes.py
+++ b/tests/callers/test_closes.py
@@ -9,6 +9,7 @@
 from tests.builders_callers import Scenario
 from tests.builders_callers import Transport
 from tests.builders_closes import GET
+from tests.builders_closes import AnsweredRequest
 from tests.builders_closes import Entry
 from tests.reactors import run_scenario
 
@@ -103,6 +104,23 @@
         assert run_scenario(scenario) == [True, False]
 
 
+# Guards against buffers without a limit: a check read on after reading was paused.
+class TestPausing:
+    def test_ends_the_reading_of_what_has_arrived(self) -> None:
+        async def scenario(reactor: Any) -> int:
+            entry = Entry(reactor, CallerLimits(idle_timeout_s=5.0))
+            entry.factory.serve = lambda request, response: AnsweredRequest()
+            caller = entry.connect()
+            await caller.outcome()
+            caller.send(GET * 20_000)
+            entry.clock.advance(60.0)
+            (connection,) = entry.factory.connections
+            return len(connection._pending_responses)
+
+        # One read holds at most 64 KiB.
+        assert run_scenario(scenario) <= 65536 // len(GET) + 1
+
+
 class TestErrors:
     # Guards against time-outs that end for good: an error in one connection's check
     # stopped the checks of all.
