--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -107,6 +107,9 @@
         attempts, self._attempts = self._attempts, []
         for attempt in attempts:
             attempt.cancel()
+        for attempt in attempts:
+            # Otherwise they would count as running for good.
+            self._record_result(attempt, AttemptResult.CANCELLED)
 
     def guard(self, step: Callable[..., None], *args: Any) -> None:
         """Run a step; the owner answers the request after an unexpected error."""
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -160,6 +160,7 @@
         self._admitted_s = now
         self._held: HeldRequest | None = None
         self._service = ""
+        self._is_finished = False
 
     @_answers_errors
     def start(self) -> None:
@@ -268,8 +269,11 @@
     def dispatch_broke(self, failure: Failure, *, may_have_run: bool) -> None:
         """Answer the request after an unexpected error; others are not affected."""
         self._server.events.failure(failure)
-        if self._dispatch is not None:
-            self._dispatch.abandon()
+        try:
+            if self._dispatch is not None:
+                self._dispatch.abandon()
+        except Exception:
+            self._server.events.failure(Failure())
         outcome = RefusalOutcome.UNKNOWN if may_have_run else RefusalOutcome.NOT_RUN
         cause = Cause.INTERNAL_ERROR if may_have_run else Cause.NO_CAPACITY
         self._refuse(Refusal(cause, outcome, detail=type(failure.value).__name__))
@@ -340,6 +344,10 @@
     def _finish(
         self, outcome: str, server: BackendServer | None, *, detail: str = ""
     ) -> None:
+        """Log and count the request, once: an error may follow its outcome."""
+        if self._is_finished:
+            return
+        self._is_finished = True
         allowed = self._allowed
         elapsed_s = self._server.clock.seconds() - self._started_s
         workspace = allowed.workspace.name if allowed and allowed.workspace else ""
--- a/tests/proxy/test_unexpected_errors.py
+++ b/tests/proxy/test_unexpected_errors.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from gentianhitch.proxy import request_server
+from tests.builders_dispatch import FakeConnection
 from tests.builders_dispatch import Serving
 
 
@@ -40,6 +42,22 @@
         serving.clock.advance(60.0)
         assert response.data.startswith(b"HTTP/1.1 502")
 
+    def test_leave_no_running_request(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        serving = Serving()
+        monkeypatch.setattr(FakeConnection, "send", _fail)
+        serving.send()
+        assert serving.balancer.running_by_server() == {}
+
+    def test_after_the_outcome_do_not_count_twice(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        serving = Serving()
+        response = serving.send()
+        monkeypatch.setattr(request_server, "encode_response", _fail)
+        serving.respond(200)
+        assert response.data.startswith(b"HTTP/1.1 502")
+        assert serving.events.names.count("finished") == 1
+
     def test_are_logged(self) -> None:
         serving = Serving()
         serving.balancer.choose = _fail  # type: ignore[method-assign]
