Use no connection to a server whose end lies unread

What callers may see: an order with an unknown outcome (502), though its server would have run it on a new connection. Evidence: two cases of tests/backend_servers/test_server_connections.py::TestEndedConnections, red before, pass after. Cost: one call to the kernel for each reuse. Ruled out: to send on it and repeat, which an order may not be.

--- a/src/gentianhitch/arrived.py
+++ b/src/gentianhitch/arrived.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import socket
 import struct
 import termios
 from collections.abc import Callable
@@ -44,6 +45,20 @@
     return int(_INT.unpack(data)[0])
 
 
+def has_arrived(transport: Any) -> bool:
+    """Return whether bytes, or the end of the connection, wait to be read."""
+    handle = getattr(transport, "socket", None)
+    if handle is None:
+        return False
+    try:
+        handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except ConnectionError:
+        return True
+    except OSError:
+        return False
+    return True
+
+
 def _accept_arrived(port: Any) -> None:
     """Accept the connections in the backlog of ``port``."""
     for _ in range(MAX_ACCEPT_ROUNDS):
--- a/src/gentianhitch/backend_servers/server_connections.py
+++ b/src/gentianhitch/backend_servers/server_connections.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from gentianhitch.addresses import Address
+from gentianhitch.arrived import has_arrived
 from gentianhitch.backend_servers.complete_responses import CompleteResponse
 from gentianhitch.backend_servers.complete_responses import CompleteResponseReader
 from gentianhitch.backend_servers.errors import BackendServerError
@@ -107,6 +108,11 @@
         self._is_reusable = len(data) <= MAX_REUSABLE_REQUEST_BYTES
         write_at_once(self.transport, data)
 
+    @property
+    def has_arrived(self) -> bool:
+        """Return whether bytes, or the end of the connection, wait to be read."""
+        return has_arrived(self.transport)
+
     def update_silence_limit(self, now: float) -> None:
         """Adapt the limit for silence while a request is pending."""
         if self._waiter is not None or self._silence_limit.is_extended:
@@ -282,6 +288,10 @@
         while idle:
             connection = idle.pop()
             idle_s = now - connection.idle_since_s
+            if connection.has_arrived:
+                # The server has ended it, or has sent what belongs to no request.
+                connection.close()
+                continue
             if idle_s <= min(max_idle_s, connection.max_idle_s):
                 waiter.connected(connection)
                 return None
--- a/tests/backend_servers/test_server_connections.py
+++ b/tests/backend_servers/test_server_connections.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 import attrs
@@ -10,6 +11,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from gentianhitch.addresses import Address
 from gentianhitch.backend_servers.errors import InvalidResponseError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.backend_servers.server_connections import MAX_IDLE_S
@@ -17,6 +19,8 @@
 from gentianhitch.backend_servers.server_connections import ServerConnections
 from gentianhitch.buffers import BufferAccount
 from tests.allocations import allocated_bytes
+from tests.reactors import run_scenario
+from tests.reactors import sleep
 
 KEY = ("s-1", 1)
 OWN_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok"
@@ -381,3 +385,32 @@
             assert not scenario.waiter.errors
             kept_bytes = count()
         assert kept_bytes < 1.5 * scenario.pool.buffers.used_bytes
+
+
+# Guards against orders whose outcome is unknown: they were written to connections that
+# the server had ended, since the end lay unread in the kernel.
+class TestEndedConnections:
+    @pytest.mark.parametrize("surplus", [b"", OTHER_RESPONSE])
+    def test_are_not_used_again(self, surplus: bytes) -> None:
+        async def scenario(reactor: Any) -> tuple[Any, Any, int]:
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                address = Address("127.0.0.1", server.getsockname()[1])
+                pool = ServerConnections(reactor, reactor, b"x-id", BufferAccount())
+                first, second = Waiter(), Waiter()
+                pool.acquire(KEY, address, first, max_idle_s=4.0)
+                await sleep(reactor, 0.05)
+                assert first.connection is not None
+                pool.put_idle(KEY, first.connection)
+                accepted, _ = server.accept()
+                accepted.sendall(surplus)
+                if not surplus:
+                    accepted.close()
+                pool.acquire(KEY, address, second, max_idle_s=4.0)
+                await sleep(reactor, 0.05)
+                accepted.close()
+                return first.connection, second.connection, pool.opened
+
+        first, second, opened = run_scenario(scenario)
+        assert opened == 2
+        assert second is not None
+        assert second is not first
