Serve what arrives at the end of a stop of the other edge

What callers may see: at `gentianhitch entry`, requests that arrive while its port closes are reset, and the last answers may be. Evidence: test_sockets.py::test_is_served_when_the_instance_stops, red without the two waits (reset), passes with them. Ruled out: the proxy's close, whose connections are of another class. Not run with real processes.

--- a/src/gentianhitch/callers/request_path.py
+++ b/src/gentianhitch/callers/request_path.py
@@ -9,9 +9,11 @@
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
+from twisted.internet.task import deferLater
 from twisted.web.pages import notFound
 from twisted.web.server import Site
 
+from gentianhitch.arrived import close_port
 from gentianhitch.backend_servers.pool import ConnectionPool
 from gentianhitch.callers.admission import Admission
 from gentianhitch.callers.connection import CallerConnection
@@ -104,6 +106,12 @@
     return Site(resource, reactor=reactor)  # type: ignore[no-untyped-call]
 
 
+LAST_REQUEST_S = 0.2
+"""A stop gives new connections so long for their first request."""
+
+LAST_DELIVERY_S = 0.1
+
+
 class RequestPath(Factory):
     """Protocol factory that serves callers' requests."""
 
@@ -126,6 +134,7 @@
     ) -> None:
         limits = LimitSettings() if limits is None else limits
         clock = reactor if clock is None else clock
+        self._reactor = reactor
         self.pool = ConnectionPool(reactor, clock)
         self._context = PathContext(
             clock=clock,
@@ -158,6 +167,17 @@
         """Close connections after their current response, idle ones after 1 s."""
         self._context.is_leaving = True
 
+    async def finish(self, port: Any) -> None:
+        """Close the port, serve what has arrived, and give it time to be delivered."""
+        close_port(port)
+        await deferLater(self._reactor, LAST_REQUEST_S, self._read_arrived)
+        await self.when_idle()
+        await deferLater(self._reactor, LAST_DELIVERY_S, lambda: None)
+
+    def _read_arrived(self) -> None:
+        for connection in tuple(self._context.connections):
+            connection.read_arrived()
+
     def when_idle(self) -> Deferred[None]:
         """Return a Deferred that fires once no request is being read or served."""
         deferred: Deferred[None] = Deferred()
--- a/src/gentianhitch/entry.py
+++ b/src/gentianhitch/entry.py
@@ -17,7 +17,6 @@
 from twisted.internet.task import deferLater
 
 from gentianhitch.addresses import Address
-from gentianhitch.arrived import close_port
 from gentianhitch.backend_servers.probing import Prober
 from gentianhitch.backend_servers.probing import fetch_with
 from gentianhitch.callers.directory import MAX_AGE_S
@@ -298,8 +297,7 @@
         self.path.begin_leaving()
         await self.path.when_idle()
         await self.limits.begin_leaving()
-        close_port(self._port)
-        await self.path.when_idle()
+        await self.path.finish(self._port)
 
     def _exit(self) -> None:
         self.close()
--- a/tests/callers/test_sockets.py
+++ b/tests/callers/test_sockets.py
@@ -335,3 +335,21 @@
             return [first, second]
 
         assert run_scenario(scenario) == ["open", "200"]
+
+    def test_is_served_when_the_instance_stops(self):
+        async def scenario(reactor):
+            path, _ = listen(reactor)
+            port = reactor.listenTCP(0, path, interface="127.0.0.1")
+            path.begin_leaving()
+            address = port.getHost().port
+            callers = [KernelCaller.connect(reactor, address) for _ in range(10)]
+            for caller in callers[:5]:
+                caller.send(make_request())
+            finished = Deferred.fromCoroutine(path.finish(port))
+            for caller in callers[5:]:
+                caller.send(make_request())
+            await finished
+            path.close()
+            return [await caller.outcome() for caller in callers]
+
+        assert run_scenario(scenario) == ["200"] * 10
