Send the end of an idle connection in the iteration that closes it

The close read, found nothing and asked twisted to end the sending side, which it does in a later iteration, after all that waits on other connections; what the caller sent until then was dropped. Evidence: test_closes.py::TestIdleConnections, red before (no end yet), passes after. Ruled out: to serve what comes after the close, for which the end is already under way.

--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -27,6 +27,7 @@
 from gentianhitch.callers.refusals import encode_refusal
 from gentianhitch.silence import SilenceLimit
 from gentianhitch.socket_options import watch_for_silence
+from gentianhitch.writing import end_at_once
 from gentianhitch.writing import write_at_once
 
 if TYPE_CHECKING:
@@ -284,7 +285,7 @@
         self._reader.release()
         self._cancel_all(reason.value)
         self._resume()
-        self.transport.loseWriteConnection()
+        end_at_once(self.transport)
         self._factory.notify_if_idle()
 
     def check(self, now: float) -> None:
--- a/src/gentianhitch/writing.py
+++ b/src/gentianhitch/writing.py
@@ -1,4 +1,4 @@
-"""Write to a connection without waiting for the next event loop iteration."""
+"""Write to a connection, or end it, without waiting for the next iteration."""
 
 from __future__ import annotations
 
@@ -25,3 +25,16 @@
         sent = 0
     if sent < len(data):
         transport.write(data[sent:])
+
+
+def end_at_once(transport: Any) -> None:
+    """End the sending side, now if nothing is buffered, else once that is sent.
+
+    Until the peer sees the end, it may send what is not read any more.
+    """
+    transport.loseWriteConnection()
+    handle = getattr(transport, "socket", None)
+    if handle is None or not transport.connected:
+        return
+    if not (transport.dataBuffer or transport._tempDataBuffer):
+        transport.doWrite()
--- a/tests/callers/test_closes.py
+++ b/tests/callers/test_closes.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from gentianhitch.arrived import close_port
+from gentianhitch.callers.pipelined_connection import FIRST_REQUEST_S
 from gentianhitch.proxy.model import CallerLimits
 from tests.builders_callers import Scenario
 from tests.builders_callers import Transport
@@ -67,6 +68,20 @@
         assert run_scenario(scenario) == ["200"] * CALLERS
 
 
+# Guards against requests that end without an answer: the end of an idle connection went
+# out in a later iteration, and what arrived until then was dropped.
+class TestIdleConnections:
+    def test_end_in_the_iteration_that_closes_them(self) -> None:
+        async def scenario(reactor: Any) -> bytes:
+            entry = Entry(reactor)
+            caller = await entry.connect_kept()
+            entry.clock.advance(FIRST_REQUEST_S)
+            entry.factory.close_idle()
+            return caller.connection.recv(1)
+
+        assert run_scenario(scenario) == b""
+
+
 class TestNewConnections:
     def test_are_given_time_for_their_first_request(self) -> None:
         async def scenario(reactor: Any) -> list[str]:
