Decide about silent callers without the kernel's limit

Cause: Linux counts TCP_USER_TIMEOUT from the first time at which the window was closed, also when the peer has read everything since. With the usual limit back in place after a pause, the first probe of the next one drops the connection.

Now the limit of callers is lifted where the kernel tells what is needed, and bytes in flight that are not acknowledged for 3 s end the connection (`silence`). Keep-alive probes find idle callers that are gone, as before; one that vanishes with its window closed is found by the idle limit. Evidence: test_paused_peers.py::test_may_pause_again_on_a_kept_connection, red before (3 of 4 answers for each of 8 callers), passes after. Ruled out: a limit from the start of the connection, for which the probes get rare. Left: servers that pause repeatedly while they read one body.

--- a/src/gentianhitch/callers/connection_ends.py
+++ b/src/gentianhitch/callers/connection_ends.py
@@ -16,6 +16,9 @@
     CONNECTION_LOST = "connection-lost"
     """Reset by the caller, or given up by the kernel."""
 
+    SILENCE = "silence"
+    """The caller acknowledged nothing: it is gone."""
+
     IDLE = "idle"
     LAST_RESPONSE = "last-response"
     """The caller or a refusal asked for the close, or the instance is leaving."""
--- a/src/gentianhitch/callers/pipelined_connection.py
+++ b/src/gentianhitch/callers/pipelined_connection.py
@@ -25,7 +25,7 @@
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.callers.refusals import Refusal
 from gentianhitch.callers.refusals import encode_refusal
-from gentianhitch.silence import SilenceLimit
+from gentianhitch.silence import SilenceWatch
 from gentianhitch.socket_options import watch_for_silence
 from gentianhitch.writing import end_at_once
 from gentianhitch.writing import write_at_once
@@ -127,7 +127,8 @@
         """Enable keepalive probes and register the connection for timeouts."""
         self.transport.setTcpNoDelay(True)
         watch_for_silence(self.transport)
-        self._silence_limit = SilenceLimit(self.transport)
+        self._silence = SilenceWatch(self.transport)
+        self._silence.start()
         self._factory.connections.add(self)
 
     @property
@@ -291,12 +292,12 @@
     def check(self, now: float) -> None:
         """Close the connection, or refuse a partial request, after a timeout.
 
-        A caller that receives slowly is active. The kernel resets the connection of one
-        that is gone.
+        A caller that receives slowly is active.
         """
         undelivered = self._count_undelivered()
-        if undelivered or self._silence_limit.is_extended:
-            self._silence_limit.update(now)
+        if undelivered and self._silence.is_gone(now):
+            self._abort(EndReason.SILENCE)
+            return
         self.update_buffered()
         if undelivered != self._undelivered_bytes:
             self._undelivered_bytes = undelivered
--- a/src/gentianhitch/silence.py
+++ b/src/gentianhitch/silence.py
@@ -94,10 +94,42 @@
         if limit_ms == self._limit_ms:
             return
         try:
-            self._transport.socket.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms
-            )
+            _set_timeout(self._transport, limit_ms)
         except OSError:
             # The connection has ended, or the earlier limit stays in force.
             return
         self._limit_ms = limit_ms
+
+
+@attrs.define(eq=False)
+class SilenceWatch:
+    """Finds out that a peer is gone, in place of the kernel's limit.
+
+    Linux counts its limit from the first time at which the window was closed, also if
+    the peer has read everything since; a peer that pauses twice is dropped for it.
+    """
+
+    _transport: Any
+    _is_active: bool = False
+    _waits_since_s: float | None = None
+
+    def start(self) -> None:
+        """Lift the kernel's limit, if it tells what is needed to replace it."""
+        if read_send_state(self._transport) is not None:
+            self._is_active = True
+            _set_timeout(self._transport, 0)
+
+    def is_gone(self, now: float) -> bool:
+        """Return whether bytes in flight were not acknowledged; call periodically."""
+        state = read_send_state(self._transport) if self._is_active else None
+        if state is None or not state.unacknowledged_segments or not state.window_bytes:
+            self._waits_since_s = None
+            return False
+        acknowledged_s = now - state.acknowledged_ms_ago / MS_PER_S
+        if self._waits_since_s is None or acknowledged_s > self._waits_since_s:
+            self._waits_since_s = now
+        return now - self._waits_since_s >= UNACKNOWLEDGED_TIMEOUT_MS / MS_PER_S
+
+
+def _set_timeout(transport: Any, timeout_ms: int) -> None:
+    transport.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/tests/end_to_end/test_paused_peers.py
+++ b/tests/end_to_end/test_paused_peers.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,10 @@
 ANSWERS = ((900_000, 131_072), (60_000, 4096))
 """Bytes of an answer, and of the caller's receive buffer."""
 
+REPEATED_PAUSES_S = (3.3, 0.3, 3.3, 1.5)
+KEPT_CALLERS = 8
+READ_TIMEOUT_S = 10.0
+
 BYTES_PER_S = 5_000_000
 BEGUN_S = 0.6
 ROUTE_TIMEOUT_MS = 7500
@@ -57,6 +62,25 @@
     wait_until(is_in_force, "the configuration in force")
 
 
+def pause_repeatedly(address: str, name: str) -> int:
+    """Pause before each answer on one connection; return how many were received."""
+    host, _, port = address.rpartition(":")
+    size, window_bytes = ANSWERS[1]
+    with socket.socket() as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        connection.settimeout(READ_TIMEOUT_S)
+        connection.connect((host, int(port)))
+        buffer = bytearray()
+        for number, pause_s in enumerate(REPEATED_PAUSES_S):
+            connection.sendall(encode_order(f"{name}-{number}", body="x" * size))
+            time.sleep(pause_s)
+            try:
+                read_answer(connection, buffer)
+            except OSError:
+                return number
+    return len(REPEATED_PAUSES_S)
+
+
 def is_listed(proxy: Proxy, server: str) -> bool:
     """Return whether the proxy has read the entry of a server."""
     changes = proxy.events("listing_changed")
@@ -89,6 +113,16 @@
         assert [caller.wait() for caller in callers] == ["whole"] * len(callers)
         assert leaving.process.wait(10.0) == 0
 
+    # The kernel's limit runs from the first time that the window was closed.
+    def test_may_pause_again_on_a_kept_connection(self, deployment: Any) -> None:
+        address = deployment.proxies[0].addresses["callers"]
+        with ThreadPoolExecutor(KEPT_CALLERS) as threads:
+            names = [f"kept-{number}" for number in range(KEPT_CALLERS)]
+            read = list(
+                threads.map(lambda name: pause_repeatedly(address, name), names)
+            )
+        assert read == [len(REPEATED_PAUSES_S)] * KEPT_CALLERS
+
     def test_are_reset_after_the_idle_limit(self, deployment: Any) -> None:
         document = make_document(3)
         document["limits"]["idleTimeoutMs"] = 2000
--- a/tests/unit/test_silence.py
+++ b/tests/unit/test_silence.py
@@ -14,6 +14,7 @@
 from gentianhitch.silence import CLOSED_WINDOW_TIMEOUT_MS
 from gentianhitch.silence import SendState
 from gentianhitch.silence import SilenceLimit
+from gentianhitch.silence import SilenceWatch
 from gentianhitch.silence import read_send_state
 from gentianhitch.socket_options import UNACKNOWLEDGED_TIMEOUT_MS
 from gentianhitch.socket_options import watch_for_silence
@@ -230,3 +231,38 @@
         assert not pair.is_lost
         pair.read_all()
         unchecked.close()
+
+
+class TestWatch:
+    def test_finds_that_nothing_is_acknowledged(self) -> None:
+        kernel = KernelSocket(encode_tcp_info(SendState(0, 0, 0, 0, 64_000)))
+        watch = SilenceWatch(Transport(kernel))
+        watch.start()
+        assert kernel.limit_ms == 0
+        silent_s = []
+        for number in range(10):
+            now = 100.0 + number * CHECK_INTERVAL_S
+            state = SendState(3, 9_000 + number * 500, 5_000, 60_000, 64_000)
+            kernel.info = encode_tcp_info(state)
+            silent_s.append(watch.is_gone(now))
+        # 3 s after the first check that saw bytes in flight.
+        assert silent_s == [False] * 6 + [True] * 4
+
+    @pytest.mark.parametrize(
+        "state", [CLOSED, SendState(3, 400, 5_000, 60_000, 64_000)]
+    )
+    def test_keeps_peers_that_acknowledge(self, state: SendState) -> None:
+        kernel = KernelSocket(encode_tcp_info(state))
+        watch = SilenceWatch(Transport(kernel))
+        watch.start()
+        assert not any(watch.is_gone(100.0 + number / 2) for number in range(40))
+
+    @pytest.mark.parametrize("info", [OSError("refused"), b""])
+    def test_leaves_the_limit_where_the_kernel_does_not_tell(
+        self, info: bytes | OSError
+    ) -> None:
+        kernel = KernelSocket(info)
+        watch = SilenceWatch(Transport(kernel))
+        watch.start()
+        assert kernel.limit_ms == UNACKNOWLEDGED_TIMEOUT_MS
+        assert not watch.is_gone(1.0)
