Split the balancer and the metrics of an instance into modules

The table of servers (server_table.py), the evidence (server_evidence.py) and the metrics (instance_monitor.py) get modules of their own; no change of behaviour.

Ruled out: separate objects in place of the chain of classes, since each choice needs the records, their evidence and the notices together.

Before and after: tests/proxy, tests/unit and tests/end_to_end/test_platform.py pass.

--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -18,7 +18,6 @@
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.callers.caller_factory import CallerFactory
 from gentianhitch.callers.complete_requests import CallerRequest
-from gentianhitch.callers.connection_ends import EndedConnection
 from gentianhitch.callers.pipelined_connection import Exchange
 from gentianhitch.callers.pipelined_connection import PendingResponse
 from gentianhitch.event_loop import lag_of
@@ -47,11 +46,11 @@
 from gentianhitch.proxy.directory import DirectoryResponse
 from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.instance_monitor import InstanceMonitor
 from gentianhitch.proxy.internal_resources import configuration_resource
 from gentianhitch.proxy.internal_resources import metrics_resource
 from gentianhitch.proxy.listeners import Listeners
 from gentianhitch.proxy.listeners import bound_address
-from gentianhitch.proxy.metrics_text import render_metrics
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.quotas import Quotas
@@ -74,9 +73,6 @@
 PEER_CONNECT_TIMEOUT_S = 0.5
 HOUSEKEEPING_INTERVAL_S = 0.5
 
-LAG_LOGGED_S = 0.2
-"""The round trip that a close may cross; beyond it, callers see the lag."""
-
 
 class ProxyInstance:
     """Creates all parts of one instance and starts and stops them in order."""
@@ -94,7 +90,9 @@
         self._events = events
         self._random = Random(settings.name)
         self.metrics = Metrics()
-        self._lag = lag_of(reactor)
+        self._monitor = InstanceMonitor(
+            self.metrics, events, lag_of(reactor), self._gauges
+        )
         self.store_view = StoreView(settings.heartbeat_s)
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._callers_port: Any = None
@@ -201,7 +199,7 @@
             splits,
             events,
             settings.bounds.revocation_s,
-            self._record_finished,
+            self._monitor.record_finished,
             self._random,
         )
         self._callers = CallerFactory(
@@ -210,7 +208,7 @@
             self._caller_limits,
             self._serve,
             self._buffers,
-            self._record_end,
+            self._monitor.record_end,
             events.failure,
         )
         self._housekeeping = Repeating(
@@ -232,7 +230,7 @@
             configuration_resource(self._configuration_server.respond),
         )
         metrics = listeners.serve_http(
-            settings.metrics, metrics_resource(self._render_metrics)
+            settings.metrics, metrics_resource(self._monitor.render)
         )
         datagrams = listeners.receive_datagrams(settings.internal, self._datagrams)
         callers = bound_address(self._callers_port)
@@ -269,9 +267,6 @@
     def _resolve(self, failure_domain: str) -> DirectoryResponse | None:
         return self._directory.resolve(failure_domain, self._reactor.seconds())
 
-    def _render_metrics(self) -> bytes:
-        return render_metrics(self.metrics, self._gauges()).encode()
-
     def _gauges(self) -> dict[str, float]:
         now = self._reactor.seconds()
         return {
@@ -283,8 +278,6 @@
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
-            "event_loop_lag_seconds": self._lag.longest_s,
-            "log_lines_dropped": self._events.output.dropped,
         }
 
     def _receive(self, message: Message, sender: Address) -> None:
@@ -326,28 +319,7 @@
         self._changes.update(now)
         self._changes.log_service_use(now)
         self._settings_file.reload_if_changed()
-        self._record_lag()
-
-    def _record_lag(self) -> None:
-        lag_s = self._lag.end_span()
-        self.metrics.time("event_loop_lag", None, lag_s)
-        if lag_s > LAG_LOGGED_S:
-            self._events.state("loop_lagged", lag_ms=round(lag_s * 1000))
-
-    def _record_finished(self, outcome: str, workspace: str, elapsed_s: float) -> None:
-        self.metrics.count(f"requests.{outcome}")
-        self.metrics.time("total", workspace, elapsed_s)
-
-    def _record_end(self, end: EndedConnection) -> None:
-        self.metrics.count(f"caller_connections_ended.{end.reason.value}")
-        for request_id in end.undelivered_requests:
-            self._events.request(
-                "not_delivered",
-                request_id,
-                reason=end.reason.value,
-                undelivered_bytes=end.undelivered_bytes,
-                detail=end.detail,
-            )
+        self._monitor.record_lag()
 
     def reload(self) -> None:
         """Read the settings file again; addresses stay as they are."""
--- /dev/null
+++ b/src/gentianhitch/proxy/server_table.py
@@ -0,0 +1,153 @@
+"""The listed backend servers, and the requests that run at them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+from gentianhitch.proxy.digests import route_digest
+from gentianhitch.proxy.digests import server_digest
+from gentianhitch.proxy.gray_filter import GrayFilter
+from gentianhitch.proxy.model import BackendServer
+from gentianhitch.proxy.server_notices import ServerNotices
+from gentianhitch.proxy.server_records import RemoteRequests
+from gentianhitch.proxy.server_records import RunningRequest
+from gentianhitch.proxy.server_records import ServerRecord
+
+TURN_S = 0.25
+"""Instances try an unused server in turn: each learns what came of the try before."""
+
+MAX_TURN_S = 2.0
+
+MAX_DIGEST = 2**32 - 1
+BROKEN_PATH_PRIOR = 0.01
+"""Prior probability that the path from this instance to a server is broken."""
+
+
+class ServerTable:
+    """The records of the listed servers, with the running requests of all instances.
+
+    ``name`` is that of this instance.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._records_by_key: dict[tuple[str, int], ServerRecord] = {}
+        self._by_service: dict[str, list[ServerRecord]] = {}
+        self._server_keys_by_digest: dict[int, tuple[str, int]] = {}
+        self._route_names_by_digest: dict[int, str] = {}
+        self._reported_by_instance: dict[str, frozenset[tuple[str, int]]] = {}
+        self._instances: frozenset[str] = frozenset()
+        self.notices = ServerNotices()
+
+    def update(self, servers: Iterable[BackendServer], now: float) -> None:
+        """Replace the set of candidates by the backend servers in the listing."""
+        listed = {server.key: server for server in servers}
+        for key in tuple(self._records_by_key):
+            if key not in listed:
+                del self._records_by_key[key]
+        self._by_service = {}
+        self._server_keys_by_digest = {server_digest(key): key for key in listed}
+        for key, server in listed.items():
+            record = self._records_by_key.get(key)
+            if record is None:
+                record = ServerRecord(
+                    server, GrayFilter(now), GrayFilter(now, BROKEN_PATH_PRIOR, 0.0)
+                )
+                record.warm_at_s = now + server.warmup_s
+                record.last_used_s = now
+                self._records_by_key[key] = record
+                self._set_turn(record)
+            record.server = server
+            self._by_service.setdefault(server.service, []).append(record)
+
+    def server_key(self, digest: int) -> tuple[str, int] | None:
+        """Return the key of the listed server with ``digest``; None if none has it."""
+        return self._server_keys_by_digest.get(digest)
+
+    def route_name(self, digest: int) -> str | None:
+        """Return the name of the route with ``digest``; None if none has it."""
+        return self._route_names_by_digest.get(digest)
+
+    def set_routes(self, routes: frozenset[str]) -> None:
+        """Set the routes of the configuration in force."""
+        self._route_names_by_digest = {route_digest(name): name for name in routes}
+
+    def set_instances(self, names: frozenset[str]) -> None:
+        """Set the instances that use the servers with this one."""
+        if names != self._instances:
+            self._instances = names
+            for record in self._records_by_key.values():
+                self._set_turn(record)
+
+    def _set_turn(self, record: ServerRecord) -> None:
+        """Set this instance's preference for a server, and its turn to try it."""
+        own = _order_digest(self._name, record.server)
+        record.affinity = own / MAX_DIGEST
+        before = sum(
+            _order_digest(name, record.server) > own for name in self._instances
+        )
+        record.turn_s = min(before * TURN_S, MAX_TURN_S)
+
+    def record_wait(self, server: BackendServer, wait_s: float, now: float) -> float:
+        """Record that a server wants no requests for ``wait_s``; return until when.
+
+        Instances then try it in turn, as any server that nobody uses.
+        """
+        until_s = self.notices.record_wait(server.key, wait_s, now)
+        record = self._records_by_key.get(server.key)
+        if record is not None:
+            record.last_used_s = max(record.last_used_s, until_s)
+        return until_s
+
+    def free_in_s(self, service: str, now: float) -> float | None:
+        """Return after how long a server of ``service`` wants requests; None: never."""
+        keys = (
+            record.server.key
+            for record in self._by_service.get(service, ())
+            if not record.server.draining and not record.is_replaced
+        )
+        return self.notices.free_in_s(keys, now)
+
+    def mark_replaced(self, server: BackendServer) -> None:
+        """Exclude a server whose address another server has taken over.
+
+        The store may list its entry for some seconds more.
+        """
+        record = self._records_by_key.get(server.key)
+        if record is not None:
+            record.is_replaced = True
+
+    def merge_running(
+        self,
+        instance: str,
+        requests_by_server: dict[tuple[str, int], tuple[RunningRequest, ...]],
+        now: float,
+    ) -> None:
+        """Replace the running requests of another instance by those of its report."""
+        before = self._reported_by_instance.get(instance, frozenset())
+        for key in before - requests_by_server.keys():
+            record = self._records_by_key.get(key)
+            if record is not None:
+                record.remote_by_instance.pop(instance, None)
+        for key, requests in requests_by_server.items():
+            record = self._records_by_key.get(key)
+            if record is not None:
+                record.remote_by_instance[instance] = RemoteRequests(requests, now)
+                starts_s = (request.started_s for request in requests)
+                started_s = max(starts_s, default=record.last_used_s)
+                record.last_used_s = max(record.last_used_s, started_s)
+        self._reported_by_instance[instance] = frozenset(requests_by_server)
+
+    def running_by_server(self) -> dict[tuple[str, int], list[RunningRequest]]:
+        """Return the own running requests, by the key of their server."""
+        return {
+            key: list(record.running_by_token.values())
+            for key, record in self._records_by_key.items()
+            if record.running_by_token
+        }
+
+
+def _order_digest(instance: str, server: BackendServer) -> int:
+    return xxhash.xxh32_intdigest(f"{instance} {server.id}".encode())
