Read the operator's evacuations and exchange them between instances

Cause: operators evacuate a failure domain by the key op/evacuate/ZONE. The key lies in the ranges that are read already, and was ignored. StoreReader now collects the domains, and replies to freshness queries carry them with the revision and age of their read in a new trailing field, so that instances which the store turns away learn them from peers.

The whole list is a few bytes, so each reply carries it; the newest revision wins. Also ruled out: taking a reply of an older version as proof of the evacuations. Their age is kept apart (details_verified_s), and an instance whose readers are of an older version reads the store itself meanwhile, as one whose listing is old does.

Evacuations of domains without a listed server or instance are dropped when read, which bounds the size of replies, and logged once.

--- a/src/gentianhitch/instances/bucket_codec.py
+++ b/src/gentianhitch/instances/bucket_codec.py
@@ -46,14 +46,15 @@
 
 
 def pack_buckets(
-    buckets: list[tuple[int, Bucket]],
+    buckets: list[tuple[int, Bucket]], reserved_bytes: int = 0
 ) -> tuple[list[tuple[int, bytes]], int]:
     """Encode as many buckets as fit in a datagram; return them and the number left out.
 
+    ``reserved_bytes`` is the size of variable fields that travel with them.
     The first is always included, so that every exchange makes progress.
     """
     packed: list[tuple[int, bytes]] = []
-    remaining_bytes = MAX_PACKED_BYTES
+    remaining_bytes = MAX_PACKED_BYTES - reserved_bytes
     for number, bucket in buckets:
         encoded = encode_bucket(bucket)
         remaining_bytes -= len(encoded)
--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -38,6 +38,18 @@
     digests: bytes = b""
 
 
+class ListingDetails(msgspec.Struct, frozen=True, array_like=True):
+    """What instances of older versions leave out of the listing.
+
+    ``age_s`` is the time since the details were last verified against the store, which
+    was at ``evacuations_revision`` when the evacuated domains were read.
+    """
+
+    age_s: Age
+    evacuations_revision: int
+    evacuated_domains: list[str]
+
+
 class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Reply to a :class:`FreshnessQuery` with the sender's revisions and their ages.
 
@@ -46,7 +58,7 @@
     covers the complete listing. ``is_compared`` is set if the digests of the query were
     compared: ``buckets`` then holds as many of the differing buckets as fit in a
     datagram, as pairs of number and encoded bucket, and ``remaining`` counts the
-    others.
+    others. Older versions send no ``details``.
     """
 
     sender: str
@@ -59,6 +71,7 @@
     is_compared: bool = False
     buckets: list[tuple[int, bytes]] = []
     remaining: int = 0
+    details: ListingDetails | None = None
 
 
 class AttemptSample(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -17,6 +17,9 @@
 DEFAULT_CONFIGURATION_APPLY_S = 2.0
 """Assumed for deployments that agree on no bound."""
 
+DEFAULT_EVACUATION_S = 5.0
+"""As the platform's deployments agree on; longer than any other bound of a change."""
+
 
 class NodeSettingsError(UsageError):
     """The settings file is unreadable or invalid; the message names the field."""
@@ -38,6 +41,7 @@
     quota_slack: float
     floor_share: float
     configuration_apply_s: float
+    evacuation_s: float
 
 
 @attrs.frozen
@@ -181,4 +185,6 @@
             "configurationApplyMs", float, DEFAULT_CONFIGURATION_APPLY_S * 1000
         )
         / 1000,
+        evacuation_s=bounds.get_or("evacuationMs", float, DEFAULT_EVACUATION_S * 1000)
+        / 1000,
     )
--- a/src/gentianhitch/platform/store_reader.py
+++ b/src/gentianhitch/platform/store_reader.py
@@ -15,6 +15,7 @@
 from gentianhitch.platform.store import Item
 from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.wire_names import CONFIGURATION_KEY
+from gentianhitch.platform.wire_names import EVACUATIONS_PREFIX
 from gentianhitch.platform.wire_names import PEERS_PREFIX
 from gentianhitch.platform.wire_names import SERVERS_PREFIX
 from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
@@ -111,6 +112,17 @@
         raise MalformedEntryError(f"{item.key}: {error}") from error
 
 
+def decode_evacuation(item: Item) -> str:
+    """Return the domain that a key evacuates; raise MalformedEntryError.
+
+    The value is ignored: the existence of the key evacuates the domain.
+    """
+    domain = item.key.removeprefix(EVACUATIONS_PREFIX)
+    if not domain:
+        raise MalformedEntryError(f"{item.key}: no failure domain is named")
+    return domain
+
+
 def encode_peer(peer: Peer) -> bytes:
     """Encode the entry that an instance writes about itself."""
     return msgspec.json.encode(
@@ -149,8 +161,8 @@
         return listing, items.get(CONFIGURATION_KEY)
 
     async def read_listing(self, progress: Progress) -> Listing:
-        """Read the entries of backend servers and instances, not the configuration."""
-        # Both prefixes sort after the configuration's key.
+        """Read the servers, instances and evacuations, not the configuration."""
+        # All these prefixes sort after the configuration's key.
         page = await self._store.read_range("", CONFIGURATION_KEY, progress)
         return self.decode_listing(page.items, page.revision)
 
@@ -172,6 +184,7 @@
         """Decode the items of one read; malformed entries do not affect the others."""
         servers: dict[str, BackendServer] = {}
         peers: dict[str, Peer] = {}
+        evacuated: set[str] = set()
         self.rejected_by_key = {}
         for item in items:
             try:
@@ -181,9 +194,11 @@
                 elif item.key.startswith(PEERS_PREFIX):
                     peer = decode_peer(item)
                     peers[peer.name] = peer
+                elif item.key.startswith(EVACUATIONS_PREFIX):
+                    evacuated.add(decode_evacuation(item))
             except MalformedEntryError as error:
                 self.rejected_by_key[item.key] = str(error)
-        return Listing(revision, servers, peers)
+        return Listing(revision, servers, peers, frozenset(evacuated))
 
 
 def decode_stored(revision: int, source: bytes) -> StoredConfiguration:
--- a/src/gentianhitch/platform/wire_names.py
+++ b/src/gentianhitch/platform/wire_names.py
@@ -17,6 +17,7 @@
 RESOLVE_PATH = "/v1/resolve"
 
 CONFIGURATION_KEY = "op/config"
+EVACUATIONS_PREFIX = "op/evacuate/"
+# All prefixes sort after CONFIGURATION_KEY: one range read lists them.
 SERVERS_PREFIX = "servers/"
-# Like SERVERS_PREFIX, sorts after CONFIGURATION_KEY: one range read lists both.
 PEERS_PREFIX = "peers/"
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -153,14 +153,16 @@
 
 @attrs.frozen
 class Listing:
-    """The servers and instances in one read of the store.
+    """The servers, instances and evacuations in one read of the store.
 
-    ``revision`` is that of the store as a whole; it orders listings.
+    ``revision`` is that of the store as a whole; it orders listings. No requests are
+    sent to the servers of ``evacuated_domains``.
     """
 
     revision: int
     backend_servers_by_id: dict[str, BackendServer]
     peers_by_name: dict[str, Peer]
+    evacuated_domains: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -16,6 +17,7 @@
 from gentianhitch.instances.datagrams import Datagrams
 from gentianhitch.instances.datagrams import FreshnessQuery
 from gentianhitch.instances.datagrams import FreshnessReply
+from gentianhitch.instances.datagrams import ListingDetails
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.platform.store_reader import StoreReader
 from gentianhitch.platform.store_reader import decode_stored
@@ -29,6 +31,7 @@
 from gentianhitch.proxy.origin import STORE
 from gentianhitch.proxy.origin import Origin
 from gentianhitch.proxy.sources import RefreshPlan
+from gentianhitch.proxy.store_view import NEVER
 from gentianhitch.proxy.store_view import NO_REVISION
 from gentianhitch.proxy.store_view import ListingChange
 from gentianhitch.proxy.store_view import StoreView
@@ -92,6 +95,7 @@
         self._failing_parts: set[str] = set()
         self._conditional_read_failed = False
         self._rejected_by_key: dict[str, str] = {}
+        self._unknown_evacuated: frozenset[str] = frozenset()
         self._loop = Repeating(clock, TICK_S, self._tick, events.failure)
 
     def start(self) -> None:
@@ -117,7 +121,11 @@
     # Reads of the store.
 
     def _read_store(self, now: float) -> None:
-        reads_listing = self._store_view.listing_age_s(now) >= MIN_READ_AGE_S
+        store_view = self._store_view
+        listing_age_s = max(
+            store_view.listing_age_s(now), store_view.details_age_s(now)
+        )
+        reads_listing = listing_age_s >= MIN_READ_AGE_S
         is_old = self._store_view.configuration_age_s(now) >= MIN_READ_AGE_S
         reads_configuration = is_old and not self._fetcher.is_fetching
         if reads_listing and reads_configuration and self._reads_in_full():
@@ -190,6 +198,7 @@
         elapsed_s = now - started_s
         origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
         self._report_change(change, origin)
+        self._log_unknown_evacuated(listing)
 
     async def _read_configuration(self, progress: Progress, started_s: float) -> None:
         known = self._store_view.stored_configuration
@@ -235,7 +244,10 @@
         differing_buckets = (
             registry.differing_buckets(ask.digests) if is_compared else []
         )
-        buckets, remaining = pack_buckets(differing_buckets)
+        details = self._details(now)
+        buckets, remaining = pack_buckets(
+            differing_buckets, 0 if details is None else _names_size(details)
+        )
         return FreshnessReply(
             self._plan.name,
             ask.sent_s,
@@ -247,6 +259,17 @@
             is_compared,
             buckets,
             remaining,
+            details,
+        )
+
+    def _details(self, now: float) -> ListingDetails | None:
+        """Return the details of the listing; None before they were verified."""
+        age_s = self._store_view.details_age_s(now)
+        if not math.isfinite(age_s):
+            return None
+        registry = self._store_view.registry
+        return ListingDetails(
+            age_s, registry.evacuations_revision, sorted(registry.evacuated_domains)
         )
 
     def handle_reply(self, message: FreshnessReply) -> None:
@@ -278,7 +301,23 @@
         store_view = self._store_view
         verified_s = message.query_sent_s - message.listing_age_s
         revision, digest = message.listing_revision, message.digest
-        if store_view.confirm_listing(revision, digest, verified_s):
+        details, details_verified_s = message.details, NEVER
+        if details is not None:
+            details_verified_s = message.query_sent_s - details.age_s
+            # Before the servers: those of an evacuated domain must not be used.
+            change = store_view.merge_evacuations(
+                details.evacuations_revision, details.evacuated_domains
+            )
+            self._report_change(
+                change,
+                Origin(
+                    message.sender,
+                    _names_size(details),
+                    now - message.query_sent_s,
+                    now - details_verified_s,
+                ),
+            )
+        if store_view.confirm_listing(revision, digest, verified_s, details_verified_s):
             return
         if revision <= store_view.registry.revision:
             return
@@ -288,7 +327,9 @@
             except MalformedMessageError as error:
                 self._events.state("listing_not_merged", detail=str(error))
                 return
-            change = store_view.merge_buckets(revision, digest, buckets, verified_s)
+            change = store_view.merge_buckets(
+                revision, digest, buckets, verified_s, details_verified_s
+            )
             size_bytes = sum(len(data) for _, data in message.buckets)
             origin = Origin(
                 message.sender, size_bytes, now - message.query_sent_s, now - verified_s
@@ -316,3 +357,15 @@
             if key not in self._rejected_by_key:
                 self._events.state("entry_rejected", key=key, detail=reason)
         self._rejected_by_key = dict(rejected)
+
+    def _log_unknown_evacuated(self, listing: Listing) -> None:
+        """Log evacuated domains of which no server or instance is listed, once."""
+        known = self._store_view.registry.failure_domains()
+        unknown = listing.evacuated_domains - known
+        for domain in sorted(unknown - self._unknown_evacuated):
+            self._events.state("evacuation_unknown", domain=domain)
+        self._unknown_evacuated = unknown
+
+
+def _names_size(details: ListingDetails) -> int:
+    return sum(len(name.encode()) for name in details.evacuated_domains)
--- a/src/gentianhitch/proxy/registry.py
+++ b/src/gentianhitch/proxy/registry.py
@@ -56,12 +56,17 @@
     """The newest known state of each bucket, and the revision at which it was read.
 
     All buckets are at least as new as ``revision``; none is replaced by an older one.
+    ``evacuated_domains`` were read at ``evacuations_revision``, 0 before the first
+    read. They are in no bucket and no digest: instances of older versions know none,
+    and would find a difference in every exchange.
     """
 
     revision: int = 0
     servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     digest: bytes = b""
+    evacuated_domains: frozenset[str] = frozenset()
+    evacuations_revision: int = 0
     _buckets: list[Bucket] = attrs.Factory(lambda: [EMPTY_BUCKET] * BUCKET_COUNT)
     _revisions: list[int] = attrs.Factory(lambda: [0] * BUCKET_COUNT)
 
@@ -82,9 +87,27 @@
         ]
 
     def replace(self, listing: Listing) -> None:
-        """Replace all buckets by those of a newer listing."""
+        """Replace everything by a newer listing.
+
+        Evacuations of domains without a listed server or instance are left out, so that
+        their number is bounded by that of the domains.
+        """
         self.merge(listing.revision, enumerate(_split(listing)))
         self.advance(listing.revision)
+        domains = listing.evacuated_domains & self.failure_domains()
+        self.merge_evacuations(listing.revision, domains)
+
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains of the listed servers and instances."""
+        return frozenset(
+            server.failure_domain for server in self.servers_by_id.values()
+        ) | frozenset(peer.failure_domain for peer in self.peers_by_name.values())
+
+    def merge_evacuations(self, revision: int, domains: frozenset[str]) -> None:
+        """Take the evacuated domains read at ``revision``, unless newer are known."""
+        if revision >= self.evacuations_revision:
+            self.evacuations_revision = revision
+            self.evacuated_domains = domains
 
     def merge(self, revision: int, buckets: Iterable[tuple[int, Bucket]]) -> None:
         """Take buckets that were read at ``revision``, except where newer are known."""
--- a/src/gentianhitch/proxy/store_view.py
+++ b/src/gentianhitch/proxy/store_view.py
@@ -32,12 +32,31 @@
 
 @attrs.frozen
 class ListingChange:
-    """The changes between two listings; ``peers`` if instances came or went."""
+    """The changes between two listings; ``peers`` if instances came or went.
+
+    ``evacuated`` and ``returned`` are the domains whose evacuation began or ended.
+    """
 
     added: tuple[BackendServer, ...]
     removed: tuple[BackendServer, ...]
     draining: tuple[BackendServer, ...]
     peers: bool
+    evacuated: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
+
+    @property
+    def has_entries(self) -> bool:
+        """Return whether servers or instances changed."""
+        return bool(self.added or self.removed or self.draining or self.peers)
+
+
+@attrs.frozen
+class _Known:
+    """What was known before a change."""
+
+    servers_by_id: dict[str, BackendServer]
+    peers_by_name: dict[str, Peer]
+    evacuated_domains: frozenset[str]
 
 
 @attrs.define
@@ -48,6 +67,8 @@
     *started*: all writes acknowledged before then are in it. Older data is dropped, so
     that no part goes back to an earlier revision. The two parts are verified apart, so
     that the removal of a server is never delayed by a large configuration.
+    ``details_verified_s`` is the same for what replies of older versions leave out of
+    the listing: the evacuated domains.
     """
 
     heartbeat_s: float
@@ -55,6 +76,7 @@
     stored_configuration: StoredConfiguration | None = None
     listing_verified_s: float = NEVER
     configuration_verified_s: float = NEVER
+    details_verified_s: float = NEVER
     _expired_servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _expired_peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     _retained_until_s: float = NEVER
@@ -68,9 +90,17 @@
         """Return the age of the configuration, from the start of the verifying read."""
         return now - self.configuration_verified_s
 
+    def details_age_s(self, now: float) -> float:
+        """Return the age of the listing's details, from the verifying read's start."""
+        return now - self.details_verified_s
+
     def age_s(self, now: float) -> float:
-        """Return the age of the older part."""
-        return max(self.listing_age_s(now), self.configuration_age_s(now))
+        """Return the age of the oldest part."""
+        return max(
+            self.listing_age_s(now),
+            self.configuration_age_s(now),
+            self.details_age_s(now),
+        )
 
     @property
     def configuration(self) -> Configuration | None:
@@ -94,6 +124,11 @@
         """Return the entry instances, including expired ones that are retained."""
         return self.registry.peers_by_name
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """Return the failure domains whose servers get no requests."""
+        return self.registry.evacuated_domains
+
     @property
     def expired_server_ids(self) -> frozenset[str]:
         """Return the servers that are retained although their entries expired."""
@@ -125,15 +160,23 @@
 
     # The listing.
 
-    def confirm_listing(self, revision: int, digest: bytes, started_s: float) -> bool:
+    def confirm_listing(
+        self,
+        revision: int,
+        digest: bytes,
+        started_s: float,
+        details_started_s: float = NEVER,
+    ) -> bool:
         """Record a read, started at ``started_s``, of a listing with ``digest``.
 
-        Return whether it equals the known listing.
+        ``details_started_s`` is the start of the read of its details. Return whether it
+        equals the known listing.
         """
         if digest != self.registry.digest:
             return False
         self.registry.advance(revision)
         self.listing_verified_s = max(self.listing_verified_s, started_s)
+        self.details_verified_s = max(self.details_verified_s, details_started_s)
         if revision > self._read_revision:
             # A later read by another instance decides which entries are retained.
             self._clear_expired()
@@ -159,10 +202,11 @@
         returned_s = now if store_returned_s is None else store_returned_s
         self._retain_expired(listing, started_s, returned_s)
         self._read_revision = listing.revision
-        old_servers, old_peers = self.servers_by_id, self.peers_by_name
+        before = self._known()
         self.registry.replace(self._with_retained(listing))
         self.listing_verified_s = max(self.listing_verified_s, started_s)
-        return self._change(old_servers, old_peers)
+        self.details_verified_s = max(self.details_verified_s, started_s)
+        return self._change(before)
 
     def merge_buckets(
         self,
@@ -170,21 +214,30 @@
         digest: bytes,
         buckets: Iterable[tuple[int, Bucket]],
         started_s: float,
+        details_started_s: float = NEVER,
     ) -> ListingChange | None:
         """Take buckets of a peer whose complete listing has ``digest``."""
-        old_servers, old_peers = self.servers_by_id, self.peers_by_name
+        before = self._known()
         self.registry.merge(revision, buckets)
-        self.confirm_listing(revision, digest, started_s)
-        return self._change(old_servers, old_peers)
+        self.confirm_listing(revision, digest, started_s, details_started_s)
+        return self._change(before)
+
+    def merge_evacuations(
+        self, revision: int, domains: Iterable[str]
+    ) -> ListingChange | None:
+        """Take the evacuated domains that a peer read at ``revision``."""
+        before = self._known()
+        self.registry.merge_evacuations(revision, frozenset(domains))
+        return self._change(before)
 
     def drop_expired(self, now: float) -> ListingChange | None:
         """Drop retained entries that were not written again in time."""
         if now < self._retained_until_s or self._retained_until_s == NEVER:
             return None
-        old_servers, old_peers = self.servers_by_id, self.peers_by_name
+        before = self._known()
         self.registry.remove(self._expired_servers_by_id, self._expired_peers_by_name)
         self._clear_expired()
-        return self._change(old_servers, old_peers)
+        return self._change(before)
 
     def _clear_expired(self) -> None:
         self._expired_servers_by_id = {}
@@ -224,27 +277,38 @@
             listing.revision,
             {**self._expired_servers_by_id, **listing.backend_servers_by_id},
             {**self._expired_peers_by_name, **listing.peers_by_name},
+            # Not retained: only a delete by the operator removes an evacuation.
+            listing.evacuated_domains,
         )
 
-    def _change(
-        self, old_servers: dict[str, BackendServer], old_peers: dict[str, Peer]
-    ) -> ListingChange | None:
-        if self.servers_by_id is old_servers and self.peers_by_name is old_peers:
+    def _known(self) -> _Known:
+        return _Known(self.servers_by_id, self.peers_by_name, self.evacuated_domains)
+
+    def _change(self, before: _Known) -> ListingChange | None:
+        """Return the changes since ``before``; None without any."""
+        if (
+            self.servers_by_id is before.servers_by_id
+            and self.peers_by_name is before.peers_by_name
+            and self.evacuated_domains == before.evacuated_domains
+        ):
             return None
-        new_servers = self.servers_by_id
+        servers, old_servers = self.servers_by_id, before.servers_by_id
+        evacuated, old_evacuated = self.evacuated_domains, before.evacuated_domains
         change = ListingChange(
-            added=_servers_not_in(new_servers, old_servers),
-            removed=_servers_not_in(old_servers, new_servers),
+            added=_servers_not_in(servers, old_servers),
+            removed=_servers_not_in(old_servers, servers),
             draining=tuple(
                 server
-                for server in new_servers.values()
+                for server in servers.values()
                 if server.draining
                 and server.id in old_servers
                 and not old_servers[server.id].draining
             ),
-            peers=self.peers_by_name.keys() != old_peers.keys(),
+            peers=self.peers_by_name.keys() != before.peers_by_name.keys(),
+            evacuated=tuple(sorted(evacuated - old_evacuated)),
+            returned=tuple(sorted(old_evacuated - evacuated)),
         )
-        if change.added or change.removed or change.draining or change.peers:
+        if change.has_entries or change.evacuated or change.returned:
             return change
         return None
 
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -92,12 +92,16 @@
 
 
 def make_listing(
-    revision: int, *servers: BackendServer, peers: tuple[Peer, ...] = ()
+    revision: int,
+    *servers: BackendServer,
+    peers: tuple[Peer, ...] = (),
+    evacuated: tuple[str, ...] = (),
 ) -> Listing:
     return Listing(
         revision=revision,
         backend_servers_by_id={server.id: server for server in servers},
         peers_by_name={peer.name: peer for peer in peers},
+        evacuated_domains=frozenset(evacuated),
     )
 
 
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gentianhitch.errors import ExitCode
+from gentianhitch.platform.node_settings import DEFAULT_EVACUATION_S
 from gentianhitch.platform.node_settings import NodeSettingsError
 from gentianhitch.platform.node_settings import decode_node_settings
 from gentianhitch.platform.node_settings import load_node_settings
@@ -21,6 +22,12 @@
         assert settings.bounds.revocation_s == 5.0
         assert settings.bounds.shutdown_grace_s == 6.0
 
+    def test_bound_of_evacuations_is_optional(self) -> None:
+        raw = make_raw_node_settings()
+        assert decode_node_settings(raw).bounds.evacuation_s == DEFAULT_EVACUATION_S
+        raw["terms"]["bounds"]["evacuationMs"] = 4000
+        assert decode_node_settings(raw).bounds.evacuation_s == 4.0
+
     def test_capacity_is_cpu_share_times_cores(self) -> None:
         assert decode_node_settings(make_raw_node_settings()).capacity == 1.5
 
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -63,6 +63,23 @@
         assert set(reader.rejected_by_key) == {"servers/i-2"}
 
 
+class TestEvacuations:
+    def test_decodes_the_domains_beside_the_other_entries(self) -> None:
+        reader = StoreReader(None)  # type: ignore[arg-type]
+        items = [
+            make_item({}, "op/config"),
+            make_item({}, "op/evacuate/dk-a"),
+            make_item(b"", "op/evacuate/dk/b"),
+            make_item({}, "op/evacuate/"),
+            make_item({}, "op/evacuated"),
+            make_item(ENTRY),
+        ]
+        listing = reader.decode_listing(items, 20)
+        assert listing.evacuated_domains == {"dk-a", "dk/b"}
+        assert set(listing.backend_servers_by_id) == {"i-1"}
+        assert set(reader.rejected_by_key) == {"op/evacuate/"}
+
+
 class TestPeers:
     def test_encoded_peer_decodes_to_the_same_peer(self) -> None:
         peer = make_peer("e-1")
--- a/tests/proxy/test_knowledge.py
+++ b/tests/proxy/test_knowledge.py
@@ -203,3 +203,64 @@
         follow(store_view, source, 16.3)
         assert store_view.drop_expired(16.0 + REREGISTRATION_S) is None
         assert set(store_view.servers_by_id) == {"s-1"}
+
+
+class TestEvacuations:
+    def test_begins_and_ends_with_the_key(self) -> None:
+        store_view = make_store_view("s-1")
+        evacuated = make_listing(6, make_server(), evacuated=("a",))
+        change = store_view.update_listing(evacuated, 10.5, 10.5)
+        assert change is not None
+        assert (change.evacuated, change.has_entries) == (("a",), False)
+        assert store_view.evacuated_domains == {"a"}
+        change = store_view.update_listing(make_listing(7, make_server()), 11.0, 11.0)
+        assert change is not None
+        assert change.returned == ("a",)
+        assert store_view.evacuated_domains == frozenset()
+
+    def test_a_read_without_a_change_is_no_change(self) -> None:
+        store_view = make_store_view("s-1")
+        listing = make_listing(6, make_server(), evacuated=("a",))
+        store_view.update_listing(listing, 10.5, 10.5)
+        listing = make_listing(7, make_server(), evacuated=("a",))
+        assert store_view.update_listing(listing, 11.0, 11.0) is None
+
+    # Guards against an evacuation that a late reply of a peer, or a read that was
+    # overtaken, ends or begins again.
+    def test_an_older_state_is_dropped(self) -> None:
+        store_view = make_store_view("s-1")
+        assert store_view.merge_evacuations(9, ["a"]) is not None
+        assert store_view.merge_evacuations(8, []) is None
+        store_view.update_listing(make_listing(7, make_server()), 11.0, 11.0)
+        assert store_view.evacuated_domains == {"a"}
+        assert store_view.merge_evacuations(10, []) is not None
+        assert store_view.merge_evacuations(9, ["a"]) is None
+
+    # Guards against a domain that stays out of use though its key went away with an
+    # outage of the store.
+    def test_is_not_retained_after_an_outage(self) -> None:
+        store_view = make_store_view("s-1")
+        listing = make_listing(6, make_server(), evacuated=("a",))
+        store_view.update_listing(listing, 10.5, 10.5)
+        store_view.update_listing(make_listing(9), 16.0, 16.0)
+        assert set(store_view.servers_by_id) == {"s-1"}
+        assert store_view.evacuated_domains == frozenset()
+
+    # Guards against requests to an evacuated domain whose servers' entries expired in
+    # an outage of the store and are retained.
+    def test_holds_for_retained_servers(self) -> None:
+        store_view = make_store_view("s-1")
+        store_view.update_listing(make_listing(9, evacuated=("a",)), 16.0, 16.0)
+        assert set(store_view.servers_by_id) == {"s-1"}
+        assert store_view.evacuated_domains == {"a"}
+
+    # Guards against an instance that counts its evacuations as verified although the
+    # peer is of a version that knows none.
+    def test_an_older_peer_verifies_the_entries_only(self) -> None:
+        store_view = make_store_view("s-1")
+        assert store_view.confirm_listing(6, store_view.registry.digest, 12.0)
+        assert store_view.listing_age_s(13.0) == 1.0
+        assert store_view.details_age_s(13.0) == 3.0
+        assert store_view.age_s(13.0) >= 3.0
+        assert store_view.confirm_listing(6, store_view.registry.digest, 12.0, 11.9)
+        assert round(store_view.details_age_s(13.0), 3) == 1.1
