Send nothing to the servers of an evacuated failure domain

Cause: the domains that the operator evacuates are known to each instance, and their servers were still chosen. The balancer now leaves them out of every choice (first send, second attempt, hedge), the floor and the servers whose waits decide on Retry-After. An attempt that was still connecting is checked again before the write: its connection is closed and another server takes its place, without a second retry of the budget and without counting as a send. Requests that were written continue. A service whose servers are all evacuated is refused at once (no-capacity, not run, Retry-After).

An instance logs evacuation_changed, evacuation_unknown and withdrawn; finished says how many of the service's servers are evacuated when a request is refused. New gauges: evacuated_domains, servers_evacuated.

Ruled out: treating the servers as draining in the listing, which needs the same change in each bucket and loses the reason; closing idle connections to them, which end by themselves after 8 s.

--- a/src/gentianhitch/proxy/attempts.py
+++ b/src/gentianhitch/proxy/attempts.py
@@ -39,11 +39,17 @@
 
 
 class Attempt:
-    """One attempt at one server, from the connect to the response."""
+    """One attempt at one server, from the connect to the response.
 
-    def __init__(self, owner: AttemptOwner, server: BackendServer) -> None:
+    ``is_paid`` if a retry of the budget was spent for it.
+    """
+
+    def __init__(
+        self, owner: AttemptOwner, server: BackendServer, *, is_paid: bool = False
+    ) -> None:
         self._owner = owner
         self.server = server
+        self.is_paid = is_paid
         self.token: int | None = None
         self.connection: ServerConnection | None = None
         self.connecting: Connecting | None = None
--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -112,6 +112,7 @@
             for record in self._by_service.get(service, ())
             if not record.server.draining
             and not record.is_replaced
+            and not self.is_evacuated(record.server)
             and self.notices.accepts_requests(record.server.key, now)
         ]
 
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -42,16 +42,25 @@
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
         """Log and apply a change of the listing."""
         store_view = self._store_view
-        self._events.state(
-            "listing_changed",
-            revision=store_view.registry.revision,
-            added=[server.id for server in change.added],
-            removed=[server.id for server in change.removed],
-            draining=[server.id for server in change.draining],
-            kept=sorted(store_view.expired_server_ids),
-            peers=len(store_view.peers_by_name),
-            **origin.as_fields(),
-        )
+        if change.evacuated or change.returned:
+            self._events.state(
+                "evacuation_changed",
+                evacuated=change.evacuated,
+                returned=change.returned,
+                in_force=sorted(store_view.evacuated_domains),
+                **origin.as_fields(),
+            )
+        if change.has_entries:
+            self._events.state(
+                "listing_changed",
+                revision=store_view.registry.revision,
+                added=[server.id for server in change.added],
+                removed=[server.id for server in change.removed],
+                draining=[server.id for server in change.draining],
+                kept=sorted(store_view.expired_server_ids),
+                peers=len(store_view.peers_by_name),
+                **origin.as_fields(),
+            )
         self._metrics.time("listing_age", None, origin.age_s)
         self.update(self._clock.seconds())
 
@@ -81,6 +90,7 @@
         if is_changed:
             self._server_keys = frozenset(server.key for server in servers.values())
             self._balancer.update(servers.values(), now)
+        self._balancer.set_evacuated(self._store_view.evacuated_domains)
         # A connection may have become idle after its server had left.
         self._connections.retain(self._server_keys)
         serving = frozenset(peer.name for peer in self._fleet.serving_peers())
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -129,7 +129,11 @@
 
     # Attempts.
 
-    def _try_next_server(self, *, hedge: bool = False) -> bool:
+    def _try_next_server(self, *, hedge: bool = False, is_paid: bool = False) -> bool:
+        """Start an attempt at the best server left; return False if there is none.
+
+        ``is_paid`` if it replaces one for which a retry of the budget was spent.
+        """
         now = self._context.clock.seconds()
         if self._deadline - now < MIN_REMAINING_S:
             return False
@@ -143,18 +147,21 @@
         )
         if server is None:
             return False
-        is_allowed = not self._writes or self._context.try_spend_retry(
-            self._service, now, hedge=hedge
+        needs_retry = self._writes > 0
+        is_allowed = (
+            not needs_retry
+            or is_paid
+            or self._context.try_spend_retry(self._service, now, hedge=hedge)
         )
         if not is_allowed:
             self._owner.log_dispatch_event("retry_budget_spent", server, "")
             return False
-        self._start_attempt(server)
+        self._start_attempt(server, is_paid=needs_retry)
         return True
 
-    def _start_attempt(self, server: BackendServer) -> None:
+    def _start_attempt(self, server: BackendServer, *, is_paid: bool) -> None:
         self._tried_ids |= {server.id}
-        attempt = Attempt(self, server)
+        attempt = Attempt(self, server, is_paid=is_paid)
         self._attempts.append(attempt)
         idempotent = self._route.idempotent
         attempt.connecting = self._context.connections.acquire(
@@ -167,13 +174,17 @@
             attempt.connecting = None
 
     def write(self, attempt: Attempt, connection: ServerConnection) -> None:
-        """Write the request, unless too little time is left after the connect."""
+        """Write the request, unless what changed during the connect forbids it."""
         now = self._context.clock.seconds()
         if self._ended or self._deadline - now < MIN_REMAINING_S:
             connection.close()
             if not self._ended:
                 self._deadline_passed()
             return
+        if self._context.balancer.is_evacuated(attempt.server):
+            connection.close()
+            self._withdraw(attempt)
+            return
         attempt.connection = connection
         attempt.token = self._context.balancer.record_start(
             attempt.server, self._route, now
@@ -191,6 +202,14 @@
         connection.send(self._request.request_id, data, attempt)
         self._schedule_hedge(attempt, now)
 
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Try another server in place of one that may no longer get the request."""
+        self._attempts.remove(attempt)
+        self._owner.log_dispatch_event("withdrawn", attempt.server, "evacuated")
+        replaced = self._try_next_server(is_paid=attempt.is_paid)
+        if not replaced and not self._attempts:
+            self._finish_with_last_result()
+
     def connect_failed(self, attempt: Attempt, error: ConnectError) -> None:
         """Try another server; without one, wait for the attempts under way."""
         self._attempts.remove(attempt)
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -18,6 +18,8 @@
     {
         "configuration_changed",
         "configuration_not_fetched",
+        "evacuation_changed",
+        "evacuation_unknown",
         "lifecycle",
         "listing_changed",
         "loop_lagged",
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -276,6 +276,8 @@
             "listing_age_seconds": self.store_view.listing_age_s(now),
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
+            "evacuated_domains": len(self.store_view.evacuated_domains),
+            "servers_evacuated": self._balancer.count_evacuated(),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
         }
@@ -371,7 +373,8 @@
 
 def _propagation_bound_s(settings: NodeSettings) -> float:
     """Return the time within which every change of the store must be in force."""
-    return min(settings.bounds.drain_s, settings.bounds.configuration_apply_s)
+    bounds = settings.bounds
+    return min(bounds.drain_s, bounds.configuration_apply_s, bounds.evacuation_s)
 
 
 def _quota_tolerance(settings: NodeSettings) -> QuotaTolerance:
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -264,7 +264,11 @@
             self._server.quotas.refund(allowed.workspace, self._admitted_s, now)
         if cause.status != HTTPStatus.SERVICE_UNAVAILABLE:
             cause = Cause.NO_CAPACITY
-        self._refuse(Refusal(cause, retry_after_s=self._retry_after_s()))
+        balancer = self._server.dispatch.balancer
+        self._refuse(
+            Refusal(cause, retry_after_s=self._retry_after_s()),
+            logged=balancer.describe_unused(self._service),
+        )
 
     def dispatch_broke(self, failure: Failure, *, may_have_run: bool) -> None:
         """Answer the request after an unexpected error; others are not affected."""
@@ -328,8 +332,9 @@
             for name, age_s in ages_s.items()
         }
 
-    def _refuse(self, refusal: Refusal) -> None:
-        self._finish(refusal.cause.label, None, detail=refusal.detail)
+    def _refuse(self, refusal: Refusal, *, logged: str = "") -> None:
+        """Refuse the request; ``logged`` is a detail for the log only."""
+        self._finish(refusal.cause.label, None, detail=logged or refusal.detail)
         close = self._pending_response.will_close
         self._pending_response.send(
             encode_refusal(
--- a/src/gentianhitch/proxy/server_table.py
+++ b/src/gentianhitch/proxy/server_table.py
@@ -39,6 +39,7 @@
         self._route_names_by_digest: dict[int, str] = {}
         self._reported_by_instance: dict[str, frozenset[tuple[str, int]]] = {}
         self._instances: frozenset[str] = frozenset()
+        self._evacuated_domains: frozenset[str] = frozenset()
         self.notices = ServerNotices()
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
@@ -74,6 +75,26 @@
         """Set the routes of the configuration in force."""
         self._route_names_by_digest = {route_digest(name): name for name in routes}
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains whose servers get no requests."""
+        self._evacuated_domains = domains
+
+    def is_evacuated(self, server: BackendServer) -> bool:
+        """Return whether the failure domain of ``server`` is evacuated."""
+        return server.failure_domain in self._evacuated_domains
+
+    def describe_unused(self, service: str) -> str:
+        """Return how many servers of ``service`` get no requests, or "" if all do."""
+        records = self._by_service.get(service, ())
+        evacuated = sum(self.is_evacuated(record.server) for record in records)
+        return f"{evacuated} of {len(records)} servers evacuated" if evacuated else ""
+
+    def count_evacuated(self) -> int:
+        """Return how many listed servers get no requests for this reason."""
+        return sum(
+            self.is_evacuated(record.server) for record in self._records_by_key.values()
+        )
+
     def set_instances(self, names: frozenset[str]) -> None:
         """Set the instances that use the servers with this one."""
         if names != self._instances:
@@ -106,7 +127,9 @@
         keys = (
             record.server.key
             for record in self._by_service.get(service, ())
-            if not record.server.draining and not record.is_replaced
+            if not record.server.draining
+            and not record.is_replaced
+            and not self.is_evacuated(record.server)
         )
         return self.notices.free_in_s(keys, now)
 
--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -13,6 +13,7 @@
 from gentianhitch.proxy.instance import ProxyInstance
 from standins.platform_store import Store
 from tests.builders_platform import make_raw_node_settings
+from tests.builders_proxy import make_route
 from tests.simulated_network import Network
 from tests.simulated_store import SimulatedStore
 
@@ -67,7 +68,9 @@
     }
 
 
-def make_server_entry(number: int, state: str = "ready", beat: int = 0) -> Any:
+def make_server_entry(
+    number: int, state: str = "ready", beat: int = 0, **changes: Any
+) -> Any:
     return {
         "service": "stock",
         "address": f"10.9.{number // 250}.{number % 250 + 1}:8369",
@@ -78,22 +81,32 @@
         "warmupRemainingMs": 0,
         "sequenceNumber": beat,
         "born": 1_700_000_000_000 + number,
+        **changes,
     }
 
 
+def instance_host(number: int) -> str:
+    return f"10.1.{number // 250}.{number % 250 + 1}"
+
+
 class SimulatedDeployment:
     """Instances of three failure domains, their store and its backend servers.
 
     ``bytes_per_s`` lists the link of each instance. Servers renew their entries at
-    every heartbeat, as they do on the platform.
+    every heartbeat, as they do on the platform. They are spread over ``zones``.
     """
 
-    def __init__(self, bytes_per_s: list[float], servers: int) -> None:
+    def __init__(
+        self, bytes_per_s: list[float], servers: int, zones: str = "a"
+    ) -> None:
+        self._zones = zones
         self.network = Network()
         reactor = self.network.add_host(STORE_HOST, STORE_BYTES_PER_S)
         self.store = SimulatedStore(Store(self.network.clock.seconds))
         reactor.listenTCP(STORE_PORT, Site(self.store, reactor=reactor))
         self._states = dict.fromkeys(range(servers), "ready")
+        self._added_zones: dict[int, str] = {}
+        self._warm_at_s: dict[int, float] = {}
         self._beat = 0
         self._renew_servers()
         self.store.write("op/config", make_document(1, 20))
@@ -102,7 +115,7 @@
         ]
 
     def _add_instance(self, number: int, bytes_per_s: float) -> ProxyInstance:
-        host = f"10.1.{number // 250}.{number % 250 + 1}"
+        host = instance_host(number)
         raw = make_raw_node_settings(host)
         raw["self"]["nodeName"] = f"edge-{number}"
         raw["self"]["zone"] = "abc"[number % 3]
@@ -119,11 +132,72 @@
 
     def _renew_servers(self) -> None:
         self._beat += 1
-        for number, state in self._states.items():
-            entry = make_server_entry(number, state, self._beat)
-            self.store.write(f"servers/i-{number}", entry)
+        for number in self._states:
+            self._renew_server(number)
         self.network.clock.callLater(HEARTBEAT_S, self._renew_servers)
 
+    def _renew_server(self, number: int) -> None:
+        remaining_s = self._warm_at_s.get(number, 0.0) - self.network.clock.seconds()
+        entry = make_server_entry(
+            number,
+            self._states[number],
+            self._beat,
+            zone=self.zone_of(number),
+            warmupRemainingMs=max(remaining_s, 0.0) * 1000,
+        )
+        self.store.write(f"servers/i-{number}", entry)
+
+    def zone_of(self, number: int) -> str:
+        """Return the failure domain of a server."""
+        default = self._zones[number % len(self._zones)]
+        return self._added_zones.get(number, default)
+
+    def add_server(self, number: int, zone: str) -> None:
+        self._states[number] = "ready"
+        self._added_zones[number] = zone
+        self._renew_server(number)
+
+    def cool_server(self, number: int, seconds: float) -> None:
+        """Have a server say that it is cold for some time from now on."""
+        self._warm_at_s[number] = self.network.clock.seconds() + seconds
+        self._renew_server(number)
+
+    def evacuate(self, zone: str) -> None:
+        self.store.write(f"op/evacuate/{zone}", {})
+
+    def cancel_evacuation(self, zone: str) -> None:
+        self.store.remove(f"op/evacuate/{zone}")
+
+    def restart(self, number: int) -> None:
+        """Kill an instance and start it again at once."""
+        host = instance_host(number)
+        self.instances[number]._exit()
+        self.instances[number] = self._add_instance(
+            number, self.network.rates_by_host[host]
+        )
+
+    def usable_zones(self, number: int) -> set[str]:
+        """Return the failure domains whose servers an instance would choose."""
+        balancer, route = self.instances[number]._balancer, make_route()
+        found = {}
+        while server := balancer.choose(
+            "stock",
+            route,
+            self.network.clock.seconds(),
+            exclude=frozenset(found),
+        ):
+            found[server.id] = server.failure_domain
+        return set(found.values())
+
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        """Return what all instances have logged of one kind."""
+        return [
+            fields
+            for instance in self.instances
+            for name, fields in instance._events.lines
+            if name == event
+        ]
+
     def advance(self, seconds: float) -> None:
         self.network.advance(seconds)
 
@@ -132,8 +206,7 @@
 
     def drain_server(self, number: int) -> None:
         self._states[number] = "draining"
-        entry = make_server_entry(number, "draining", self._beat)
-        self.store.write(f"servers/i-{number}", entry)
+        self._renew_server(number)
 
     def remove_server(self, number: int) -> None:
         del self._states[number]
@@ -155,4 +228,4 @@
 
     def listed(self) -> int:
         """Return how many instances are listed in the store."""
-        return len(self.store.store.range("", "")) - len(self._states) - 1
+        return len(self.store.store.range("peers/", ""))
--- a/tests/proxy/test_balancing.py
+++ b/tests/proxy/test_balancing.py
@@ -301,3 +301,37 @@
         for _ in range(1_000):
             latencies.add(5.0)
         assert latencies.quantile(0.1) == 5.0
+
+
+class TestEvacuations:
+    def make_balancer(self) -> Balancer:
+        """Return a balancer of which all servers outside the domain "b" are gray."""
+        balancer = Balancer("e-1", "a", Random(1))
+        servers = [make_server(f"a-{number}") for number in range(2)]
+        remote = [make_server(f"b-{n}", failure_domain="b") for n in range(8)]
+        balancer.update([*servers, *remote], 0.0)
+        for server in servers:
+            for _ in range(10):
+                token = balancer.record_start(server, ROUTE, 1.0)
+                balancer.record_end(server, ROUTE, token, AttemptResult.FAILED, 1.1)
+        return balancer
+
+    # Guards against the floor and the preference for unused servers, which bring
+    # servers back into use while others fail.
+    def test_its_servers_are_not_chosen_though_all_others_are_gray(self) -> None:
+        balancer = self.make_balancer()
+        balancer.set_evacuated(frozenset({"b"}))
+        for step in range(200):
+            chosen = balancer.choose("stock", ROUTE, 1.1 + step * 0.05)
+            assert chosen is not None
+            assert chosen.failure_domain == "a"
+
+    def test_its_servers_are_not_counted_as_usable(self) -> None:
+        balancer = self.make_balancer()
+        assert balancer.use_by_service(1.2)["stock"].servers == 10
+        balancer.set_evacuated(frozenset({"b"}))
+        assert balancer.use_by_service(1.2)["stock"].servers == 2
+        assert balancer.count_evacuated() == 8
+        balancer.set_evacuated(frozenset({"a", "b"}))
+        assert balancer.choose("stock", ROUTE, 1.2) is None
+        assert balancer.free_in_s("stock", 1.2) is None
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -67,11 +67,21 @@
 class Run:
     """One dispatch over servers s-1, s-2 and s-3."""
 
-    def __init__(self, route: Route, unreachable: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        route: Route,
+        unreachable: tuple[str, ...] = (),
+        *,
+        is_slow: bool = False,
+        retry_slack: float = 56.0,
+    ) -> None:
         self.clock = Clock()
-        self.connections = FakeConnections(set(unreachable))
+        self.connections = FakeConnections(set(unreachable), is_slow=is_slow)
         self.balancer = Balancer("e-1", "a", Random(1))
-        servers = [make_server(name) for name in ("s-1", "s-2", "s-3")]
+        servers = [
+            make_server(name, failure_domain=domain)
+            for name, domain in (("s-1", "a"), ("s-2", "b"), ("s-3", "c"))
+        ]
         self.balancer.update(servers, 0.0)
         self.owner = Owner()
         context = DispatchContext(
@@ -79,7 +89,7 @@
             self.balancer,
             self.connections,  # type: ignore[arg-type]
             HEADER_NAMES,
-            lambda: RetryBudget(0.2, 56.0, 10.0),
+            lambda: RetryBudget(0.2, retry_slack, 10.0),
             lambda: 1.0,
         )
         self.dispatch = Dispatch(
@@ -256,3 +266,77 @@
         run.waiter(0).response_received(make_response(503, DECLINED))
         run.connections.finish_connecting()
         assert run.writes == 2
+
+
+class TestEvacuations:
+    """The failure domain of a server is evacuated while a request is under way."""
+
+    @staticmethod
+    def evacuate(run: Run, *servers: str) -> None:
+        domains = {"s-1": "a", "s-2": "b", "s-3": "c"}
+        run.balancer.set_evacuated(frozenset(domains[each] for each in servers))
+
+    # Guards against a request that is written after the bound because its connection
+    # was still being opened when the evacuation came.
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_a_request_still_connecting_goes_to_another_server(
+        self, idempotent: bool
+    ) -> None:
+        run = Run(make_route(idempotent=idempotent, max_attempts=1), is_slow=True)
+        chosen = run.connections.connecting[0].server
+        self.evacuate(run, chosen)
+        run.connections.finish_connecting()
+        assert run.connections.made[0].sent == []
+        assert run.connections.made[0].closed
+        run.connections.finish_connecting()
+        assert run.writes == 1
+        assert run.connections.made[1].server != chosen
+        assert not run.owner.failures
+
+    def test_is_refused_as_not_run_without_another_server(self) -> None:
+        run = Run(make_route(idempotent=False), is_slow=True)
+        self.evacuate(run, "s-1", "s-2", "s-3")
+        run.connections.finish_connecting()
+        assert run.writes == 0
+        assert run.owner.failures == [(Cause.NO_CAPACITY, False)]
+
+    def test_a_request_sent_earlier_continues(self) -> None:
+        run = Run(make_route(idempotent=False))
+        self.evacuate(run, "s-1", "s-2", "s-3")
+        run.waiter(0).response_received(make_response())
+        assert [status for status, _ in run.owner.responses] == [200]
+
+    # Guards against second attempts and hedges at servers of the domain.
+    @pytest.mark.parametrize("hedge", [True, False])
+    def test_a_second_attempt_avoids_the_domain(self, hedge: bool) -> None:
+        run = Run(make_route(objective_s=0.4))
+        first = run.connections.made[0].server
+        second, third = {"s-1", "s-2", "s-3"} - {first}
+        self.evacuate(run, second)
+        if hedge:
+            run.clock.advance(2.5)
+        else:
+            run.waiter(0).response_received(make_response(500))
+        assert [each.server for each in run.connections.made] == [first, third]
+
+    # Guards against a second retry spent for one that was never sent.
+    def test_the_replaced_second_attempt_spends_one_retry(self) -> None:
+        run = Run(make_route(), retry_slack=1.0)
+        run.connections.is_slow = True
+        run.waiter(0).response_received(make_response(500))
+        self.evacuate(run, run.connections.connecting[0].server)
+        run.connections.finish_connecting()
+        run.connections.finish_connecting()
+        assert run.writes == 2
+
+    # Guards against a request at more servers than its route allows.
+    def test_replaced_attempts_do_not_add_sends(self) -> None:
+        run = Run(make_route(max_attempts=2))
+        run.connections.is_slow = True
+        run.waiter(0).response_received(make_response(500))
+        self.evacuate(run, run.connections.connecting[0].server)
+        for _ in range(25):
+            run.clock.advance(0.1)
+        run.connections.finish_connecting()
+        run.connections.finish_connecting()
+        assert run.writes <= 2
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -201,6 +201,20 @@
         assert 4.0 <= float(found[1]) <= 4.0 + RETURN_SPREAD_S + 2 * PRIORITY_DELAY_S
 
 
+class TestEvacuatedServers:
+    # Guards against callers that wait for servers which get no requests for minutes.
+    def test_callers_are_refused_at_once(self) -> None:
+        instance = LimitedServer()
+        instance.server.dispatch.balancer.set_evacuated(frozenset({"a"}))
+        _, response = instance.send()
+        assert response.data.startswith(b"HTTP/1.1 503 ")
+        assert b"not-run" in response.data
+        assert b"no-capacity" in response.data
+        assert b"retry-after: 0.3" in response.data.lower()
+        assert b"evacuated" not in response.data
+        assert instance.connections.acquired == 0
+
+
 class TestKeys:
     # Guards against requests with withdrawn or unknown keys that run: a configuration
     # whose last key was withdrawn was taken for one that needs no key.
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -18,7 +18,8 @@
 class SimulatedStore(Resource):
     """Answer the store's calls at once; the operator and servers write to it.
 
-    ``calls_by_name`` counts the calls; none is answered with success while it is down.
+    ``calls_by_name`` counts the calls; none is answered with success while it is down,
+    and never those from ``refused_hosts``.
     """
 
     isLeaf = True  # noqa: N815
@@ -29,6 +30,7 @@
         self._calls = StoreCalls(store)
         self.calls_by_name: Counter[str] = Counter()
         self.is_down = False
+        self.refused_hosts: set[str] = set()
 
     def write(self, key: str, value: object) -> None:
         self._calls.write(key, json.dumps(value).encode())
@@ -47,7 +49,7 @@
     def _answer(self, request: Any) -> StoreAnswer:
         _, _, call, *lease = request.path.decode().split("/")
         self.calls_by_name[call] += 1
-        if self.is_down:
+        if self.is_down or request.getClientAddress().host in self.refused_hosts:
             return StoreAnswer({}, HTTPStatus.SERVICE_UNAVAILABLE)
         calls = self._calls
         if lease:
