--- a/tests/proxy/test_explain.py
+++ b/tests/proxy/test_explain.py
@@ -37,6 +37,20 @@
         assert "did not respond in time" in shown[-1]
         assert not any("s-9" in line for line in shown)
 
+    def test_shows_evacuations_and_how_many_servers_they_left(self) -> None:
+        detail = "6 of 6 servers evacuated"
+        refused = {"outcome": "no-capacity", "detail": detail}
+        shown = explain_request(
+            "r-1",
+            make_logs(
+                make_line("evacuation_changed", 9.0, evacuated=["b"], in_force=["b"]),
+                make_line("finished", 10.0, request="r-1", **refused),
+            ),
+        )
+        assert "evacuation_changed" in shown[0]
+        assert shown[-1].startswith("cause: no backend server had capacity left")
+        assert detail in shown[-1]
+
     def test_a_response_is_shown_with_its_server(self) -> None:
         line = make_line("finished", 1.0, request="r-1", outcome="500", server="s-1")
         shown = explain_request("r-1", make_logs(line))
