Determine for which services requests compete

Purpose: the choice by cost and the order of requests under overload apply only where a deployment asks for them. Competition holds for which services that is: routes of different priority lead to them (also through traffic splits), or terms.contracts of the settings contains "pressure". It follows the configuration in force and reloads of the settings.

Ruled out: a method of Configuration alone, since each user would combine it with the settings.

--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -17,6 +17,8 @@
 DEFAULT_CONFIGURATION_APPLY_S = 2.0
 """Assumed for deployments that agree on no bound."""
 
+PRESSURE_CONTRACT = "pressure"
+
 
 class NodeSettingsError(UsageError):
     """The settings file is unreadable or invalid; the message names the field."""
@@ -42,7 +44,10 @@
 
 @attrs.frozen
 class NodeSettings:
-    """Settings of an entry instance, read once at its start."""
+    """Settings of an entry instance, read once at its start.
+
+    ``expects_pressure`` is set if the deployment agreed on service under overload.
+    """
 
     name: str
     failure_domain: str
@@ -58,6 +63,7 @@
     link_mbps: float
     memory_mb: float
     bounds: Bounds
+    expects_pressure: bool
 
 
 class _Fields:
@@ -113,6 +119,7 @@
     network = fields.get_object("network")
     listen = network.get_object("listenAddresses")
     provider = fields.get_object("provider")
+    terms = fields.get_object("terms")
     host = own.get("ipAddress", str)
     internal_port, last_port = network.get("internalPortRange", tuple[int, int])
     metrics_port = internal_port + 1 if internal_port else 0
@@ -135,7 +142,8 @@
         link_mbps=_decode_link(own),
         memory_mb=_decode_memory(own),
         heartbeat_s=provider.get("heartbeatIntervalMs", float) / 1000,
-        bounds=_decode_bounds(fields.get_object("terms").get_object("bounds")),
+        bounds=_decode_bounds(terms.get_object("bounds")),
+        expects_pressure=PRESSURE_CONTRACT in _decode_contracts(terms),
     )
 
 
@@ -161,6 +169,12 @@
     return float(own.get_object("limits").get("memoryMb", float))
 
 
+def _decode_contracts(terms: _Fields) -> frozenset[str]:
+    """Return the names of the contracts: a list, or an object keyed by name."""
+    names = terms.get_or("contracts", list[Any] | dict[str, Any] | None, None)
+    return frozenset(name for name in names or () if isinstance(name, str))
+
+
 def _decode_bounds(bounds: _Fields) -> Bounds:
     return Bounds(
         revocation_s=bounds.get("revocationMs", float) / 1000,
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -10,6 +10,7 @@
 from gentianhitch.backend_servers.server_connections import ServerKey
 from gentianhitch.metrics import Metrics
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.floor import ServiceUse
 from gentianhitch.proxy.model import BackendServer
@@ -35,6 +36,7 @@
     _splits: TrafficSplits
     _events: Events
     _metrics: Metrics
+    _competition: Competition = attrs.Factory(Competition)
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
@@ -70,6 +72,7 @@
         self._metrics.time("configuration_age", None, origin.age_s)
         self._balancer.set_routes(routes)
         self._splits.retain(routes)
+        self._competition.update(stored.configuration)
         self.update(self._clock.seconds())
 
     def update(self, now: float) -> None:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -41,6 +41,7 @@
 from gentianhitch.proxy.admission_windows import QuotaTolerance
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.changes import ChangeHandler
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.configuration_server import ConfigurationServer
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryResponse
@@ -94,6 +95,7 @@
             self.metrics, events, lag_of(reactor), self._gauges
         )
         self.store_view = StoreView(settings.heartbeat_s)
+        self._competition = Competition(settings.expects_pressure)
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._callers_port: Any = None
         self._last_reply_s = float("-inf")
@@ -135,6 +137,7 @@
             splits,
             events,
             self.metrics,
+            self._competition,
         )
         self._configuration_server = ConfigurationServer(
             clock,
@@ -327,6 +330,7 @@
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
+        self._competition.expects_pressure = settings.expects_pressure
         self._server.revocation_s = settings.bounds.revocation_s
         self._quotas.tolerance = _quota_tolerance(settings)
         self._balancer.floor_share = settings.bounds.floor_share
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -37,6 +37,24 @@
             make_raw_node_settings()
         )
 
+    @pytest.mark.parametrize(
+        ("contracts", "expected"),
+        [
+            (["pressure"], True),
+            (["uploads", "pressure"], True),
+            ({"pressure": {}}, True),
+            (["uploads"], False),
+            (["pressures", 7], False),
+            ([], False),
+            (None, False),
+        ],
+    )
+    def test_the_contract_on_pressure(self, contracts: object, expected: bool) -> None:
+        raw = make_raw_node_settings()
+        assert not decode_node_settings(raw).expects_pressure
+        raw["terms"]["contracts"] = contracts
+        assert decode_node_settings(raw).expects_pressure is expected
+
 
 class TestErrors:
     @pytest.mark.parametrize(
