Take connects to many servers that fail at once as evidence of the own link

What callers saw: at two instances with 5 Mbit/s links, 606 and 468 connects to 116 and 118 sound servers timed out in 4.5 s of an upload wave. Each request tried four servers for 0.41 s each, was held for 2.0 s and refused, and each failure counted against the path to its server.

Cause: a failed connect was always evidence against the server. The queue before a full link delays every handshake by more than the connect timeout.

Now connects to three or more servers that time out within a second, while few servers answer, point at the own link (proxy/own_link.py). No path evidence is recorded, requests use open connections only, others are refused at once (link-full, 503, not run), and connects without a request probe the link until two in a row succeed. A dead failure domain of servers is told apart: its servers alone time out, and requests move to another domain after one connect. A refused connect counts as an answer.

Evidence: the simulated network gets a queue before links, connects that time out, receive windows and half-closed connections; tests/proxy/test_own_link.py.

Ruled out: fewer tries for each request (still evidence against sound servers); a share of failed connects regardless of failure domains (a dead domain looks the same); ending the suspicion on responses (a trial swung between both beliefs while connects still failed).

--- a/src/gentianhitch/backend_servers/errors.py
+++ b/src/gentianhitch/backend_servers/errors.py
@@ -12,7 +12,18 @@
 
 
 class ConnectError(BackendServerError):
-    """No connection is available or could be opened; nothing was written."""
+    """No connection is available or could be opened; nothing was written.
+
+    ``is_refusal`` if the server's machine answered that nobody accepts connections.
+    """
+
+    def __init__(self, message: str, *, is_refusal: bool = False) -> None:
+        super().__init__(message)
+        self.is_refusal = is_refusal
+
+
+class NotOpenedError(ConnectError):
+    """No open connection is idle, and none was to be opened."""
 
 
 class TruncatedResponseError(BackendServerError):
--- a/src/gentianhitch/backend_servers/server_connections.py
+++ b/src/gentianhitch/backend_servers/server_connections.py
@@ -7,6 +7,7 @@
 
 import attrs
 from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionRefusedError as RefusedError
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
@@ -19,6 +20,7 @@
 from gentianhitch.backend_servers.errors import BackendServerError
 from gentianhitch.backend_servers.errors import ConnectError
 from gentianhitch.backend_servers.errors import InvalidResponseError
+from gentianhitch.backend_servers.errors import NotOpenedError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.buffers import BufferAccount
 from gentianhitch.silence import SilenceLimit
@@ -234,7 +236,10 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
         if self.waiter is not None:
-            error = ConnectError(f"cannot connect: {reason.getErrorMessage()}")
+            error = ConnectError(
+                f"cannot connect: {reason.getErrorMessage()}",
+                is_refusal=reason.check(RefusedError) is not None,
+            )
             self.waiter.connect_failed(error)
 
 
@@ -277,11 +282,13 @@
         waiter: ResponseWaiter,
         *,
         max_idle_s: float,
+        may_open: bool = True,
     ) -> Connecting | None:
         """Pass the waiter an idle connection now, or a new one later.
 
-        The idle one must not have been idle for more than ``max_idle_s`` seconds.
-        Return None if the waiter was called already.
+        The idle one must not have been idle for more than ``max_idle_s`` seconds. No
+        new one is opened unless ``may_open``. Return None if the waiter was called
+        already.
         """
         now = self._clock.seconds()
         idle = self._idle_by_server.get(key)
@@ -300,6 +307,15 @@
                 idle.append(connection)
                 break
             connection.close()
+        if not may_open:
+            waiter.connect_failed(NotOpenedError("no open connection is idle"))
+            return None
+        return self.open(key, address, waiter)
+
+    def open(
+        self, key: ServerKey, address: Address, waiter: ResponseWaiter
+    ) -> Connecting:
+        """Open a new connection and pass it to the waiter."""
         self.opened += 1
         factory = _Factory(self, key, waiter)
         self._reactor.connectTCP(
--- a/src/gentianhitch/callers/refusals.py
+++ b/src/gentianhitch/callers/refusals.py
@@ -50,6 +50,7 @@
     NO_CONNECTION = "no-connection", 503, "Repeat the request a little later."
     SHED = "shed", 503, "Repeat the request a little later."
     NOT_FRESH = "not-fresh", 503, "Ask the directory for another instance."
+    LINK_FULL = "link-full", 503, "Ask the directory for another instance."
     NO_CAPACITY = "no-capacity", 503, "Repeat the request a little later."
     NO_MEMORY = "no-memory", 503, "Repeat the request a little later."
     LEAVING = "leaving", 503, "Ask the directory for another instance."
--- a/src/gentianhitch/proxy/attempts.py
+++ b/src/gentianhitch/proxy/attempts.py
@@ -47,9 +47,12 @@
         self.token: int | None = None
         self.connection: ServerConnection | None = None
         self.connecting: Connecting | None = None
+        self.is_newly_connected = False
+        self.sent_s = 0.0
 
     def connected(self, connection: ServerConnection) -> None:
         """Send the request on ``connection``."""
+        self.is_newly_connected = self.connecting is not None
         self.connecting = None
         self._owner.guard(self._owner.write, self, connection)
 
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -77,6 +77,7 @@
         self._tried_ids: frozenset[str] = frozenset()
         self._writes = 0
         self._connect_failures = 0
+        self._silent_domains: frozenset[str] = frozenset()
         self._may_have_run = False
         self._last_response: tuple[CompleteResponse, BackendServer] | None = None
         self._last_cause = Cause.NO_CAPACITY
@@ -93,7 +94,7 @@
             delay, self.guard, self._deadline_passed
         )
         if not self._try_next_server():
-            self._fail(Cause.NO_CAPACITY)
+            self._fail(self._last_cause)
 
     def cancel(self) -> None:
         """Cancel all attempts without a result: the caller has disconnected."""
@@ -133,15 +134,17 @@
         now = self._context.clock.seconds()
         if self._deadline - now < MIN_REMAINING_S:
             return False
-        server = self._context.balancer.choose(
+        server = self._context.choose(
             self._service,
             self._route,
-            now,
             priority=self._priority,
             exclude=self._tried_ids,
-            connected=self._context.connections.servers_with_idle_connections(),
+            avoid_domains=self._silent_domains,
         )
         if server is None:
+            has_tried = self._writes or self._connect_failures
+            if not has_tried and self._context.reach.is_suspected():
+                self._last_cause = Cause.LINK_FULL
             return False
         is_allowed = not self._writes or self._context.try_spend_retry(
             self._service, now, hedge=hedge
@@ -162,6 +165,7 @@
             server.address,
             attempt,
             max_idle_s=IDEMPOTENT_IDLE_S if idempotent else NON_IDEMPOTENT_IDLE_S,
+            may_open=not self._context.reach.is_suspected(),
         )
         if attempt.connection is not None:
             attempt.connecting = None
@@ -175,6 +179,9 @@
                 self._deadline_passed()
             return
         attempt.connection = connection
+        attempt.sent_s = now
+        if attempt.is_newly_connected:
+            self._context.reach.record_connect(attempt.server)
         attempt.token = self._context.balancer.record_start(
             attempt.server, self._route, now
         )
@@ -196,10 +203,12 @@
         self._attempts.remove(attempt)
         if self._ended:
             return
-        now = self._context.clock.seconds()
-        self._context.balancer.record_unreachable(attempt.server, now)
+        self._context.reach.record_failure(attempt.server, error)
         self._owner.log_dispatch_event("unreachable", attempt.server, str(error))
         self._connect_failures += 1
+        if not error.is_refusal:
+            # If the failure domain is cut, all others of it would time out as well.
+            self._silent_domains |= {attempt.server.failure_domain}
         self._last_cause = Cause.NO_CONNECTION
         may_retry = self._connect_failures <= MAX_CONNECT_FAILURES
         if not (may_retry and self._try_next_server()) and not self._attempts:
@@ -208,6 +217,8 @@
     def handle_response(self, attempt: Attempt, response: CompleteResponse) -> None:
         """Finish with the response, or try another server if it is a failure."""
         names = self._context.names
+        elapsed_s = self._context.clock.seconds() - attempt.sent_s
+        self._context.record_response(attempt.server, self._route, elapsed_s)
         self._read_notices(attempt.server, response)
         is_misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
         if is_misdirected:
--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -15,7 +15,11 @@
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.model import BackendServer
+from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.server_reach import ServerReach
+
+USUAL_QUANTILE = 0.5
 
 
 class DispatchOwner(Protocol):
@@ -52,8 +56,62 @@
     names: HeaderNames
     create_budget: Callable[[], RetryBudget]
     slack_share: Callable[[], float]
+    reach: ServerReach = attrs.field()
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
 
+    @reach.default
+    def _make_reach(self) -> ServerReach:
+        return ServerReach(self.clock, self.balancer, self.connections)
+
+    def choose(
+        self,
+        service: str,
+        route: Route,
+        *,
+        priority: int,
+        exclude: frozenset[str],
+        avoid_domains: frozenset[str],
+    ) -> BackendServer | None:
+        """Return the server for the next attempt, or None.
+
+        Servers of ``avoid_domains`` are chosen only if there is no other. While the own
+        link is suspected, only servers with an open connection are chosen; without one,
+        a connect probes the link.
+        """
+        connected = self.connections.servers_with_idle_connections()
+        excluded = self.reach.excluded(service, connected, avoid_domains)
+
+        def choose_without(ids: frozenset[str]) -> BackendServer | None:
+            return self.balancer.choose(
+                service,
+                route,
+                self.clock.seconds(),
+                priority=priority,
+                exclude=ids,
+                connected=connected,
+            )
+
+        server = choose_without(exclude | excluded)
+        if server is not None or not excluded:
+            return server
+        server = choose_without(exclude)
+        if self.reach.is_suspected():
+            self.reach.probe(server)
+            return None
+        return server
+
+    def record_response(
+        self, server: BackendServer, route: Route, elapsed_s: float
+    ) -> None:
+        """Record a response that came ``elapsed_s`` after its request was sent.
+
+        Servers work for longer than a connect takes: only the delay beyond the usual
+        latency says something about the link.
+        """
+        latencies = self.balancer.latencies(server.service, route)
+        usual_s = latencies.quantile(USUAL_QUANTILE)
+        self.reach.record_response(server, elapsed_s - usual_s)
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service; create it if there is none."""
         budget = self._budgets_by_service.get(service)
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -59,6 +59,7 @@
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.server_reach import ServerReach
 from gentianhitch.proxy.serving_fleet import ServingFleet
 from gentianhitch.proxy.settings_file import SettingsFile
 from gentianhitch.proxy.shutdown import drain
@@ -183,6 +184,9 @@
         self._directory = Directory(
             self.store_view, self._fleet, self._has_recent_reply
         )
+        self._reach = ServerReach(
+            clock, self._balancer, self._connections, self._monitor.record_belief
+        )
         self._server = RequestServer(
             clock,
             self.store_view,
@@ -195,6 +199,7 @@
                 HEADER_NAMES,
                 self._create_budget,
                 lambda: self._fleet.slack_share(self._quotas.sharers),
+                self._reach,
             ),
             splits,
             events,
@@ -278,6 +283,7 @@
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
+            "own_link_suspected": self._reach.is_suspected(),
         }
 
     def _receive(self, message: Message, sender: Address) -> None:
--- a/src/gentianhitch/proxy/instance_monitor.py
+++ b/src/gentianhitch/proxy/instance_monitor.py
@@ -9,6 +9,7 @@
 from gentianhitch.metrics import Metrics
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.metrics_text import render_metrics
+from gentianhitch.proxy.own_link import LinkBelief
 
 LAG_LOGGED_S = 0.2
 """The round trip that a close may cross; beyond it, callers see the lag."""
@@ -50,6 +51,16 @@
         self._metrics.count(f"requests.{outcome}")
         self._metrics.time("total", workspace, elapsed_s)
 
+    def record_belief(self, belief: LinkBelief) -> None:
+        """Record what the instance believes of its own link from now on."""
+        is_suspected = belief.is_suspected
+        self._events.state(
+            "own_link_suspected" if is_suspected else "own_link_trusted",
+            timed_out=belief.timed_out,
+            answered=belief.answered,
+            failure_domains=belief.failure_domains,
+        )
+
     def record_end(self, end: EndedConnection) -> None:
         """Record the end of a caller's connection and what it left undelivered."""
         self._metrics.count(f"caller_connections_ended.{end.reason.value}")
--- a/src/gentianhitch/proxy/server_table.py
+++ b/src/gentianhitch/proxy/server_table.py
@@ -39,6 +39,7 @@
         self._route_names_by_digest: dict[int, str] = {}
         self._reported_by_instance: dict[str, frozenset[tuple[str, int]]] = {}
         self._instances: frozenset[str] = frozenset()
+        self.failure_domains: frozenset[str] = frozenset()
         self.notices = ServerNotices()
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
@@ -49,12 +50,13 @@
                 del self._records_by_key[key]
         self._by_service = {}
         self._server_keys_by_digest = {server_digest(key): key for key in listed}
+        self.failure_domains = frozenset(
+            server.failure_domain for server in listed.values()
+        )
         for key, server in listed.items():
             record = self._records_by_key.get(key)
             if record is None:
-                record = ServerRecord(
-                    server, GrayFilter(now), GrayFilter(now, BROKEN_PATH_PRIOR, 0.0)
-                )
+                record = ServerRecord(server, GrayFilter(now), _new_path_filter(now))
                 record.warm_at_s = now + server.warmup_s
                 record.last_used_s = now
                 self._records_by_key[key] = record
@@ -62,6 +64,16 @@
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
 
+    def servers_of(self, service: str) -> list[BackendServer]:
+        """Return the listed servers of ``service``."""
+        return [record.server for record in self._by_service.get(service, ())]
+
+    def forget_paths(self, server_ids: frozenset[str], now: float) -> None:
+        """Forget what is known of the paths from this instance to some servers."""
+        for record in self._records_by_key.values():
+            if record.server.id in server_ids:
+                record.path_filter = _new_path_filter(now)
+
     def server_key(self, digest: int) -> tuple[str, int] | None:
         """Return the key of the listed server with ``digest``; None if none has it."""
         return self._server_keys_by_digest.get(digest)
@@ -149,5 +161,9 @@
         }
 
 
+def _new_path_filter(now: float) -> GrayFilter:
+    return GrayFilter(now, BROKEN_PATH_PRIOR, 0.0)
+
+
 def _order_digest(instance: str, server: BackendServer) -> int:
     return xxhash.xxh32_intdigest(f"{instance} {server.id}".encode())
--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -18,6 +18,7 @@
 
 STORE_HOST = "10.200.0.1"
 STORE_PORT = 8041
+SERVER_PORT = 8369
 STORE_BYTES_PER_S = 125e6
 HEARTBEAT_S = 1.5
 
@@ -67,11 +68,17 @@
     }
 
 
-def make_server_entry(number: int, state: str = "ready", beat: int = 0) -> Any:
+def server_host(number: int) -> str:
+    return f"10.9.{number // 250}.{number % 250 + 1}"
+
+
+def make_server_entry(
+    number: int, state: str = "ready", beat: int = 0, zones: str = "a"
+) -> Any:
     return {
         "service": "stock",
-        "address": f"10.9.{number // 250}.{number % 250 + 1}:8369",
-        "zone": "a",
+        "address": f"{server_host(number)}:{SERVER_PORT}",
+        "zone": zones[number % len(zones)],
         "version": "v1",
         "slots": 6,
         "state": state,
@@ -84,11 +91,21 @@
 class SimulatedDeployment:
     """Instances of three failure domains, their store and its backend servers.
 
-    ``bytes_per_s`` lists the link of each instance. Servers renew their entries at
-    every heartbeat, as they do on the platform.
+    ``bytes_per_s`` lists the link of each instance, which the settings contain if
+    ``tells_links``; ``zones`` has the failure domains of the servers. Servers renew
+    their entries at every heartbeat, as they do on the platform.
     """
 
-    def __init__(self, bytes_per_s: list[float], servers: int) -> None:
+    def __init__(
+        self,
+        bytes_per_s: list[float],
+        servers: int,
+        zones: str = "a",
+        *,
+        tells_links: bool = True,
+    ) -> None:
+        self._zones = zones
+        self._tells_links = tells_links
         self.network = Network()
         reactor = self.network.add_host(STORE_HOST, STORE_BYTES_PER_S)
         self.store = SimulatedStore(Store(self.network.clock.seconds))
@@ -106,7 +123,8 @@
         raw = make_raw_node_settings(host)
         raw["self"]["nodeName"] = f"edge-{number}"
         raw["self"]["zone"] = "abc"[number % 3]
-        raw["self"]["limits"]["linkMbps"] = bytes_per_s * 8 / 1e6
+        if self._tells_links:
+            raw["self"]["limits"]["linkMbps"] = bytes_per_s * 8 / 1e6
         raw["provider"]["provider"]["address"] = f"{STORE_HOST}:{STORE_PORT}"
         instance = ProxyInstance(
             self.network.add_host(host, bytes_per_s),
@@ -120,7 +138,7 @@
     def _renew_servers(self) -> None:
         self._beat += 1
         for number, state in self._states.items():
-            entry = make_server_entry(number, state, self._beat)
+            entry = make_server_entry(number, state, self._beat, self._zones)
             self.store.write(f"servers/i-{number}", entry)
         self.network.clock.callLater(HEARTBEAT_S, self._renew_servers)
 
@@ -132,7 +150,7 @@
 
     def drain_server(self, number: int) -> None:
         self._states[number] = "draining"
-        entry = make_server_entry(number, "draining", self._beat)
+        entry = make_server_entry(number, "draining", self._beat, self._zones)
         self.store.write(f"servers/i-{number}", entry)
 
     def remove_server(self, number: int) -> None:
--- a/tests/builders_dispatch.py
+++ b/tests/builders_dispatch.py
@@ -64,7 +64,15 @@
     is_slow: bool = False
     connecting: list[FakeConnection] = attrs.Factory(list)
 
-    def acquire(self, key: Any, address: Any, waiter: Any, *, max_idle_s: float) -> Any:
+    def acquire(
+        self,
+        key: Any,
+        address: Any,
+        waiter: Any,
+        *,
+        max_idle_s: float,
+        may_open: bool = True,
+    ) -> Any:
         self.max_idle_s.append(max_idle_s)
         if self.is_slow:
             self.connecting.append(FakeConnection(key[0], waiter))
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -10,6 +10,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionLost
 from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
@@ -17,13 +18,18 @@
 QUANTUM_S = 0.01
 """Links hand out their bandwidth in steps of this length."""
 
+RECEIVE_WINDOW_BYTES = 64 * 1024
+"""What a host accepts on a connection whose program has paused reading."""
+
 
 @attrs.define(eq=False)
 class Network:
     """Move bytes between hosts; each has one rate for each direction.
 
     Connections share the links of their two hosts evenly. Datagrams only suffer the
-    latency and the time that their own bytes take.
+    latency and the time that their own bytes take. The handshake of a connection waits
+    behind what is queued at the links, up to ``queue_bytes`` for each direction of a
+    link. A connect to or from a host in ``cut_hosts`` is never answered.
     """
 
     clock: Clock = attrs.Factory(Clock)
@@ -31,6 +37,8 @@
     listeners: dict[tuple[str, int], Any] = attrs.Factory(dict)
     datagram_ports: dict[tuple[str, int], Any] = attrs.Factory(dict)
     sent_by_host: dict[str, int] = attrs.Factory(dict)
+    queue_bytes: int = 0
+    cut_hosts: set[str] = attrs.Factory(set)
     _waiting: list[Transport] = attrs.Factory(list)
     _pumping: bool = False
 
@@ -52,8 +60,23 @@
             self._pumping = True
             self.clock.callLater(0, self._pump)
 
+    def handshake_s(self, near: str, far: str) -> float:
+        """Return how long a connect from ``near`` to ``far`` takes to be answered."""
+        if not self.cut_hosts.isdisjoint((near, far)):
+            return float("inf")
+        return 2 * LATENCY_S + self._queueing_s(near) + self._queueing_s(far)
+
+    def _queueing_s(self, host: str) -> float:
+        """Return how long a packet out of and one into ``host`` wait together."""
+        outbound = sum(len(each.pending) for each in self._waiting if each.host == host)
+        inbound = sum(
+            len(each.pending) for each in self._waiting if each.peer.host == host
+        )
+        queued = min(outbound, self.queue_bytes) + min(inbound, self.queue_bytes)
+        return queued / self.rates_by_host[host]
+
     def _pump(self) -> None:
-        active = [each for each in self._waiting if each.pending]
+        active = [each for each in self._waiting if each.may_transmit]
         senders: dict[str, int] = {}
         receivers: dict[str, int] = {}
         for each in active:
@@ -65,7 +88,7 @@
                 self.rates_by_host[each.peer.host] / receivers[each.peer.host],
             )
             each.transmit(max(int(share * QUANTUM_S), 1))
-        self._waiting = [each for each in active if each.pending]
+        self._waiting = [each for each in active if each.may_transmit]
         self._pumping = bool(self._waiting)
         if self._pumping:
             self.clock.callLater(QUANTUM_S, self._pump)
@@ -84,9 +107,11 @@
         self.peer: Any = None
         self.pending = bytearray()
         self._arrived: list[bytes] = []
+        self._unread = 0
         self._paused = False
         self._closed = False
         self._closing = False
+        self._write_closing = False
         self._ended: BaseException | None = None
 
     # What protocols call.
@@ -104,6 +129,10 @@
         if not self.pending:
             self._close(ConnectionDone())
 
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self._write_closing = True
+        self._end_writing()
+
     def abortConnection(self) -> None:  # noqa: N802
         self.pending.clear()
         self._close(ConnectionLost())
@@ -114,6 +143,8 @@
     def resumeProducing(self) -> None:  # noqa: N802
         self._paused = False
         self.network.clock.callLater(0, self._deliver)
+        if self.peer.pending:
+            self.network.enqueue(self.peer)
 
     def stopProducing(self) -> None:  # noqa: N802
         self.loseConnection()
@@ -138,13 +169,32 @@
 
     # What the network calls.
 
+    @property
+    def may_transmit(self) -> bool:
+        """Return whether bytes wait that the peer has room for."""
+        return bool(self.pending) and not self.peer.is_full
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the program doesn't read and the window is used up."""
+        return self._paused and self._unread >= RECEIVE_WINDOW_BYTES
+
     def transmit(self, size: int) -> None:
         piece = bytes(self.pending[:size])
         del self.pending[:size]
+        self.peer.expect(len(piece))
         self.network.sent_by_host[self.host] += len(piece)
         self.network.clock.callLater(LATENCY_S, self.peer.arrive, piece)
         if self._closing and not self.pending:
             self._close(ConnectionDone())
+        self._end_writing()
+
+    def _end_writing(self) -> None:
+        if self._write_closing and not self.pending and not self._closed:
+            self.network.clock.callLater(LATENCY_S, self.peer.end, ConnectionDone())
+
+    def expect(self, size: int) -> None:
+        self._unread += size
 
     def arrive(self, piece: bytes) -> None:
         self._arrived.append(piece)
@@ -152,9 +202,12 @@
 
     def _deliver(self) -> None:
         while self._arrived and not self._paused and not self._closed:
-            self.protocol.dataReceived(self._arrived.pop(0))
-        if self._ended is not None and not self._arrived:
+            piece = self._arrived.pop(0)
+            self._unread -= len(piece)
+            self.protocol.dataReceived(piece)
+        if self._ended is not None and not self._arrived and not self._closed:
             self._lose(self._ended)
+            self.network.clock.callLater(LATENCY_S, self.peer.end, self._ended)
 
     def _close(self, reason: BaseException) -> None:
         if not self._closed:
@@ -243,7 +296,12 @@
         bindAddress: Any = None,  # noqa: N803
     ) -> None:
         factory.doStart()
-        self.callLater(2 * LATENCY_S, self._connect, host, port, factory)
+        handshake_s = self.network.handshake_s(self.host, host)
+        if handshake_s > timeout:
+            timed_out = Failure(ConnectTimeoutError())
+            self.callLater(timeout, factory.clientConnectionFailed, None, timed_out)
+        else:
+            self.callLater(handshake_s, self._connect, host, port, factory)
 
     def _connect(self, host: str, port: int, factory: Any) -> None:
         server = self.network.listeners.get((host, port))
