Name instances whose links carry a share of the bandwidth too

What callers saw: while the store turned away 40 of 115 instances, large ones dropped out of the listing and the directory named instances with 5 Mbit/s links in their place, two for each failure domain. An upload wave filled these links.

Cause: the directory names a 16th of the cores, and a 16th of those that are listed.

Now the instances named carry a 16th of the bandwidth as well, of the largest total of the last minute, with callers spread evenly. Counted only where a link is below 100 Mbit/s.

Evidence: tests/proxy/test_steering.py::TestLinks. Two of 100 and 36 of 5 Mbit/s with one or both large ones missing: two named before, five after, 23.75 Mbit/s needed. Uniform fleets and fleets whose large instances have the fast links: the same instances as by cores.

Ruled out: a share of what is listed (it shrinks with the listing); the sum of the links (the slow ones get as many callers as the fast ones); all of the need in place of nine tenths (every instance, where large processors have slow links).

--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -124,7 +124,7 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id, self._buffers
         )
-        self._fleet = ServingFleet(settings.name, self.store_view)
+        self._fleet = ServingFleet(settings.name, self.store_view, clock.seconds)
         splits = TrafficSplits()
         self._changes = ChangeHandler(
             clock,
--- a/src/gentianhitch/proxy/serving_fleet.py
+++ b/src/gentianhitch/proxy/serving_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from gentianhitch.proxy.model import Peer
@@ -15,17 +17,25 @@
 """Least number of other instances among which the remaining slack is divided."""
 
 
+def _at_zero() -> float:
+    return 0.0
+
+
 @attrs.frozen
 class ServingFleet:
-    """Derive the sets of serving instances from the store view."""
+    """Derive the sets of serving instances from the store view.
+
+    ``seconds`` returns the time of the instance's clock.
+    """
 
     _name: str
     _store_view: StoreView
+    _seconds: Callable[[], float] = _at_zero
     _order: ServingOrder = attrs.Factory(ServingOrder)
 
     def serving_by_domain(self) -> dict[str, tuple[Peer, ...]]:
         """Return the instances in the directory, by failure domain."""
-        return self._order.serving(self._store_view.peers_by_name)
+        return self._order.serving(self._store_view.peers_by_name, self._seconds())
 
     def serving_peers(self) -> list[Peer]:
         """Return the instances in the directory, of all failure domains."""
@@ -33,7 +43,9 @@
 
     def is_near_serving(self) -> bool:
         """Return whether this instance serves, or would soon if some others failed."""
-        return self._order.is_near_serving(self._store_view.peers_by_name, self._name)
+        return self._order.is_near_serving(
+            self._store_view.peers_by_name, self._name, self._seconds()
+        )
 
     def report_receivers(self, busy_senders: frozenset[str]) -> list[Peer]:
         """Return the instances in the directory, and others that send many reports."""
--- a/tests/proxy/test_steering.py
+++ b/tests/proxy/test_steering.py
@@ -1,11 +1,15 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from gentianhitch.proxy.directory import ISOLATED_AGE_S
 from gentianhitch.proxy.directory import Directory
+from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.serving_fleet import ServingFleet
 from gentianhitch.proxy.sources import reading_order
+from gentianhitch.proxy.steering import CARRIED_SHARE
+from gentianhitch.proxy.steering import LINKS_REMEMBERED_S
 from gentianhitch.proxy.steering import MIN_SERVING
 from gentianhitch.proxy.steering import SERVING_CAPACITY_SHARE
 from gentianhitch.proxy.steering import STANDBY_FACTOR
@@ -81,6 +85,103 @@
             assert set(each) <= set(near)
 
 
+LARGE = {"capacity": 2.15, "link_mbps": 100.0}
+SMALL = {"capacity": 0.43, "link_mbps": 5.0}
+
+
+def make_mixed_fleet(large: int = 2, small: int = 36) -> list[Peer]:
+    """Return one failure domain of the deployment with 115 instances."""
+    return [
+        *(make_peer(f"a-{number}", **LARGE) for number in range(large)),
+        *(make_peer(f"a-{100 + number}", **SMALL) for number in range(small)),
+    ]
+
+
+def by_name(peers: list[Peer]) -> dict[str, Peer]:
+    return {peer.name: peer for peer in peers}
+
+
+class TestLinks:
+    """Pattern: instances with fast links are missing while the demand stays."""
+
+    @pytest.mark.parametrize(("large", "small"), [(2, 36), (6, 60), (3, 8), (1, 30)])
+    def test_large_instances_with_fast_links_serve_as_by_capacity(
+        self, large: int, small: int
+    ) -> None:
+        peers = make_mixed_fleet(large, small)
+        fast = [attrs.evolve(peer, link_mbps=1000.0) for peer in peers]
+        chosen = {peer.name for peer in serving_instances(peers)["a"]}
+        if large >= MIN_SERVING:
+            assert chosen == {peer.name for peer in serving_instances(fast)["a"]}
+        else:
+            assert chosen >= {peer.name for peer in serving_instances(fast)["a"]}
+
+    @pytest.mark.parametrize("link_mbps", [1.0, 5.0, 100.0, 1000.0])
+    @pytest.mark.parametrize("count", [2, 5, 38, 160])
+    def test_a_uniform_fleet_serves_as_by_capacity(
+        self, count: int, link_mbps: float
+    ) -> None:
+        peers = [make_peer(f"a-{n}", link_mbps=link_mbps) for n in range(count)]
+        fast = [make_peer(f"a-{n}", link_mbps=1000.0) for n in range(count)]
+        names = [peer.name for peer in serving_instances(peers)["a"]]
+        assert names == [peer.name for peer in serving_instances(fast)["a"]]
+
+    @pytest.mark.parametrize("missing", [1, 2])
+    def test_more_serve_while_those_with_fast_links_are_missing(
+        self, missing: int
+    ) -> None:
+        # Guards against an upload wave at two links of 5 Mbit/s in place of those of
+        # 100 Mbit/s, while the store turned instances away.
+        peers = make_mixed_fleet()
+        order = ServingOrder()
+        assert len(order.serving(by_name(peers), 10.0)["a"]) == 2
+        serving = order.serving(by_name(peers[missing:]), 20.0)["a"]
+        needed_mbps = SERVING_CAPACITY_SHARE * sum(peer.link_mbps for peer in peers)
+        slowest_mbps = min(peer.link_mbps for peer in serving)
+        assert len(serving) * slowest_mbps >= CARRIED_SHARE * needed_mbps
+        assert len(serving) <= 6
+
+    def test_many_missing_instances_are_remembered_for_a_minute(self) -> None:
+        peers = make_mixed_fleet()
+        order = ServingOrder()
+        order.serving(by_name(peers), 10.0)
+        left = by_name(peers[14:])
+        assert len(order.serving(left, 20.0)["a"]) >= 4
+        assert len(order.serving(left, 20.0 + LINKS_REMEMBERED_S - 1)["a"]) >= 4
+        assert len(order.serving(left, 20.0 + LINKS_REMEMBERED_S)["a"]) == 2
+        assert len(order.serving(by_name(peers), 90.0)["a"]) == 2
+
+    def test_fast_links_are_not_counted(self) -> None:
+        # Fleets without slow links are steered by capacity alone, also while some miss.
+        peers = [make_peer(f"a-{number}") for number in range(64)]
+        order = ServingOrder()
+        order.serving(by_name(peers), 10.0)
+        left = peers[32:]
+        expected = serving_instances(left)["a"]
+        assert order.serving(by_name(left), 11.0)["a"] == expected
+        assert len(expected) == 2
+
+    def test_large_processors_with_slow_links_do_not_need_every_instance(self) -> None:
+        odd = [
+            *(make_peer(f"a-{n}", capacity=2.0, link_mbps=5.0) for n in range(2)),
+            *(
+                make_peer(f"a-{100 + n}", capacity=0.4, link_mbps=100.0)
+                for n in range(36)
+            ),
+        ]
+        serving = serving_instances(odd)["a"]
+        assert 4 <= len(serving) <= len(odd) / 2
+
+    def test_near_serving_follow(self) -> None:
+        peers = make_mixed_fleet()
+        order = ServingOrder()
+        order.serving(by_name(peers), 10.0)
+        left = by_name(peers[2:])
+        serving = order.serving(left, 20.0)["a"]
+        near = [name for name in left if order.is_near_serving(left, name, 20.0)]
+        assert len(near) == STANDBY_FACTOR * len(serving)
+
+
 class TestServingOrder:
     def test_follows_every_change_of_the_listing(self) -> None:
         order = ServingOrder()
