--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -60,6 +60,7 @@
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.server_reach import ServerReach
 from gentianhitch.proxy.serving_fleet import ServingFleet
 from gentianhitch.proxy.settings_file import SettingsFile
 from gentianhitch.proxy.shutdown import drain
@@ -125,7 +126,7 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id, self._buffers
         )
-        self._fleet = ServingFleet(settings.name, self.store_view)
+        self._fleet = ServingFleet(settings.name, self.store_view, clock.seconds)
         splits = TrafficSplits()
         self._changes = ChangeHandler(
             clock,
@@ -186,6 +187,9 @@
         self._directory = Directory(
             self.store_view, self._fleet, self._has_recent_reply
         )
+        self._reach = ServerReach(
+            clock, self._balancer, self._connections, self._monitor.record_belief
+        )
         self._server = RequestServer(
             clock,
             self.store_view,
@@ -198,6 +202,7 @@
                 HEADER_NAMES,
                 self._create_budget,
                 lambda: self._fleet.slack_share(self._quotas.sharers),
+                self._reach,
             ),
             splits,
             events,
@@ -283,6 +288,7 @@
             "servers_evacuated": self._balancer.count_evacuated(),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
+            "own_link_suspected": self._reach.is_suspected(),
         }
 
     def _receive(self, message: Message, sender: Address) -> None:
--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -19,6 +19,7 @@
 
 STORE_HOST = "10.200.0.1"
 STORE_PORT = 8041
+SERVER_PORT = 8369
 STORE_BYTES_PER_S = 125e6
 HEARTBEAT_S = 1.5
 
@@ -68,12 +69,16 @@
     }
 
 
+def server_host(number: int) -> str:
+    return f"10.9.{number // 250}.{number % 250 + 1}"
+
+
 def make_server_entry(
     number: int, state: str = "ready", beat: int = 0, **changes: Any
 ) -> Any:
     return {
         "service": "stock",
-        "address": f"10.9.{number // 250}.{number % 250 + 1}:8369",
+        "address": f"{server_host(number)}:{SERVER_PORT}",
         "zone": "a",
         "version": "v1",
         "slots": 6,
@@ -92,14 +97,21 @@
 class SimulatedDeployment:
     """Instances of three failure domains, their store and its backend servers.
 
-    ``bytes_per_s`` lists the link of each instance. Servers renew their entries at
-    every heartbeat, as they do on the platform. They are spread over ``zones``.
+    ``bytes_per_s`` lists the link of each instance, which the settings contain if
+    ``tells_links``; ``zones`` has the failure domains of the servers. Servers renew
+    their entries at every heartbeat, as they do on the platform.
     """
 
     def __init__(
-        self, bytes_per_s: list[float], servers: int, zones: str = "a"
+        self,
+        bytes_per_s: list[float],
+        servers: int,
+        zones: str = "a",
+        *,
+        tells_links: bool = True,
     ) -> None:
         self._zones = zones
+        self._tells_links = tells_links
         self.network = Network()
         reactor = self.network.add_host(STORE_HOST, STORE_BYTES_PER_S)
         self.store = SimulatedStore(Store(self.network.clock.seconds))
@@ -119,7 +131,8 @@
         raw = make_raw_node_settings(host)
         raw["self"]["nodeName"] = f"edge-{number}"
         raw["self"]["zone"] = "abc"[number % 3]
-        raw["self"]["limits"]["linkMbps"] = bytes_per_s * 8 / 1e6
+        if self._tells_links:
+            raw["self"]["limits"]["linkMbps"] = bytes_per_s * 8 / 1e6
         raw["provider"]["provider"]["address"] = f"{STORE_HOST}:{STORE_PORT}"
         instance = ProxyInstance(
             self.network.add_host(host, bytes_per_s),
