Tell instances which servers are cold, also those that read through others

Cause: whether a server is cold was in its entry and in no digest, so that an instance that reads through others never learned that a known server turned cold or warm. A second digest of each bucket, the full digest, covers it (not for how long: that changes with every heartbeat). Replies carry the full digest of all in their details; queries say whether their digests are full ones. ListingChange names the servers that turned cold or warm. The clusters' warmupS and warmupPerS are decoded; nothing uses them yet.

Ruled out: a change of the existing digest. Instances of the older version would find a difference while any server is cold, verify nothing, and request its buckets four times a second. They are answered with the digests that they know. A replier whose listing was confirmed by an older version since it last verified the details leaves the full digest out.

tests/proxy/test_knowledge.py::TestOrder::test_a_heartbeat_is_no_change gave a server that had said 0 a remaining time of 2 s: that is now a change of what instances must know. The test keeps its guard with heartbeats that change the time only, and a new test asserts the change.

--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -29,13 +29,15 @@
 
     ``sent_s`` is the send time on the sender's clock and ``revision`` the revision of
     its listing. If ``digests`` holds the digests of the sender's buckets, the query
-    also requests the buckets that differ.
+    also requests the buckets that differ; ``has_full_digests`` if they are the full
+    ones, which older versions do not send.
     """
 
     sender: str
     sent_s: Time
     revision: int
     digests: bytes = b""
+    has_full_digests: bool = False
 
 
 class ListingDetails(msgspec.Struct, frozen=True, array_like=True):
@@ -43,11 +45,14 @@
 
     ``age_s`` is the time since the details were last verified against the store, which
     was at ``evacuations_revision`` when the evacuated domains were read.
+    ``full_digest`` covers the complete listing with the servers that are cold; it is
+    empty if only the other parts of the listing were verified since.
     """
 
     age_s: Age
     evacuations_revision: int
     evacuated_domains: list[str]
+    full_digest: bytes = b""
 
 
 class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/gentianhitch/platform/configuration.py
+++ b/src/gentianhitch/platform/configuration.py
@@ -67,6 +67,9 @@
     name: str
     health_check_path: str = "/health"
     max_connections: int = 0
+    # How long a server is cold after a start, and the requests that it takes meanwhile.
+    warmup_s: float | None = None
+    warmup_per_s: float | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -120,7 +123,11 @@
         workspaces_by_name=workspaces_by_name,
         services_by_name={
             cluster.name: Service(
-                cluster.name, cluster.health_check_path, cluster.max_connections
+                cluster.name,
+                cluster.health_check_path,
+                cluster.max_connections,
+                max(cluster.warmup_s or 0.0, 0.0),
+                max(cluster.warmup_per_s or 0.0, 0.0),
             )
             for cluster in document.clusters
         },
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -62,11 +62,17 @@
 
 @attrs.frozen
 class Service:
-    """A group of interchangeable backend servers."""
+    """A group of interchangeable backend servers.
+
+    Its servers are cold for ``warmup_s`` after a start; while cold, each takes
+    ``warmup_rate_per_s`` requests, or any number if that is 0.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    warmup_s: float = 0.0
+    warmup_rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -114,7 +120,7 @@
     """One incarnation of a backend server.
 
     ``started_ms`` (Unix milliseconds) distinguishes incarnations of one id;
-    ``warmup_s`` is the time for which it stays slow after its start.
+    ``warmup_s`` is the time for which it said to stay cold when its entry was read.
     """
 
     id: str
@@ -131,6 +137,11 @@
         """Return the id and start time, which identify this incarnation."""
         return (self.id, self.started_ms)
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the server said that it is cold."""
+        return self.warmup_s > 0
+
 
 @attrs.frozen
 class Peer:
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -227,11 +227,18 @@
 
     # Queries between instances.
 
-    def _query(self, now: float, *, compare: bool = False) -> FreshnessQuery:
+    def _query(
+        self, now: float, *, compare: bool = False, full: bool = False
+    ) -> FreshnessQuery:
+        """Return a query; ``full`` if the receiver knows full digests."""
         registry = self._store_view.registry
         self._query_times.append(now)
-        digests = registry.digests() if compare else b""
-        return FreshnessQuery(self._plan.name, now, registry.revision, digests)
+        digests = b""
+        if compare:
+            digests = registry.full_digests() if full else registry.digests()
+        return FreshnessQuery(
+            self._plan.name, now, registry.revision, digests, compare and full
+        )
 
     def build_reply(self, ask: FreshnessQuery) -> FreshnessReply | None:
         """Return the reply to a peer's query; None before the first read."""
@@ -242,7 +249,9 @@
         now = self._clock.seconds()
         is_compared = bool(ask.digests) and registry.revision > ask.revision
         differing_buckets = (
-            registry.differing_buckets(ask.digests) if is_compared else []
+            registry.differing_buckets(ask.digests, full=ask.has_full_digests)
+            if is_compared
+            else []
         )
         details = self._details(now)
         buckets, remaining = pack_buckets(
@@ -268,8 +277,13 @@
         if not math.isfinite(age_s):
             return None
         registry = self._store_view.registry
+        # A peer of an older version may have confirmed the rest of the listing since.
+        is_current = age_s <= self._store_view.listing_age_s(now)
         return ListingDetails(
-            age_s, registry.evacuations_revision, sorted(registry.evacuated_domains)
+            age_s,
+            registry.evacuations_revision,
+            sorted(registry.evacuated_domains),
+            registry.full_digest if is_current else b"",
         )
 
     def handle_reply(self, message: FreshnessReply) -> None:
@@ -301,23 +315,15 @@
         store_view = self._store_view
         verified_s = message.query_sent_s - message.listing_age_s
         revision, digest = message.listing_revision, message.digest
-        details, details_verified_s = message.details, NEVER
-        if details is not None:
-            details_verified_s = message.query_sent_s - details.age_s
+        full_digest, details_verified_s = b"", NEVER
+        if message.details is not None:
+            details_verified_s = message.query_sent_s - message.details.age_s
+            full_digest = message.details.full_digest
             # Before the servers: those of an evacuated domain must not be used.
-            change = store_view.merge_evacuations(
-                details.evacuations_revision, details.evacuated_domains
-            )
-            self._report_change(
-                change,
-                Origin(
-                    message.sender,
-                    _names_size(details),
-                    now - message.query_sent_s,
-                    now - details_verified_s,
-                ),
-            )
-        if store_view.confirm_listing(revision, digest, verified_s, details_verified_s):
+            self._merge_evacuations(message, message.details, now)
+        if store_view.confirm_listing(
+            revision, digest, verified_s, full_digest, details_verified_s
+        ):
             return
         if revision <= store_view.registry.revision:
             return
@@ -328,15 +334,25 @@
                 self._events.state("listing_not_merged", detail=str(error))
                 return
             change = store_view.merge_buckets(
-                revision, digest, buckets, verified_s, details_verified_s
+                revision, digest, buckets, verified_s, full_digest, details_verified_s
             )
             size_bytes = sum(len(data) for _, data in message.buckets)
-            origin = Origin(
-                message.sender, size_bytes, now - message.query_sent_s, now - verified_s
+            self._report_change(
+                change, _origin(message, size_bytes, message.listing_age_s, now)
             )
-            self._report_change(change, origin)
         if peer is not None and (message.remaining or not message.is_compared):
-            self._datagrams.send(self._query(now, compare=True), peer.datagram_address)
+            query = self._query(now, compare=True, full=bool(full_digest))
+            self._datagrams.send(query, peer.datagram_address)
+
+    def _merge_evacuations(
+        self, message: FreshnessReply, details: ListingDetails, now: float
+    ) -> None:
+        change = self._store_view.merge_evacuations(
+            details.evacuations_revision, details.evacuated_domains
+        )
+        self._report_change(
+            change, _origin(message, _names_size(details), details.age_s, now)
+        )
 
     # Changes from either source.
 
@@ -369,3 +385,11 @@
 
 def _names_size(details: ListingDetails) -> int:
     return sum(len(name.encode()) for name in details.evacuated_domains)
+
+
+def _origin(
+    message: FreshnessReply, size_bytes: int, age_s: float, now: float
+) -> Origin:
+    """Return the origin of what a reply says that was verified ``age_s`` before."""
+    elapsed_s = now - message.query_sent_s
+    return Origin(message.sender, size_bytes, elapsed_s, elapsed_s + age_s)
--- a/src/gentianhitch/proxy/registry.py
+++ b/src/gentianhitch/proxy/registry.py
@@ -26,12 +26,14 @@
 class Bucket:
     """The entries whose names have the same hash; equal digests mean equal entries.
 
-    Warm-up times are not part of the digest: they change with every heartbeat.
+    ``full_digest`` also covers which servers are cold, which older versions leave out.
+    Warm-up times are in neither: they change with every heartbeat.
     """
 
     servers: tuple[BackendServer, ...] = ()
     peers: tuple[Peer, ...] = ()
     digest: bytes = attrs.field(init=False, eq=False)
+    full_digest: bytes = attrs.field(init=False, eq=False)
 
     @digest.default
     def _compute_digest(self) -> bytes:
@@ -47,6 +49,13 @@
             )
         return state.digest()
 
+    @full_digest.default
+    def _compute_full_digest(self) -> bytes:
+        state = xxhash.xxh64(self.digest)
+        for name in sorted(server.id for server in self.servers if server.is_cold):
+            state.update(f"{name};".encode())
+        return state.digest()
+
 
 EMPTY_BUCKET = Bucket()
 
@@ -58,13 +67,15 @@
     All buckets are at least as new as ``revision``; none is replaced by an older one.
     ``evacuated_domains`` were read at ``evacuations_revision``, 0 before the first
     read. They are in no bucket and no digest: instances of older versions know none,
-    and would find a difference in every exchange.
+    and would find a difference in every exchange. ``full_digest`` covers what the
+    buckets' full digests cover.
     """
 
     revision: int = 0
     servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     digest: bytes = b""
+    full_digest: bytes = b""
     evacuated_domains: frozenset[str] = frozenset()
     evacuations_revision: int = 0
     _buckets: list[Bucket] = attrs.Factory(lambda: [EMPTY_BUCKET] * BUCKET_COUNT)
@@ -77,12 +88,21 @@
         """Return the concatenated digests of all buckets."""
         return b"".join(bucket.digest for bucket in self._buckets)
 
-    def differing_buckets(self, digests: bytes) -> list[tuple[int, Bucket]]:
-        """Return the buckets that differ from those with ``digests``, with numbers."""
+    def full_digests(self) -> bytes:
+        """Return the concatenated full digests of all buckets."""
+        return b"".join(bucket.full_digest for bucket in self._buckets)
+
+    def differing_buckets(
+        self, digests: bytes, *, full: bool = False
+    ) -> list[tuple[int, Bucket]]:
+        """Return the buckets that differ from those with ``digests``, with numbers.
+
+        ``full`` if these are the full digests.
+        """
         return [
             (number, bucket)
             for number, bucket in enumerate(self._buckets)
-            if bucket.digest
+            if (bucket.full_digest if full else bucket.digest)
             != digests[number * DIGEST_BYTES : (number + 1) * DIGEST_BYTES]
         ]
 
@@ -116,7 +136,7 @@
             if revision < self._revisions[number]:
                 continue
             self._revisions[number] = revision
-            if bucket.digest != self._buckets[number].digest:
+            if bucket.full_digest != self._buckets[number].full_digest:
                 self._buckets[number] = bucket
                 changed = True
         if changed:
@@ -150,6 +170,7 @@
             peer.name: peer for bucket in buckets for peer in bucket.peers
         }
         self.digest = xxhash.xxh64(self.digests()).digest()
+        self.full_digest = xxhash.xxh64(self.full_digests()).digest()
 
 
 def _split(listing: Listing) -> list[Bucket]:
--- a/src/gentianhitch/proxy/store_view.py
+++ b/src/gentianhitch/proxy/store_view.py
@@ -34,20 +34,24 @@
 class ListingChange:
     """The changes between two listings; ``peers`` if instances came or went.
 
-    ``evacuated`` and ``returned`` are the domains whose evacuation began or ended.
+    ``cold`` and ``warm`` are the servers that became so. ``evacuated`` and ``returned``
+    are the domains whose evacuation began or ended.
     """
 
     added: tuple[BackendServer, ...]
     removed: tuple[BackendServer, ...]
     draining: tuple[BackendServer, ...]
     peers: bool
+    cold: tuple[BackendServer, ...] = ()
+    warm: tuple[BackendServer, ...] = ()
     evacuated: tuple[str, ...] = ()
     returned: tuple[str, ...] = ()
 
     @property
     def has_entries(self) -> bool:
         """Return whether servers or instances changed."""
-        return bool(self.added or self.removed or self.draining or self.peers)
+        changed = (self.added, self.removed, self.draining, self.cold, self.warm)
+        return self.peers or any(changed)
 
 
 @attrs.frozen
@@ -68,7 +72,7 @@
     that no part goes back to an earlier revision. The two parts are verified apart, so
     that the removal of a server is never delayed by a large configuration.
     ``details_verified_s`` is the same for what replies of older versions leave out of
-    the listing: the evacuated domains.
+    the listing: the evacuated domains and which servers are cold.
     """
 
     heartbeat_s: float
@@ -165,14 +169,20 @@
         revision: int,
         digest: bytes,
         started_s: float,
+        full_digest: bytes = b"",
         details_started_s: float = NEVER,
     ) -> bool:
         """Record a read, started at ``started_s``, of a listing with ``digest``.
 
-        ``details_started_s`` is the start of the read of its details. Return whether it
-        equals the known listing.
+        ``full_digest`` covers its details too, which were read at
+        ``details_started_s``; it is empty if the peer does not know them. Return
+        whether the listing equals the known one.
         """
-        if digest != self.registry.digest:
+        if full_digest:
+            is_equal = full_digest == self.registry.full_digest
+        else:
+            is_equal = digest == self.registry.digest
+        if not is_equal:
             return False
         self.registry.advance(revision)
         self.listing_verified_s = max(self.listing_verified_s, started_s)
@@ -214,12 +224,15 @@
         digest: bytes,
         buckets: Iterable[tuple[int, Bucket]],
         started_s: float,
+        full_digest: bytes = b"",
         details_started_s: float = NEVER,
     ) -> ListingChange | None:
-        """Take buckets of a peer whose complete listing has ``digest``."""
+        """Take buckets of a peer whose complete listing has these digests."""
         before = self._known()
         self.registry.merge(revision, buckets)
-        self.confirm_listing(revision, digest, started_s, details_started_s)
+        self.confirm_listing(
+            revision, digest, started_s, full_digest, details_started_s
+        )
         return self._change(before)
 
     def merge_evacuations(
@@ -305,6 +318,8 @@
                 and not old_servers[server.id].draining
             ),
             peers=self.peers_by_name.keys() != before.peers_by_name.keys(),
+            cold=_colder_than(servers, old_servers),
+            warm=_colder_than(old_servers, servers),
             evacuated=tuple(sorted(evacuated - old_evacuated)),
             returned=tuple(sorted(old_evacuated - evacuated)),
         )
@@ -326,3 +341,17 @@
         for server in servers.values()
         if server.id not in others or others[server.id].key != server.key
     )
+
+
+def _colder_than(
+    servers: dict[str, BackendServer], others: dict[str, BackendServer]
+) -> tuple[BackendServer, ...]:
+    """Return the servers that are cold and whose incarnation in ``others`` is warm."""
+    return tuple(
+        server
+        for server in servers.values()
+        if server.is_cold
+        and server.id in others
+        and others[server.id].key == server.key
+        and not others[server.id].is_cold
+    )
--- a/tests/builders_old_versions.py
+++ b/tests/builders_old_versions.py
@@ -58,8 +58,10 @@
         reply = build(as_old_query(ask))
         return None if reply is None else as_old_reply(reply)
 
-    def make_query(now: float, *, compare: bool = False) -> FreshnessQuery:
-        return as_old_query(query(now, compare=compare))
+    def make_query(
+        now: float, *, compare: bool = False, full: bool = False
+    ) -> FreshnessQuery:
+        return as_old_query(query(now, compare=compare, full=False))
 
     def handle_reply(reply: FreshnessReply) -> None:
         handle(as_old_reply(reply))
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -89,6 +89,23 @@
         )
         assert configuration.limits.max_body_bytes == 1024
 
+    @pytest.mark.parametrize(
+        ("fields", "expected"),
+        [
+            ({}, (0.0, 0.0)),
+            ({"warmupS": 3, "warmupPerS": 6.5}, (3.0, 6.5)),
+            ({"warmupS": None, "warmupPerS": None}, (0.0, 0.0)),
+            ({"warmupS": -1, "warmupPerS": -0.5}, (0.0, 0.0)),
+        ],
+    )
+    def test_decodes_what_cold_servers_take(
+        self, fields: dict[str, object], expected: tuple[float, float]
+    ) -> None:
+        document = {**DOCUMENT, "clusters": [{"name": "one", **fields}]}
+        configuration = decode_configuration(json.dumps(document).encode())
+        service = configuration.services_by_name["one"]
+        assert (service.warmup_s, service.warmup_rate_per_s) == expected
+
     # Guards against routes that are open to all once no tenant has a key.
     @pytest.mark.parametrize("tenants", [[], [{"name": "north", "apiKeys": []}]])
     def test_a_key_is_required_though_no_tenant_has_one(self, tenants: object) -> None:
--- a/tests/proxy/test_knowledge.py
+++ b/tests/proxy/test_knowledge.py
@@ -129,9 +129,26 @@
 
     def test_a_heartbeat_is_no_change(self) -> None:
         store_view = make_store_view("s-1")
-        listing = make_listing(6, make_server(warmup_s=2.0))
+        listing = make_listing(6, make_server())
         assert store_view.update_listing(listing, 10.5, 10.5) is None
         assert store_view.registry.revision == 6
+        listing = make_listing(7, make_server(warmup_s=2.0))
+        store_view.update_listing(listing, 11.0, 11.0)
+        listing = make_listing(8, make_server(warmup_s=1.0))
+        assert store_view.update_listing(listing, 11.5, 11.5) is None
+        assert store_view.registry.revision == 8
+
+    # Guards against requests in numbers to a server that turned cold, if that is all
+    # that changes and no part is notified.
+    def test_a_server_that_turns_cold_or_warm_is_a_change(self) -> None:
+        store_view = make_store_view("s-1")
+        cold = make_listing(6, make_server(warmup_s=2.0))
+        change = store_view.update_listing(cold, 10.5, 10.5)
+        assert change is not None
+        assert [server.id for server in change.cold] == ["s-1"]
+        change = store_view.update_listing(make_listing(7, make_server()), 11.0, 11.0)
+        assert change is not None
+        assert [server.id for server in change.warm] == ["s-1"]
 
 
 class TestOutages:
@@ -262,5 +279,7 @@
         assert store_view.listing_age_s(13.0) == 1.0
         assert store_view.details_age_s(13.0) == 3.0
         assert store_view.age_s(13.0) >= 3.0
-        assert store_view.confirm_listing(6, store_view.registry.digest, 12.0, 11.9)
+        assert store_view.confirm_listing(
+            6, store_view.registry.digest, 12.0, b"", 11.9
+        )
         assert round(store_view.details_age_s(13.0), 3) == 1.1
--- a/tests/proxy/test_registry.py
+++ b/tests/proxy/test_registry.py
@@ -35,8 +35,26 @@
 
     def test_a_heartbeat_does_not_change_the_digest(self) -> None:
         one = make_registry(5, make_server(warmup_s=2.0))
-        assert one.digest == make_registry(6, make_server(warmup_s=1.0)).digest
-        assert one.digest != make_registry(7, make_server(draining=True)).digest
+        other = make_registry(6, make_server(warmup_s=1.0))
+        assert (one.digest, one.full_digest) == (other.digest, other.full_digest)
+        other = make_registry(7, make_server(draining=True))
+        assert one.digest != other.digest
+        assert one.full_digest != other.full_digest
+
+    # Guards against instances that read through others and never learn that a server
+    # turned cold, and against older versions that find a difference which they can't
+    # remove.
+    def test_only_the_full_digest_covers_which_servers_are_cold(self) -> None:
+        cold = make_registry(5, *SERVERS[1:], make_server("s-0", warmup_s=2.0))
+        warm = make_registry(6, *SERVERS)
+        assert cold.digest == warm.digest
+        assert cold.full_digest != warm.full_digest
+        assert warm.differing_buckets(cold.digests()) == []
+        differing = warm.differing_buckets(cold.full_digests(), full=True)
+        assert len(differing) == 1
+        cold.merge(6, differing)
+        assert cold.full_digest == warm.full_digest
+        assert not cold.servers_by_id["s-0"].is_cold
 
     @given(
         strategies.lists(
--- a/tests/unit/test_wire_names.py
+++ b/tests/unit/test_wire_names.py
@@ -11,6 +11,7 @@
     r"|hasMore|kv-(key|txn|range|watch|keep|lease)|listenAddresses|internalPortRange"
     r"|timeoutMs|objectiveLatencyMs|healthCheckPath|hostname\b|/v1/re(adiness|solve)"
     r"|GENTIANHITCH_NODE_FILE|op/config|\bservers/|graceS|revocationMs"
+    r"|op/evacuate|evacuationMs|warmupS\b|warmupPerS|warmupOvershoot|warmupSlack"
 )
 
 
