Leave retries to more urgent requests when the budget runs short

Callers of orders (priority 1) were refused for want of a second attempt while reads (priority 2) and hedges at the same service used the retry budget.

Where routes of unlike priority lead to a service, a retry leaves room for the second attempts that more urgent requests will want in the next second, as many as in the last two; a hedge also for those of its own priority. The total stays limited as before, so the rule over all instances holds. The cost of a decline uses the same share of the budget. Without such routes nothing changes (tested against the plain rule).

Evidence: test_retry_budget, test_declines, test_dispatch, test_request_server, test_server_notices, test_unexpected_errors and tests/unit pass.

--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -24,7 +24,10 @@
 
 @attrs.define(eq=False)
 class ChangeHandler:
-    """Updates balancer, connections, quotas and traffic splits from the store view."""
+    """Updates balancer, connections, quotas and traffic splits from the store view.
+
+    ``services_of_unlike_priorities`` are those in the configuration in force.
+    """
 
     _clock: Any
     _store_view: StoreView
@@ -38,6 +41,7 @@
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
+    services_of_unlike_priorities: frozenset[str] = frozenset()
 
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
         """Log and apply a change of the listing."""
@@ -69,6 +73,9 @@
         )
         self._metrics.time("configuration_age", None, origin.age_s)
         self._balancer.set_routes(routes)
+        self.services_of_unlike_priorities = (
+            stored.configuration.services_of_unlike_priorities()
+        )
         self._splits.retain(routes)
         self.update(self._clock.seconds())
 
--- a/src/gentianhitch/proxy/declines.py
+++ b/src/gentianhitch/proxy/declines.py
@@ -42,8 +42,7 @@
 RETRIED_DECLINE_COST = 0.3
 """Cost of a decline, in units of the loss of a request, while another attempt follows.
 
-A server that declines half then costs as much more as one waiting request does at a
-server of two slots.
+A server that declines half then costs as much more as one with all slots busy does.
 """
 
 FINAL_DECLINE_COST = 3.0
@@ -130,8 +129,8 @@
 def decline_cost(*, can_retry: bool, budget_used: float) -> float:
     """Return the cost of a decline, given whether another attempt may follow it.
 
-    ``budget_used`` is the share of the retry budget that is spent, 0 to 1. The cost
-    stays low up to half of the budget, and reaches that of a final decline at its end.
+    ``budget_used`` is the share of the retry budget that is spent. The cost stays low
+    up to half of the budget, and reaches that of a final decline at its end.
     """
     if not can_retry:
         return FINAL_DECLINE_COST
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -147,7 +147,7 @@
         if server is None:
             return False
         is_allowed = not self._writes or self._context.try_spend_retry(
-            self._service, now, hedge=hedge
+            self._service, now, hedge=hedge, priority=self._priority
         )
         if not is_allowed:
             self._owner.log_dispatch_event("retry_budget_spent", server, "")
@@ -164,7 +164,9 @@
         )
         return decline_cost(
             can_retry=can_retry,
-            budget_used=self._context.budget_used(self._service, now),
+            budget_used=self._context.budget_used(
+                self._service, now, priority=self._priority
+            ),
         )
 
     def _start_attempt(self, server: BackendServer) -> None:
--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -44,7 +44,10 @@
 
 @attrs.define(eq=False)
 class DispatchContext:
-    """The parts that all dispatches of one instance share."""
+    """The parts that all dispatches of one instance share.
+
+    ``has_unlike_priorities`` tells whether routes of unlike priority lead to a service.
+    """
 
     clock: Any
     balancer: Balancer
@@ -52,6 +55,7 @@
     names: HeaderNames
     create_budget: Callable[[], RetryBudget]
     slack_share: Callable[[], float]
+    has_unlike_priorities: Callable[[str], bool] = lambda service: False
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
 
     def budget(self, service: str) -> RetryBudget:
@@ -61,10 +65,25 @@
             budget = self._budgets_by_service[service] = self.create_budget()
         return budget
 
-    def budget_used(self, service: str, now: float) -> float:
-        """Return the share of the retry budget of ``service`` that is spent, 0 to 1."""
-        return self.budget(service).used_share(now, self.slack_share())
+    def budget_used(self, service: str, now: float, *, priority: int) -> float:
+        """Return the share of the budget of ``service`` that is used after one retry.
+
+        It is above 1 if there is none left for requests of ``priority``.
+        """
+        return self.budget(service).used_share(
+            now, self.slack_share(), priority=self._shared_priority(service, priority)
+        )
 
-    def try_spend_retry(self, service: str, now: float, *, hedge: bool) -> bool:
+    def try_spend_retry(
+        self, service: str, now: float, *, hedge: bool, priority: int
+    ) -> bool:
         """Spend one retry of the budget of ``service``; False if there is none left."""
-        return self.budget(service).try_spend(now, self.slack_share(), hedge=hedge)
+        return self.budget(service).try_spend(
+            now,
+            self.slack_share(),
+            hedge=hedge,
+            priority=self._shared_priority(service, priority),
+        )
+
+    def _shared_priority(self, service: str, priority: int) -> int | None:
+        return priority if self.has_unlike_priorities(service) else None
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -195,6 +195,7 @@
                 HEADER_NAMES,
                 self._create_budget,
                 lambda: self._fleet.slack_share(self._quotas.sharers),
+                lambda service: service in self._changes.services_of_unlike_priorities,
             ),
             splits,
             events,
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -95,6 +95,22 @@
     workspaces_by_name: dict[str, Workspace]
     services_by_name: dict[str, Service]
 
+    def services_of_unlike_priorities(self) -> frozenset[str]:
+        """Return the names of services to which routes of unlike priority lead."""
+        priorities_by_service: dict[str, set[int]] = {}
+        for routes in self.routes_by_host.values():
+            for route in routes:
+                for destination in route.destinations:
+                    priorities = priorities_by_service.setdefault(
+                        destination.service, set()
+                    )
+                    priorities.add(route.priority)
+        return frozenset(
+            service
+            for service, priorities in priorities_by_service.items()
+            if len(priorities) > 1
+        )
+
     def route_names(self) -> frozenset[str]:
         """Return the names of all routes."""
         return frozenset(
--- a/tests/builders_declining_service.py
+++ b/tests/builders_declining_service.py
@@ -169,6 +169,7 @@
     report_loss: float = 0.0
     makers: tuple[type[Balancer], ...] = (Balancer,)
     routes: tuple[Route, ...] = (ORDERS, READS)
+    has_unlike_priorities: bool = True
     outcomes: list[Outcome] = attrs.Factory(list)
     budget_refusals_at_s: list[float] = attrs.Factory(list)
 
@@ -200,6 +201,7 @@
             HEADER_NAMES,
             lambda: RetryBudget(0.2, self.slack, 10.0),
             lambda: 0.9 / self.instance_count,
+            lambda service: self.has_unlike_priorities,
         )
         return ModelInstance(balancer, context)
 
@@ -316,12 +318,15 @@
         )
         return accepted + self.declined(from_s, to_s)
 
-    def refused(self, from_s: float = 0.0, to_s: float = float("inf")) -> int:
-        """Return how many requests that came in a time span were not served."""
+    def refused(
+        self, from_s: float = 0.0, to_s: float = float("inf"), *routes: Route
+    ) -> int:
+        """Return how many requests of a time span, on any or some routes, failed."""
         return sum(
             bool(outcome.cause)
             for outcome in self.outcomes
             if from_s <= outcome.started_s < to_s
+            and outcome.route in (routes or self.routes)
         )
 
     def timely_share(self, from_s: float = 0.0, to_s: float = float("inf")) -> float:
