--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -48,7 +48,10 @@
 
 @attrs.define(eq=False)
 class DispatchContext:
-    """The parts that all dispatches of one instance share."""
+    """The parts that all dispatches of one instance share.
+
+    ``has_unlike_priorities`` tells whether routes of unlike priority lead to a service.
+    """
 
     clock: Any
     balancer: Balancer
@@ -56,6 +59,7 @@
     names: HeaderNames
     create_budget: Callable[[], RetryBudget]
     slack_share: Callable[[], float]
+    has_unlike_priorities: Callable[[str], bool] = lambda service: False
     reach: ServerReach = attrs.field()
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
 
@@ -71,12 +75,13 @@
         priority: int,
         exclude: frozenset[str],
         avoid_domains: frozenset[str],
+        decline_cost: float,
     ) -> BackendServer | None:
         """Return the server for the next attempt, or None.
 
         Servers of ``avoid_domains`` are chosen only if there is no other. While the own
         link is suspected, only servers with an open connection are chosen; without one,
-        a connect probes the link.
+        a connect probes the link. ``decline_cost`` is what a decline costs the attempt.
         """
         connected = self.connections.servers_with_idle_connections()
         excluded = self.reach.excluded(service, connected, avoid_domains)
@@ -89,6 +94,7 @@
                 priority=priority,
                 exclude=ids,
                 connected=connected,
+                decline_cost=decline_cost,
             )
 
         server = choose_without(exclude | excluded)
@@ -119,6 +125,25 @@
             budget = self._budgets_by_service[service] = self.create_budget()
         return budget
 
-    def try_spend_retry(self, service: str, now: float, *, hedge: bool) -> bool:
+    def budget_used(self, service: str, now: float, *, priority: int) -> float:
+        """Return the share of the budget of ``service`` that is used after one retry.
+
+        It is above 1 if there is none left for requests of ``priority``.
+        """
+        return self.budget(service).used_share(
+            now, self.slack_share(), priority=self._shared_priority(service, priority)
+        )
+
+    def try_spend_retry(
+        self, service: str, now: float, *, hedge: bool, priority: int
+    ) -> bool:
         """Spend one retry of the budget of ``service``; False if there is none left."""
-        return self.budget(service).try_spend(now, self.slack_share(), hedge=hedge)
+        return self.budget(service).try_spend(
+            now,
+            self.slack_share(),
+            hedge=hedge,
+            priority=self._shared_priority(service, priority),
+        )
+
+    def _shared_priority(self, service: str, priority: int) -> int | None:
+        return priority if self.has_unlike_priorities(service) else None
