Limit what the instances together send to a cold server

Cause: above warmupPerS * warmupOvershoot + warmupSlack requests in one second, summed over all instances, a cold server crashes. The choice knew only a small cost for servers that had just joined, and prefers servers that nobody used, which those of a domain that returns are.

proxy/warmup.py divides the limit, less half of its slack, among the listed serving instances, in an order that differs for each server; the others send nothing to it while it is cold. What an instance gains by a change of the list counts 2 s later, when those that lose it know; meanwhile the first four (of the slack's half) instances of the order may use one each, so that instances that join are of use at once. A choice counts until it is written, for 0.5 s at most; the write is checked again, so that requests that were connecting when the server turned cold go elsewhere. A server is cold while its entry says so in a listing that was verified in the last 2 s, else until the time that it said, for warmupS after it was first listed as cold, and for warmupS after its domain's evacuation.

Ruled out: counting the others' sends from their reports, which are lost, late, and start only when a burst is over; a coordinator for each cold server; sending nothing to cold servers while the store can't be read, which an outage would turn into a loss of them all. A cut-off instance goes on with its part, which stays counted for as long as it is listed.

Active only where a service has warmupPerS above 0 and the settings have both bounds.

--- a/src/gentianhitch/platform/node_settings.py
+++ b/src/gentianhitch/platform/node_settings.py
@@ -13,6 +13,7 @@
 from gentianhitch.errors import UsageError
 from gentianhitch.proxy.balancing import DEFAULT_FLOOR_SHARE
 from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
+from gentianhitch.proxy.warmup import WarmupBounds
 
 DEFAULT_CONFIGURATION_APPLY_S = 2.0
 """Assumed for deployments that agree on no bound."""
@@ -42,6 +43,7 @@
     floor_share: float
     configuration_apply_s: float
     evacuation_s: float
+    warmup: WarmupBounds | None
 
 
 @attrs.frozen
@@ -165,6 +167,15 @@
     return float(own.get_object("limits").get("memoryMb", float))
 
 
+def _decode_warmup(bounds: _Fields) -> WarmupBounds | None:
+    """Return the bounds for cold servers; None unless both are set."""
+    if not (bounds.has("warmupOvershoot") and bounds.has("warmupSlack")):
+        return None
+    return WarmupBounds(
+        bounds.get("warmupOvershoot", float), bounds.get("warmupSlack", float)
+    )
+
+
 def _decode_bounds(bounds: _Fields) -> Bounds:
     return Bounds(
         revocation_s=bounds.get("revocationMs", float) / 1000,
@@ -187,4 +198,5 @@
         / 1000,
         evacuation_s=bounds.get_or("evacuationMs", float, DEFAULT_EVACUATION_S * 1000)
         / 1000,
+        warmup=_decode_warmup(bounds),
     )
--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -81,6 +81,8 @@
             return None
         # Nothing else waits for the same unused server while a connection is opened.
         best.last_used_s = max(best.last_used_s, now)
+        if self.is_cold(best, now):
+            best.sends.record_choice(now)
         return best.server
 
     def _unused(
@@ -113,6 +115,7 @@
             if not record.server.draining
             and not record.is_replaced
             and not self.is_evacuated(record.server)
+            and not self._warmup_wait_s(record, now)
             and self.notices.accepts_requests(record.server.key, now)
         ]
 
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -20,6 +20,8 @@
 from gentianhitch.proxy.store_view import ListingChange
 from gentianhitch.proxy.store_view import StoreView
 from gentianhitch.proxy.traffic_split import TrafficSplits
+from gentianhitch.proxy.warmup import WarmupBounds
+from gentianhitch.proxy.warmup import warmup_limit
 
 
 @attrs.define(eq=False)
@@ -38,6 +40,7 @@
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
+    _warmup_bounds: WarmupBounds | None = None
 
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
         """Log and apply a change of the listing."""
@@ -57,6 +60,8 @@
                 added=[server.id for server in change.added],
                 removed=[server.id for server in change.removed],
                 draining=[server.id for server in change.draining],
+                cold=[server.id for server in change.cold],
+                warm=[server.id for server in change.warm],
                 kept=sorted(store_view.expired_server_ids),
                 peers=len(store_view.peers_by_name),
                 **origin.as_fields(),
@@ -79,8 +84,27 @@
         self._metrics.time("configuration_age", None, origin.age_s)
         self._balancer.set_routes(routes)
         self._splits.retain(routes)
+        self._set_warmup_limits()
         self.update(self._clock.seconds())
 
+    def set_warmup_bounds(self, bounds: WarmupBounds | None) -> None:
+        """Set the bounds for cold servers; None if the deployment has none."""
+        self._warmup_bounds = bounds
+        self._set_warmup_limits()
+
+    def _set_warmup_limits(self) -> None:
+        configuration = self._store_view.configuration
+        services = {} if configuration is None else configuration.services_by_name
+        limits = {
+            name: warmup_limit(
+                service.warmup_s, service.warmup_rate_per_s, self._warmup_bounds
+            )
+            for name, service in services.items()
+        }
+        self._balancer.set_warmup_limits(
+            {name: limit for name, limit in limits.items() if limit is not None}
+        )
+
     def update(self, now: float) -> None:
         """Update all parts from the store view at ``now``."""
         servers = self._store_view.servers_by_id
@@ -90,12 +114,13 @@
         if is_changed:
             self._server_keys = frozenset(server.key for server in servers.values())
             self._balancer.update(servers.values(), now)
-        self._balancer.set_evacuated(self._store_view.evacuated_domains)
+        self._balancer.set_evacuated(self._store_view.evacuated_domains, now)
+        self._balancer.listing_verified_s = self._store_view.details_verified_s
         # A connection may have become idle after its server had left.
         self._connections.retain(self._server_keys)
         serving = frozenset(peer.name for peer in self._fleet.serving_peers())
         self._quotas.set_sharers(serving, now)
-        self._balancer.set_instances(serving)
+        self._balancer.set_instances(serving, now)
         configuration = self._store_view.configuration
         if configuration is not None:
             self._quotas.set_workspaces(configuration.workspaces_by_name.values(), now)
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -181,9 +181,10 @@
             if not self._ended:
                 self._deadline_passed()
             return
-        if self._context.balancer.is_evacuated(attempt.server):
+        reason = self._context.balancer.reason_not_to_write(attempt.server, now)
+        if reason:
             connection.close()
-            self._withdraw(attempt)
+            self._withdraw(attempt, reason)
             return
         attempt.connection = connection
         attempt.token = self._context.balancer.record_start(
@@ -202,10 +203,10 @@
         connection.send(self._request.request_id, data, attempt)
         self._schedule_hedge(attempt, now)
 
-    def _withdraw(self, attempt: Attempt) -> None:
+    def _withdraw(self, attempt: Attempt, reason: str) -> None:
         """Try another server in place of one that may no longer get the request."""
         self._attempts.remove(attempt)
-        self._owner.log_dispatch_event("withdrawn", attempt.server, "evacuated")
+        self._owner.log_dispatch_event("withdrawn", attempt.server, reason)
         replaced = self._try_next_server(is_paid=attempt.is_paid)
         if not replaced and not self._attempts:
             self._finish_with_last_result()
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -136,6 +136,7 @@
             events,
             self.metrics,
         )
+        self._changes.set_warmup_bounds(settings.bounds.warmup)
         self._configuration_server = ConfigurationServer(
             clock,
             settings.link_mbps,
@@ -277,6 +278,7 @@
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "evacuated_domains": len(self.store_view.evacuated_domains),
+            "servers_cold": self._balancer.count_cold(now),
             "servers_evacuated": self._balancer.count_evacuated(),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
@@ -332,6 +334,7 @@
         self._server.revocation_s = settings.bounds.revocation_s
         self._quotas.tolerance = _quota_tolerance(settings)
         self._balancer.floor_share = settings.bounds.floor_share
+        self._changes.set_warmup_bounds(settings.bounds.warmup)
 
     # Shutdown.
 
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -267,7 +267,9 @@
         balancer = self._server.dispatch.balancer
         self._refuse(
             Refusal(cause, retry_after_s=self._retry_after_s()),
-            logged=balancer.describe_unused(self._service),
+            logged=balancer.describe_unused(
+                self._service, self._server.clock.seconds()
+            ),
         )
 
     def dispatch_broke(self, failure: Failure, *, may_have_run: bool) -> None:
--- a/src/gentianhitch/proxy/server_evidence.py
+++ b/src/gentianhitch/proxy/server_evidence.py
@@ -78,6 +78,8 @@
             running = RunningRequest(route.name, now)
             record.running_by_token[self._next_token] = running
             record.last_used_s = now
+            if server.service in self._warmup_limits:
+                record.sends.record_send(now)
         return self._next_token
 
     def record_end(
--- a/src/gentianhitch/proxy/server_records.py
+++ b/src/gentianhitch/proxy/server_records.py
@@ -8,6 +8,8 @@
 
 from gentianhitch.proxy.gray_filter import GrayFilter
 from gentianhitch.proxy.model import BackendServer
+from gentianhitch.proxy.warmup import SendWindow
+from gentianhitch.proxy.warmup import SharesOfServer
 
 REPORT_LIFETIME_S = 1.0
 """Reports of other instances' running requests expire after this time."""
@@ -37,7 +39,9 @@
     network path from this instance and is fed by its own attempts only. ``affinity`` is
     this instance's preference for the server, 0 to 1; ``turn_s`` is how much later than
     the first of the instances it tries the server when nobody uses it.
-    ``last_used_s`` is when any instance last sent it a request.
+    ``last_used_s`` is when any instance last sent it a request. ``cold_until_s`` is
+    until when it said to be cold, as of the time at which this instance learned of it;
+    ``sends`` are this instance's own, and ``shares`` what it may send while it is cold.
     """
 
     server: BackendServer
@@ -51,6 +55,9 @@
     is_replaced: bool = False
     affinity: float = 0.0
     turn_s: float = 0.0
+    cold_until_s: float = float("-inf")
+    sends: SendWindow = attrs.Factory(SendWindow)
+    shares: SharesOfServer = attrs.Factory(SharesOfServer)
 
     def remote_requests(self, now: float) -> list[RunningRequest]:
         """Return the running requests of other instances whose reports are valid."""
--- a/src/gentianhitch/proxy/server_table.py
+++ b/src/gentianhitch/proxy/server_table.py
@@ -14,12 +14,20 @@
 from gentianhitch.proxy.server_records import RemoteRequests
 from gentianhitch.proxy.server_records import RunningRequest
 from gentianhitch.proxy.server_records import ServerRecord
+from gentianhitch.proxy.warmup import LIST_SPREAD_S
+from gentianhitch.proxy.warmup import LISTING_CURRENT_S
+from gentianhitch.proxy.warmup import Share
+from gentianhitch.proxy.warmup import WarmupLimit
+from gentianhitch.proxy.warmup import share_of
 
 TURN_S = 0.25
 """Instances try an unused server in turn: each learns what came of the try before."""
 
 MAX_TURN_S = 2.0
 
+MIN_COLD_S = 0.5
+"""Assumed of a server whose entry says cold beyond the time that it said."""
+
 MAX_DIGEST = 2**32 - 1
 BROKEN_PATH_PRIOR = 0.01
 """Prior probability that the path from this instance to a server is broken."""
@@ -28,7 +36,8 @@
 class ServerTable:
     """The records of the listed servers, with the running requests of all instances.
 
-    ``name`` is that of this instance.
+    ``name`` is that of this instance. ``listing_verified_s`` is the start of the read
+    that last confirmed which servers are cold.
     """
 
     def __init__(self, name: str) -> None:
@@ -39,7 +48,11 @@
         self._route_names_by_digest: dict[int, str] = {}
         self._reported_by_instance: dict[str, frozenset[tuple[str, int]]] = {}
         self._instances: frozenset[str] = frozenset()
+        self._former_instances: list[tuple[float, frozenset[str]]] = []
         self._evacuated_domains: frozenset[str] = frozenset()
+        self._returned_s_by_domain: dict[str, float] = {}
+        self._warmup_limits: dict[str, WarmupLimit] = {}
+        self.listing_verified_s = float("-inf")
         self.notices = ServerNotices()
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
@@ -60,6 +73,10 @@
                 record.last_used_s = now
                 self._records_by_key[key] = record
                 self._set_turn(record)
+                self._set_shares(record, now)
+                self._start_warmup(record, server, now, is_new=True)
+            elif server is not record.server:
+                self._start_warmup(record, server, now, is_new=False)
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
 
@@ -75,19 +92,37 @@
         """Set the routes of the configuration in force."""
         self._route_names_by_digest = {route_digest(name): name for name in routes}
 
-    def set_evacuated(self, domains: frozenset[str]) -> None:
+    def set_evacuated(self, domains: frozenset[str], now: float) -> None:
         """Set the failure domains whose servers get no requests."""
+        returned = self._evacuated_domains - domains
+        self._returned_s_by_domain.update(dict.fromkeys(returned, now))
         self._evacuated_domains = domains
+        for record in self._records_by_key.values() if returned else ():
+            limit = self._warmup_limits.get(record.server.service)
+            if limit is not None and record.server.failure_domain in returned:
+                record.warm_at_s = max(record.warm_at_s, now + limit.duration_s)
 
     def is_evacuated(self, server: BackendServer) -> bool:
         """Return whether the failure domain of ``server`` is evacuated."""
         return server.failure_domain in self._evacuated_domains
 
-    def describe_unused(self, service: str) -> str:
+    def describe_unused(self, service: str, now: float) -> str:
         """Return how many servers of ``service`` get no requests, or "" if all do."""
         records = self._by_service.get(service, ())
         evacuated = sum(self.is_evacuated(record.server) for record in records)
-        return f"{evacuated} of {len(records)} servers evacuated" if evacuated else ""
+        cold = sum(
+            self._warmup_wait_s(record, now) > 0
+            for record in records
+            if not self.is_evacuated(record.server)
+        )
+        counts = [
+            f"{count} {reason}"
+            for count, reason in ((evacuated, "evacuated"), (cold, "cold"))
+            if count
+        ]
+        if not counts:
+            return ""
+        return f"of {len(records)} servers, {' and '.join(counts)}"
 
     def count_evacuated(self) -> int:
         """Return how many listed servers get no requests for this reason."""
@@ -95,12 +130,18 @@
             self.is_evacuated(record.server) for record in self._records_by_key.values()
         )
 
-    def set_instances(self, names: frozenset[str]) -> None:
+    def set_instances(self, names: frozenset[str], now: float) -> None:
         """Set the instances that use the servers with this one."""
-        if names != self._instances:
-            self._instances = names
-            for record in self._records_by_key.values():
-                self._set_turn(record)
+        if names == self._instances:
+            return
+        self._former_instances = [
+            each for each in self._former_instances if each[0] > now
+        ]
+        self._former_instances.append((now + LIST_SPREAD_S, self._instances))
+        self._instances = names
+        for record in self._records_by_key.values():
+            self._set_turn(record)
+            record.shares.replace(self._share(record.server, names), now)
 
     def _set_turn(self, record: ServerRecord) -> None:
         """Set this instance's preference for a server, and its turn to try it."""
@@ -111,6 +152,96 @@
         )
         record.turn_s = min(before * TURN_S, MAX_TURN_S)
 
+    def _set_shares(self, record: ServerRecord, now: float) -> None:
+        """Set the shares of a new server's requests, as if it had been known before."""
+        record.shares.current = self._share(record.server, self._instances)
+        for until_s, names in self._former_instances:
+            if until_s > now:
+                record.shares.add_former(until_s, self._share(record.server, names))
+
+    def _share(self, server: BackendServer, names: frozenset[str]) -> Share:
+        own = _order_digest(self._name, server) if self._name in names else None
+        return share_of(
+            own, (_order_digest(name, server) for name in names), len(names)
+        )
+
+    # Cold servers.
+
+    def set_warmup_limits(self, limits_by_service: dict[str, WarmupLimit]) -> None:
+        """Set the limits for cold servers of the services that have one."""
+        self._warmup_limits = limits_by_service
+
+    def _start_warmup(
+        self, record: ServerRecord, server: BackendServer, now: float, *, is_new: bool
+    ) -> None:
+        """Record until when a server that is new, or whose entry changed, is cold."""
+        if not server.is_cold:
+            record.cold_until_s = float("-inf")
+            return
+        limit = self._warmup_limits.get(server.service)
+        cold_s = server.warmup_s
+        if limit is not None:
+            record.warm_at_s = max(record.warm_at_s, now + cold_s)
+            if is_new:
+                # Its entry may be as old as the server's last heartbeat.
+                cold_s = max(cold_s, limit.duration_s)
+        record.cold_until_s = max(record.cold_until_s, now + cold_s)
+
+    def _cold_for_s(
+        self, record: ServerRecord, limit: WarmupLimit, now: float
+    ) -> float:
+        """Return for how long at least a server is cold; 0 if it is warm."""
+        server = record.server
+        returned_s = self._returned_s_by_domain.get(server.failure_domain)
+        cold_s = record.cold_until_s - now
+        if returned_s is not None:
+            cold_s = max(cold_s, returned_s + limit.duration_s - now)
+        is_current = now - self.listing_verified_s < LISTING_CURRENT_S
+        if server.is_cold and is_current:
+            # It has become cold again, or the next read will show it warm.
+            cold_s = max(cold_s, MIN_COLD_S)
+        return max(cold_s, 0.0)
+
+    def _warmup_wait_s(self, record: ServerRecord, now: float) -> float:
+        """Return after how long a server takes one more request of this instance."""
+        limit = self._warmup_limits.get(record.server.service)
+        if limit is None:
+            return 0.0
+        cold_s = self._cold_for_s(record, limit, now)
+        if not cold_s:
+            return 0.0
+        allowance = record.shares.allowance(limit, now)
+        if not allowance:
+            return cold_s
+        return min(cold_s, record.sends.room_in_s(allowance, now))
+
+    def is_cold(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a server is cold and its service has a limit for that."""
+        limit = self._warmup_limits.get(record.server.service)
+        return limit is not None and self._cold_for_s(record, limit, now) > 0
+
+    def count_cold(self, now: float) -> int:
+        """Return how many listed servers are cold."""
+        return sum(
+            self.is_cold(record, now) for record in self._records_by_key.values()
+        )
+
+    def reason_not_to_write(self, server: BackendServer, now: float) -> str:
+        """Return why a server that was chosen must not get the request, or "".
+
+        Call this once for each choice, just before the write.
+        """
+        if self.is_evacuated(server):
+            return "evacuated"
+        record = self._records_by_key.get(server.key)
+        limit = self._warmup_limits.get(server.service)
+        if record is None or limit is None:
+            return ""
+        allowance = record.shares.allowance(limit, now)
+        has_room = record.sends.may_write(allowance, now)
+        is_cold = self._cold_for_s(record, limit, now) > 0
+        return "cold" if is_cold and not has_room else ""
+
     def record_wait(self, server: BackendServer, wait_s: float, now: float) -> float:
         """Record that a server wants no requests for ``wait_s``; return until when.
 
@@ -124,14 +255,16 @@
 
     def free_in_s(self, service: str, now: float) -> float | None:
         """Return after how long a server of ``service`` wants requests; None: never."""
-        keys = (
-            record.server.key
+        waits_s = [
+            max(wait_s, self._warmup_wait_s(record, now))
             for record in self._by_service.get(service, ())
             if not record.server.draining
             and not record.is_replaced
             and not self.is_evacuated(record.server)
-        )
-        return self.notices.free_in_s(keys, now)
+            and (wait_s := self.notices.free_in_s((record.server.key,), now))
+            is not None
+        ]
+        return min(waits_s, default=None)
 
     def mark_replaced(self, server: BackendServer) -> None:
         """Exclude a server whose address another server has taken over.
--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -11,6 +11,7 @@
 
 from gentianhitch.platform.node_settings import decode_node_settings
 from gentianhitch.proxy.instance import ProxyInstance
+from gentianhitch.proxy.sources import reading_order
 from standins.platform_store import Store
 from tests.builders_platform import make_raw_node_settings
 from tests.builders_proxy import make_route
@@ -94,12 +95,18 @@
 
     ``bytes_per_s`` lists the link of each instance. Servers renew their entries at
     every heartbeat, as they do on the platform. They are spread over ``zones``.
+    ``bounds`` are further ones of the settings.
     """
 
     def __init__(
-        self, bytes_per_s: list[float], servers: int, zones: str = "a"
+        self,
+        bytes_per_s: list[float],
+        servers: int,
+        zones: str = "a",
+        bounds: dict[str, float] | None = None,
     ) -> None:
         self._zones = zones
+        self._bounds = bounds or {}
         self.network = Network()
         reactor = self.network.add_host(STORE_HOST, STORE_BYTES_PER_S)
         self.store = SimulatedStore(Store(self.network.clock.seconds))
@@ -120,6 +127,7 @@
         raw["self"]["nodeName"] = f"edge-{number}"
         raw["self"]["zone"] = "abc"[number % 3]
         raw["self"]["limits"]["linkMbps"] = bytes_per_s * 8 / 1e6
+        raw["terms"]["bounds"].update(self._bounds)
         raw["provider"]["provider"]["address"] = f"{STORE_HOST}:{STORE_PORT}"
         instance = ProxyInstance(
             self.network.add_host(host, bytes_per_s),
@@ -162,6 +170,18 @@
         self._warm_at_s[number] = self.network.clock.seconds() + seconds
         self._renew_server(number)
 
+    def limit_cold_servers(self, warmup_s: float, rate_per_s: float) -> None:
+        """Write a configuration that limits the cold servers of the service."""
+        document = make_document(2, 20)
+        document["clusters"][0].update(warmupS=warmup_s, warmupPerS=rate_per_s)
+        self.configure(document)
+
+    def cold_servers(self, instance: int) -> set[str]:
+        """Return the servers that an instance takes for cold."""
+        balancer, now = self.instances[instance]._balancer, self.network.clock.seconds()
+        records = balancer._by_service.get("stock", ())
+        return {each.server.id for each in records if balancer.is_cold(each, now)}
+
     def evacuate(self, zone: str) -> None:
         self.store.write(f"op/evacuate/{zone}", {})
 
@@ -189,6 +209,29 @@
             found[server.id] = server.failure_domain
         return set(found.values())
 
+    def reader_hosts(self) -> set[str]:
+        """Return the hosts of the instances that usually read the store."""
+        peers = self.instances[0].store_view.peers_by_name.values()
+        first: dict[str, str] = {}
+        for peer in reading_order(peers):
+            first.setdefault(peer.failure_domain, peer.datagram_address.host)
+        return set(first.values())
+
+    def record_buckets(self) -> list[int]:
+        """Return a list to which the numbers of all buckets sent are added."""
+        sent: list[int] = []
+        for instance in self.instances:
+            build = instance._refresher.build_reply
+
+            def build_reply(ask: Any, build: Any = build) -> Any:
+                reply = build(ask)
+                if reply is not None:
+                    sent.extend(number for number, _ in reply.buckets)
+                return reply
+
+            instance._refresher.build_reply = build_reply  # type: ignore[method-assign]
+        return sent
+
     def lines(self, event: str) -> list[dict[str, Any]]:
         """Return what all instances have logged of one kind."""
         return [
--- a/tests/builders_gray_service.py
+++ b/tests/builders_gray_service.py
@@ -68,7 +68,9 @@
         ]
         for balancer in self.balancers:
             balancer.update(self.servers, 0.0)
-            balancer.set_instances(frozenset(f"e-{n}" for n in range(self.instances)))
+            balancer.set_instances(
+                frozenset(f"e-{n}" for n in range(self.instances)), 0.0
+            )
             balancer.latencies("stock", self.route)
         self._spells = {server.id: list(self._draw_spells()) for server in self.servers}
 
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -10,6 +10,7 @@
 from gentianhitch.platform.node_settings import NodeSettingsError
 from gentianhitch.platform.node_settings import decode_node_settings
 from gentianhitch.platform.node_settings import load_node_settings
+from gentianhitch.proxy.warmup import WarmupBounds
 from tests.builders_platform import make_raw_node_settings
 
 
@@ -28,6 +29,14 @@
         raw["terms"]["bounds"]["evacuationMs"] = 4000
         assert decode_node_settings(raw).bounds.evacuation_s == 4.0
 
+    def test_bounds_for_cold_servers_hold_only_together(self) -> None:
+        raw = make_raw_node_settings()
+        assert decode_node_settings(raw).bounds.warmup is None
+        raw["terms"]["bounds"]["warmupOvershoot"] = 1.5
+        assert decode_node_settings(raw).bounds.warmup is None
+        raw["terms"]["bounds"]["warmupSlack"] = 8
+        assert decode_node_settings(raw).bounds.warmup == WarmupBounds(1.5, 8.0)
+
     def test_capacity_is_cpu_share_times_cores(self) -> None:
         assert decode_node_settings(make_raw_node_settings()).capacity == 1.5
 
--- a/tests/proxy/test_balancing.py
+++ b/tests/proxy/test_balancing.py
@@ -320,7 +320,7 @@
     # servers back into use while others fail.
     def test_its_servers_are_not_chosen_though_all_others_are_gray(self) -> None:
         balancer = self.make_balancer()
-        balancer.set_evacuated(frozenset({"b"}))
+        balancer.set_evacuated(frozenset({"b"}), 1.1)
         for step in range(200):
             chosen = balancer.choose("stock", ROUTE, 1.1 + step * 0.05)
             assert chosen is not None
@@ -329,9 +329,9 @@
     def test_its_servers_are_not_counted_as_usable(self) -> None:
         balancer = self.make_balancer()
         assert balancer.use_by_service(1.2)["stock"].servers == 10
-        balancer.set_evacuated(frozenset({"b"}))
+        balancer.set_evacuated(frozenset({"b"}), 1.1)
         assert balancer.use_by_service(1.2)["stock"].servers == 2
         assert balancer.count_evacuated() == 8
-        balancer.set_evacuated(frozenset({"a", "b"}))
+        balancer.set_evacuated(frozenset({"a", "b"}), 1.1)
         assert balancer.choose("stock", ROUTE, 1.2) is None
         assert balancer.free_in_s("stock", 1.2) is None
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -9,7 +9,6 @@
 import pytest
 
 from gentianhitch.proxy.sources import REFRESH_INTERVAL_S
-from gentianhitch.proxy.sources import reading_order
 from tests.builders_deployment import SimulatedDeployment
 from tests.builders_deployment import instance_host
 from tests.builders_old_versions import make_old
@@ -36,15 +35,6 @@
     return [deployment.usable_zones(number) for number in range(INSTANCES)]
 
 
-def reader_hosts(deployment: SimulatedDeployment) -> set[str]:
-    """Return the hosts of the instances that read the store."""
-    peers = deployment.instances[0].store_view.peers_by_name.values()
-    first = {}
-    for peer in reading_order(peers):
-        first.setdefault(peer.failure_domain, peer.datagram_address.host)
-    return set(first.values())
-
-
 class TestEvacuation:
     def test_no_instance_uses_the_domain_after_the_bound(self, deployment) -> None:
         deployment.evacuate("b")
@@ -100,7 +90,7 @@
     # Guards against instances that only a peer can tell: the store refuses those that
     # usually read it, and others.
     def test_instances_turned_away_learn_through_peers(self, deployment) -> None:
-        refused = reader_hosts(deployment) | {instance_host(0), instance_host(4)}
+        refused = deployment.reader_hosts() | {instance_host(0), instance_host(4)}
         deployment.store.refused_hosts = refused
         deployment.evacuate("b")
         deployment.advance(EVACUATION_S)
@@ -199,7 +189,7 @@
     def test_new_instances_learn_of_it_in_time(
         self, deployment, old_are_readers: bool
     ) -> None:
-        readers = reader_hosts(deployment)
+        readers = deployment.reader_hosts()
         new = []
         for number, instance in enumerate(deployment.instances):
             if (instance_host(number) in readers) == old_are_readers:
@@ -219,7 +209,7 @@
             make_old(instance)
         deployment.evacuate("b")
         deployment.advance(EVACUATION_S)
-        buckets = record_buckets(deployment)
+        buckets = deployment.record_buckets()
         deployment.advance(10.0)
         assert buckets == []
         assert not deployment.lines("listing_not_merged")
@@ -229,18 +219,3 @@
             for each in deployment.instances
         ]
         assert max(ages_s) < 1.5
-
-
-def record_buckets(deployment: SimulatedDeployment) -> list[int]:
-    """Return a list to which the numbers of all buckets sent are added."""
-    sent: list[int] = []
-    for instance in deployment.instances:
-        build = instance._refresher.build_reply
-
-        def build_reply(ask, build=build):
-            reply = build(ask)
-            sent.extend(number for number, _ in reply.buckets)
-            return reply
-
-        instance._refresher.build_reply = build_reply
-    return sent
--- a/tests/proxy/test_floor.py
+++ b/tests/proxy/test_floor.py
@@ -197,7 +197,7 @@
         tried = []
         for name in names:
             balancer = Balancer(name, "a", Random(name))
-            balancer.set_instances(names)
+            balancer.set_instances(names, 0.0)
             balancer.update(servers, 0.0)
             for server in servers[1:]:
                 for at_s in (1.0, 1.2):
--- a/tests/proxy/test_request_server.py
+++ b/tests/proxy/test_request_server.py
@@ -205,7 +205,7 @@
     # Guards against callers that wait for servers which get no requests for minutes.
     def test_callers_are_refused_at_once(self) -> None:
         instance = LimitedServer()
-        instance.server.dispatch.balancer.set_evacuated(frozenset({"a"}))
+        instance.server.dispatch.balancer.set_evacuated(frozenset({"a"}), 100.0)
         _, response = instance.send()
         assert response.data.startswith(b"HTTP/1.1 503 ")
         assert b"not-run" in response.data
--- a/tests/proxy/test_server_notices.py
+++ b/tests/proxy/test_server_notices.py
@@ -18,14 +18,14 @@
 from gentianhitch.proxy.server_notices import requested_wait_s
 from gentianhitch.proxy.server_notices import return_after_s
 from gentianhitch.proxy.server_records import AttemptResult
+from tests.builders_dispatch import make_response
 from tests.builders_proxy import make_route
 from tests.builders_proxy import make_server
 from tests.builders_reports import ROUTE
 from tests.builders_reports import SERVERS
 from tests.builders_reports import ReportingFleet
-from tests.proxy.test_dispatch import DECLINED
-from tests.proxy.test_dispatch import Run
-from tests.proxy.test_dispatch import make_response
+from tests.builders_runs import DECLINED
+from tests.builders_runs import Run
 
 LEAVING = (b"Server-Leaving", b"1")
 ORDER = make_route(idempotent=False)
