Leave full instances out of the directory for some seconds

What callers saw: the directory sent them to instances whose links were full, or whose cores lagged, for as long as these were listed.

Cause: the directory knows capacities, not loads. Most instances, which answer directory queries too, get no load reports.

Now instances with links below 100 Mbit/s account what crosses them in each direction (proxy/own_limits.py) and tell in a field appended to LoadReport whether they are full, with hysteresis; so does any instance whose own link is suspected. Queries and replies about freshness carry it within a failure domain, with its age (proxy/full_instances.py). The directory leaves out faulty instances, and busy ones where the others carry as much (proxy/steering.py). Quotas, reports and the retry budget go by the listing as before.

--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -29,13 +29,16 @@
 
     ``sent_s`` is the send time on the sender's clock and ``revision`` the revision of
     its listing. If ``digests`` holds the digests of the sender's buckets, the query
-    also requests the buckets that differ.
+    also requests the buckets that differ. ``full`` has the ages of the reports of
+    full instances, in steps of ``AGE_STEP_S``, and their fullness in percent, by digest
+    of their name.
     """
 
     sender: str
     sent_s: Time
     revision: int
     digests: bytes = b""
+    full: dict[int, tuple[Count, Count]] = {}
 
 
 class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -46,7 +49,7 @@
     covers the complete listing. ``is_compared`` is set if the digests of the query were
     compared: ``buckets`` then holds as many of the differing buckets as fit in a
     datagram, as pairs of number and encoded bucket, and ``remaining`` counts the
-    others.
+    others. ``full`` is as in the query, with what the sender knows from queries.
     """
 
     sender: str
@@ -59,6 +62,7 @@
     is_compared: bool = False
     buckets: list[tuple[int, bytes]] = []
     remaining: int = 0
+    full: dict[int, tuple[Count, Count]] = {}
 
 
 class AttemptSample(msgspec.Struct, frozen=True, array_like=True):
@@ -93,6 +97,8 @@
     instances in the window. ``samples`` holds the attempts since the last report. If
     ``is_to_forward``, the receiver sends the report on within its failure domain.
     ``leaving`` holds the digests of servers that told the sender that they leave.
+    ``fullness`` is that of the sender in percent; from 100 on it is full, from 120 on
+    with less than its link and processor let expect.
     """
 
     sender: str
@@ -104,6 +110,7 @@
     samples: list[AttemptSample]
     is_to_forward: bool = False
     leaving: list[int] = []
+    fullness: Count = 0
 
 
 Message = FreshnessQuery | FreshnessReply | LoadReport
--- a/src/gentianhitch/proxy/directory.py
+++ b/src/gentianhitch/proxy/directory.py
@@ -44,7 +44,7 @@
         is_isolated = self._store_view.listing_age_s(now) > ISOLATED_AGE_S
         if is_isolated and not self._has_recent_reply(now):
             return None
-        serving = self._fleet.serving_by_domain()
+        serving = self._fleet.named_by_domain()
         chosen: tuple[Peer, ...] = serving.get(failure_domain, ())
         if not chosen:
             chosen = tuple(peer for peers in serving.values() for peer in peers)
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -195,6 +195,7 @@
             workspace=self._workspace,
             remaining_s=self._deadline - now,
         )
+        self._context.limits.send(len(self._request.body), now)
         connection.send(self._request.request_id, data, attempt)
         self._schedule_hedge(attempt, now)
 
--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -16,6 +16,7 @@
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
+from gentianhitch.proxy.own_limits import OwnLimits
 from gentianhitch.proxy.retry_budget import RetryBudget
 from gentianhitch.proxy.server_reach import ServerReach
 
@@ -57,6 +58,7 @@
     create_budget: Callable[[], RetryBudget]
     slack_share: Callable[[], float]
     reach: ServerReach = attrs.field()
+    limits: OwnLimits = attrs.Factory(OwnLimits)
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
 
     @reach.default
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -18,6 +18,8 @@
     {
         "configuration_changed",
         "configuration_not_fetched",
+        "instance_full",
+        "instance_not_full",
         "lifecycle",
         "listing_changed",
         "loop_lagged",
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -38,7 +38,9 @@
 from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.store_reader import StoreReader
 from gentianhitch.proxy.admission_queue import AdmissionQueue
-from gentianhitch.proxy.admission_windows import QuotaTolerance
+from gentianhitch.proxy.agreed_bounds import create_budget
+from gentianhitch.proxy.agreed_bounds import propagation_bound_s
+from gentianhitch.proxy.agreed_bounds import quota_tolerance
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.changes import ChangeHandler
 from gentianhitch.proxy.configuration_server import ConfigurationServer
@@ -46,6 +48,7 @@
 from gentianhitch.proxy.directory import DirectoryResponse
 from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.full_instances import FullInstances
 from gentianhitch.proxy.instance_monitor import InstanceMonitor
 from gentianhitch.proxy.internal_resources import configuration_resource
 from gentianhitch.proxy.internal_resources import metrics_resource
@@ -53,12 +56,13 @@
 from gentianhitch.proxy.listeners import bound_address
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.own_limits import OwnLimits
+from gentianhitch.proxy.own_state import OwnState
 from gentianhitch.proxy.quotas import Quotas
 from gentianhitch.proxy.refresh import Refresher
 from gentianhitch.proxy.registration import Registration
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
-from gentianhitch.proxy.retry_budget import RetryBudget
 from gentianhitch.proxy.server_reach import ServerReach
 from gentianhitch.proxy.serving_fleet import ServingFleet
 from gentianhitch.proxy.settings_file import SettingsFile
@@ -116,7 +120,9 @@
             settings.bounds.floor_share,
         )
         self._quotas = Quotas(
-            settings.name, _quota_tolerance(settings), settings.bounds.revocation_s
+            settings.name,
+            quota_tolerance(settings.bounds),
+            settings.bounds.revocation_s,
         )
         self._buffers = BufferAccount(
             BUFFER_SHARE * settings.memory_mb * MEGABYTE, self.metrics.count
@@ -124,7 +130,21 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id, self._buffers
         )
-        self._fleet = ServingFleet(settings.name, self.store_view, clock.seconds)
+        self._full_instances = FullInstances()
+        self._reach = ServerReach(
+            clock, self._balancer, self._connections, self._monitor.record_belief
+        )
+        self._own = OwnState(
+            settings.name,
+            clock,
+            self._reach,
+            events,
+            OwnLimits(settings.link_mbps),
+            self._full_instances,
+        )
+        self._fleet = ServingFleet(
+            settings.name, self.store_view, clock.seconds, self._full_instances
+        )
         splits = TrafficSplits()
         self._changes = ChangeHandler(
             clock,
@@ -152,7 +172,7 @@
                 settings.name,
                 settings.failure_domain,
                 settings.link_mbps,
-                refresh_interval(_propagation_bound_s(settings)),
+                refresh_interval(propagation_bound_s(settings.bounds)),
             ),
             self._configuration_server,
             make_agent(
@@ -163,6 +183,7 @@
             events,
             self._changes.listing_changed,
             self._changes.configuration_changed,
+            self._full_instances,
         )
         self._registration = Registration(
             clock, self._store, events, self._fleet.is_near_serving
@@ -180,13 +201,12 @@
             lambda server, sender: events.state(
                 "server_leaving", server=server, source=sender
             ),
+            self._own.fullness,
+            self._full_instances,
         )
         self._directory = Directory(
             self.store_view, self._fleet, self._has_recent_reply
         )
-        self._reach = ServerReach(
-            clock, self._balancer, self._connections, self._monitor.record_belief
-        )
         self._server = RequestServer(
             clock,
             self.store_view,
@@ -197,9 +217,10 @@
                 self._balancer,
                 self._connections,
                 HEADER_NAMES,
-                self._create_budget,
+                lambda: create_budget(self._settings.bounds),
                 lambda: self._fleet.slack_share(self._quotas.sharers),
                 self._reach,
+                self._own.limits,
             ),
             splits,
             events,
@@ -283,7 +304,7 @@
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
-            "own_link_suspected": self._reach.is_suspected(),
+            **self._own.gauges(),
         }
 
     def _receive(self, message: Message, sender: Address) -> None:
@@ -309,12 +330,6 @@
         configuration = self.store_view.configuration
         return CallerLimits() if configuration is None else configuration.limits
 
-    def _create_budget(self) -> RetryBudget:
-        bounds = self._settings.bounds
-        return RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
-        )
-
     def _has_recent_reply(self, now: float) -> bool:
         return now - self._last_reply_s < HOUSEKEEPING_INTERVAL_S * 4
 
@@ -325,7 +340,8 @@
         self._changes.update(now)
         self._changes.log_service_use(now)
         self._settings_file.reload_if_changed()
-        self._monitor.record_lag()
+        names = frozenset(self.store_view.peers_by_name)
+        self._own.update(self._monitor.record_lag(), names)
 
     def reload(self) -> None:
         """Read the settings file again; addresses stay as they are."""
@@ -334,7 +350,7 @@
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
         self._server.revocation_s = settings.bounds.revocation_s
-        self._quotas.tolerance = _quota_tolerance(settings)
+        self._quotas.tolerance = quota_tolerance(settings.bounds)
         self._balancer.floor_share = settings.bounds.floor_share
 
     # Shutdown.
@@ -373,15 +389,3 @@
         for part in (self._refresher, self._registration, self._reports):
             part.stop()
         self._reactor.callLater(0, self._reactor.stop)
-
-
-def _propagation_bound_s(settings: NodeSettings) -> float:
-    """Return the time within which every change of the store must be in force."""
-    return min(settings.bounds.drain_s, settings.bounds.configuration_apply_s)
-
-
-def _quota_tolerance(settings: NodeSettings) -> QuotaTolerance:
-    bounds = settings.bounds
-    return QuotaTolerance(
-        bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
-    )
--- a/src/gentianhitch/proxy/instance_monitor.py
+++ b/src/gentianhitch/proxy/instance_monitor.py
@@ -39,12 +39,13 @@
         }
         return render_metrics(self._metrics, gauges).encode()
 
-    def record_lag(self) -> None:
-        """Record the longest lag of the event loop since the last call."""
+    def record_lag(self) -> float:
+        """Record and return the longest lag of the event loop since the last call."""
         lag_s = self._lag.end_span()
         self._metrics.time("event_loop_lag", None, lag_s)
         if lag_s > LAG_LOGGED_S:
             self._events.state("loop_lagged", lag_ms=round(lag_s * 1000))
+        return lag_s
 
     def record_finished(self, outcome: str, workspace: str, elapsed_s: float) -> None:
         """Record a request that was answered or whose caller has left."""
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -9,6 +9,9 @@
 DEFAULT_LINK_MBPS = 1000.0
 """The usual link of a data center, assumed if an entry has none."""
 
+LIMITING_LINK_MBPS = 100.0
+"""Slower links may be full before the processor is busy; only then do links count."""
+
 
 @attrs.frozen
 class WeightedService:
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -22,6 +22,8 @@
 from gentianhitch.proxy.configuration_fetch import ConfigurationFetcher
 from gentianhitch.proxy.configuration_server import ConfigurationServer
 from gentianhitch.proxy.events import Events
+from gentianhitch.proxy.full_instances import FullInstances
+from gentianhitch.proxy.full_instances import Hop
 from gentianhitch.proxy.model import Listing
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.model import StoredConfiguration
@@ -68,6 +70,7 @@
         events: Events,
         on_change: Callable[[ListingChange, Origin], None],
         on_configuration: Callable[[StoredConfiguration, Origin], None],
+        full_instances: FullInstances,
     ) -> None:
         self._clock = clock
         self._reader = reader
@@ -78,6 +81,7 @@
         self._events = events
         self._on_change = on_change
         self._on_configuration = on_configuration
+        self._full_instances = full_instances
         self._fetcher = ConfigurationFetcher(
             clock,
             agent,
@@ -222,15 +226,17 @@
         registry = self._store_view.registry
         self._query_times.append(now)
         digests = registry.digests() if compare else b""
-        return FreshnessQuery(self._plan.name, now, registry.revision, digests)
+        full = self._full_instances.to_tell(Hop.REPORT, now)
+        return FreshnessQuery(self._plan.name, now, registry.revision, digests, full)
 
     def build_reply(self, ask: FreshnessQuery) -> FreshnessReply | None:
         """Return the reply to a peer's query; None before the first read."""
+        now = self._clock.seconds()
+        self._full_instances.record_told(ask.full, Hop.QUERY, now)
         store_view = self._store_view
         registry = store_view.registry
         if not registry.revision and not store_view.configuration_revision:
             return None
-        now = self._clock.seconds()
         is_compared = bool(ask.digests) and registry.revision > ask.revision
         differing_buckets = (
             registry.differing_buckets(ask.digests) if is_compared else []
@@ -247,6 +253,7 @@
             is_compared,
             buckets,
             remaining,
+            self._full_instances.to_tell(Hop.QUERY, now),
         )
 
     def handle_reply(self, message: FreshnessReply) -> None:
@@ -258,6 +265,7 @@
         if message.query_sent_s not in self._query_times:
             return
         now = self._clock.seconds()
+        self._full_instances.record_told(message.full, Hop.REPLY, now)
         self._plan.record_reply(message.sender, message.listing_age_s, now)
         peer = self._store_view.peers_by_name.get(message.sender)
         self._merge_configuration(message, peer)
--- a/src/gentianhitch/proxy/reports.py
+++ b/src/gentianhitch/proxy/reports.py
@@ -20,7 +20,9 @@
 from gentianhitch.proxy.clock_offsets import ClockOffsets
 from gentianhitch.proxy.digests import route_digest
 from gentianhitch.proxy.digests import server_digest
+from gentianhitch.proxy.full_instances import FullInstances
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.own_limits import FULL_PERCENT
 from gentianhitch.proxy.quotas import REPORT_TIMEOUT_S
 from gentianhitch.proxy.quotas import AdmissionReport
 from gentianhitch.proxy.quotas import Quotas
@@ -55,7 +57,7 @@
     """Send reports to the serving instances and merge those received.
 
     ``on_leaving`` is called with a server and the instance that it told first that it
-    leaves.
+    leaves. ``fullness`` returns that of this instance in percent.
     """
 
     def __init__(
@@ -70,6 +72,8 @@
         receivers: Callable[[], Iterable[Peer]],
         on_error: Callable[[Failure], None],
         on_leaving: Callable[[str, str], None] = lambda server, sender: None,
+        fullness: Callable[[], int] = lambda: 0,
+        full_instances: FullInstances | None = None,
     ) -> None:
         self._clock = clock
         self._name = name
@@ -79,6 +83,8 @@
         self._quotas = quotas
         self._receivers = receivers
         self._on_leaving = on_leaving
+        self._fullness = fullness
+        self._full_instances = full_instances or FullInstances()
         self._failure_domain = failure_domain
         self._routes = ReportRoutes(name, failure_domain)
         self._receipt_times_by_name: dict[str, deque[float]] = {}
@@ -117,9 +123,12 @@
     def _send(self, now: float) -> None:
         observations, self._balancer.observations = self._balancer.observations, []
         admissions = self._quotas.report(now)
+        fullness = self._fullness()
+        is_full = fullness >= FULL_PERCENT
         # Others expect regular reports only from the instances in the directory.
         leaving = self._balancer.notices.leaving_to_report(now)
-        if not (observations or leaving or self._name in self._quotas.sharers):
+        is_serving = self._name in self._quotas.sharers
+        if not (observations or leaving or is_full or is_serving):
             return
         report = LoadReport(
             self._name,
@@ -133,6 +142,7 @@
             _encode_running(self._balancer.running_by_server(), now),
             [_encode(observation) for observation in observations],
             leaving=[server_digest(key) for key in leaving],
+            fullness=fullness,
         )
         targets = self._routes.select(self._receivers(), self._heard_senders(now))
         self._datagrams.send(
@@ -174,6 +184,7 @@
         sent_s = self._offsets.to_local_time(
             report.sender, report.incarnation, report.sent_s, now
         )
+        self._full_instances.record_report(report.sender, report.fullness, sent_s)
         totals = {
             name: WorkspaceTotal(*counts)
             for name, counts in report.totals_by_workspace.items()
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -165,6 +165,8 @@
     @_answers_errors
     def start(self) -> None:
         """Admit the request and dispatch it, hold it for its quota, or refuse it."""
+        limits = self._server.dispatch.limits
+        limits.receive(len(self._request.body), self._started_s)
         allowed = self._server.check(self._request, self._started_s)
         if isinstance(allowed, Refusal):
             self._refuse(allowed)
@@ -245,6 +247,9 @@
         self, response: CompleteResponse, server: BackendServer
     ) -> None:
         """Forward a server's response to the caller."""
+        limits, now = self._server.dispatch.limits, self._server.clock.seconds()
+        limits.receive(len(response.body), now)
+        limits.send(len(response.body), now)
         self._finish(str(response.status), server)
         close = self._pending_response.will_close
         self._pending_response.send(
--- a/src/gentianhitch/proxy/serving_fleet.py
+++ b/src/gentianhitch/proxy/serving_fleet.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from gentianhitch.proxy.full_instances import FullInstances
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.steering import ServingOrder
 from gentianhitch.proxy.store_view import StoreView
@@ -31,12 +32,23 @@
     _name: str
     _store_view: StoreView
     _seconds: Callable[[], float] = _at_zero
+    _full_instances: FullInstances = attrs.Factory(FullInstances)
     _order: ServingOrder = attrs.Factory(ServingOrder)
 
     def serving_by_domain(self) -> dict[str, tuple[Peer, ...]]:
         """Return the instances in the directory, by failure domain."""
         return self._order.serving(self._store_view.peers_by_name, self._seconds())
 
+    def named_by_domain(self) -> dict[str, tuple[Peer, ...]]:
+        """Return the instances that the directory names now, by failure domain.
+
+        Full ones are left out for a while. All the same they serve, and share quotas:
+        callers have their addresses and open connections.
+        """
+        peers_by_name, now = self._store_view.peers_by_name, self._seconds()
+        full = self._full_instances.names(peers_by_name, now)
+        return self._order.named(peers_by_name, full, now)
+
     def serving_peers(self) -> list[Peer]:
         """Return the instances in the directory, of all failure domains."""
         return [peer for peers in self.serving_by_domain().values() for peer in peers]
--- a/src/gentianhitch/proxy/steering.py
+++ b/src/gentianhitch/proxy/steering.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from gentianhitch.proxy.full_instances import FullNames
+from gentianhitch.proxy.model import LIMITING_LINK_MBPS
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.sources import rank
 
@@ -21,9 +23,6 @@
 SERVING_CAPACITY_SHARE = 1 / 16
 """Share of the capacity that serves requests; fleets are sized for much more load."""
 
-LIMITING_LINK_MBPS = 100.0
-"""Slower links may be full before the processor is busy; only then do links count."""
-
 CARRIED_SHARE = 0.9
 """Share of the needed bandwidth that the links of the serving instances carry.
 
@@ -33,6 +32,9 @@
 LINKS_REMEMBERED_S = 60.0
 """Demand stays while instances are missing: outages of the store last some seconds."""
 
+DEMAND_REMEMBERED_S = 30.0
+"""More instances are named for so long after some were busy; fewer would fill again."""
+
 ROUNDING = 1e-9
 
 STANDBY_FACTOR = 3
@@ -40,35 +42,36 @@
 
 
 @attrs.define
-class LinkMemory:
-    """The bandwidth of each failure domain: the largest total of the last minute."""
+class RecentMaximum:
+    """The largest recent value of each failure domain, such as its bandwidth."""
 
-    _totals_by_domain: dict[str, float] = attrs.Factory(dict)
+    _memory_s: float
+    _values_by_domain: dict[str, float] = attrs.Factory(dict)
     _past_by_domain: dict[str, deque[tuple[float, float]]] = attrs.Factory(dict)
 
-    def update(self, totals_by_domain: dict[str, float], now: float) -> None:
-        """Set the totals of the listed instances from ``now`` on."""
-        for domain, total in self._totals_by_domain.items():
-            if totals_by_domain.get(domain, 0.0) != total:
+    def update(self, values_by_domain: dict[str, float], now: float) -> None:
+        """Set the values that hold from ``now`` on."""
+        for domain, value in self._values_by_domain.items():
+            if values_by_domain.get(domain, 0.0) != value:
                 past = self._past_by_domain.setdefault(domain, deque())
-                past.append((now + LINKS_REMEMBERED_S, total))
-        self._totals_by_domain = dict(totals_by_domain)
+                past.append((now + self._memory_s, value))
+        self._values_by_domain = dict(values_by_domain)
         for past in self._past_by_domain.values():
             while past and past[0][0] <= now:
                 past.popleft()
 
     def next_expiry_s(self) -> float:
-        """Return when the first remembered total expires."""
+        """Return when the first remembered value expires."""
         ends_s = (past[0][0] for past in self._past_by_domain.values() if past)
         return min(ends_s, default=float("inf"))
 
     def largest(self) -> dict[str, float]:
-        """Return the largest totals that are remembered, by failure domain."""
+        """Return the largest remembered values, by failure domain."""
         return {
             domain: max(
-                total, *(past for _, past in self._past_by_domain.get(domain, ())), 0.0
+                value, *(past for _, past in self._past_by_domain.get(domain, ())), 0.0
             )
-            for domain, total in self._totals_by_domain.items()
+            for domain, value in self._values_by_domain.items()
         }
 
 
@@ -83,7 +86,8 @@
     _peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     _serving: dict[str, tuple[Peer, ...]] = attrs.Factory(dict)
     _near_serving: frozenset[str] = frozenset()
-    _links: LinkMemory = attrs.Factory(LinkMemory)
+    _links: RecentMaximum = attrs.Factory(lambda: RecentMaximum(LINKS_REMEMBERED_S))
+    _demands: RecentMaximum = attrs.Factory(lambda: RecentMaximum(DEMAND_REMEMBERED_S))
     _valid_until_s: float = float("inf")
 
     def serving(
@@ -93,6 +97,28 @@
         self._update(peers_by_name, now)
         return self._serving
 
+    def named(
+        self, peers_by_name: dict[str, Peer], full: FullNames, now: float = 0.0
+    ) -> dict[str, tuple[Peer, ...]]:
+        """Return the instances that the directory names, without full ones if it can.
+
+        Faulty ones are left out while others are listed. Busy ones are left out where
+        the others carry as much without them; in any case the demand is larger than was
+        assumed, and stays so for a while.
+        """
+        self._update(peers_by_name, now)
+        peers = tuple(peers_by_name.values())
+        self._demands.update(_least_demand(peers, self._serving, full.busy), now)
+        demands_by_domain = self._demands.largest()
+        if not full.faulty and not any(demands_by_domain.values()):
+            return self._serving
+        return {
+            domain: _named(
+                in_order, link_mbps, demands_by_domain.get(domain, 0.0), full
+            )
+            for domain, in_order, link_mbps in _domains(peers, self._links.largest())
+        }
+
     def is_near_serving(
         self, peers_by_name: dict[str, Peer], name: str, now: float = 0.0
     ) -> bool:
@@ -151,11 +177,11 @@
 
 
 def _link_totals(peers: Iterable[Peer]) -> dict[str, float]:
-    totals_by_domain: dict[str, float] = {}
+    values_by_domain: dict[str, float] = {}
     for peer in peers:
-        total = totals_by_domain.get(peer.failure_domain, 0.0)
-        totals_by_domain[peer.failure_domain] = total + peer.link_mbps
-    return totals_by_domain
+        total = values_by_domain.get(peer.failure_domain, 0.0)
+        values_by_domain[peer.failure_domain] = total + peer.link_mbps
+    return values_by_domain
 
 
 def _serving_count(in_order: Sequence[Peer], link_mbps: float) -> int:
@@ -166,23 +192,74 @@
     needed = SERVING_CAPACITY_SHARE * sum(peer.capacity for peer in in_order)
     counts_links = any(peer.link_mbps < LIMITING_LINK_MBPS for peer in in_order)
     needed_mbps = SERVING_CAPACITY_SHARE * link_mbps if counts_links else 0.0
+    enough_mbps = CARRIED_SHARE * needed_mbps
     capacity = 0.0
     for count, peer in enumerate(in_order, start=1):
         capacity += peer.capacity
         if (
             count >= MIN_SERVING
             and capacity >= needed - ROUNDING
-            and _carries(in_order[:count], needed_mbps)
+            and _carried(in_order[:count], needed_mbps) >= enough_mbps - ROUNDING
         ):
             return count
     return len(in_order)
 
 
-def _carries(serving: Sequence[Peer], needed_mbps: float) -> bool:
-    """Return whether the links carry the needed bandwidth; callers spread evenly."""
-    part_mbps = needed_mbps / len(serving)
-    carried_mbps = sum(min(peer.link_mbps, part_mbps) for peer in serving)
-    return carried_mbps >= CARRIED_SHARE * needed_mbps - ROUNDING
+def _least_demand(
+    peers: Iterable[Peer], serving: dict[str, tuple[Peer, ...]], busy: frozenset[str]
+) -> dict[str, float]:
+    """Return the least demand in Mbit/s where instances are busy, by failure domain.
+
+    Each serving instance gets an even part, which is more than a busy one's link.
+    """
+    links_by_domain: dict[str, list[float]] = {}
+    for peer in peers:
+        links = links_by_domain.setdefault(peer.failure_domain, [])
+        if peer.name in busy:
+            links.append(peer.link_mbps)
+    return {
+        domain: (len(serving[domain]) + len(links)) * min(links) if links else 0.0
+        for domain, links in links_by_domain.items()
+    }
+
+
+def _named(
+    in_order: Sequence[Peer], link_mbps: float, demand_mbps: float, full: FullNames
+) -> tuple[Peer, ...]:
+    """Return the peers of one failure domain to name."""
+    sound = [peer for peer in in_order if peer.name not in full.faulty]
+    if len(sound) < MIN_SERVING:
+        sound += [peer for peer in in_order if peer.name in full.faulty]
+        sound = sound[:MIN_SERVING]
+    least = _serving_count(sound, link_mbps)
+    if not demand_mbps:
+        return tuple(sound[:least])
+    free = [peer for peer in sound if peer.name not in full.busy]
+    if len(free) >= MIN_SERVING:
+        least_free = _serving_count(free, link_mbps)
+        with_busy = _most_carrying(sound, least, demand_mbps)
+        without = _most_carrying(free, least_free, demand_mbps)
+        if _carried(without, demand_mbps) >= _carried(with_busy, demand_mbps):
+            return without
+        return with_busy
+    return _most_carrying(sound, least, demand_mbps)
+
+
+def _most_carrying(
+    in_order: Sequence[Peer], least: int, demand_mbps: float
+) -> tuple[Peer, ...]:
+    """Return the fewest first peers that carry nearly as much as any number of them."""
+    counts = range(least, len(in_order) + 1)
+    carried = {count: _carried(in_order[:count], demand_mbps) for count in counts}
+    enough = CARRIED_SHARE * max(carried.values())
+    count = next(each for each in counts if carried[each] >= enough - ROUNDING)
+    return tuple(in_order[:count])
+
+
+def _carried(serving: Sequence[Peer], demand_mbps: float) -> float:
+    """Return what the links carry of the demand; callers spread evenly."""
+    part_mbps = demand_mbps / len(serving)
+    return sum(min(peer.link_mbps, part_mbps) for peer in serving)
 
 
 def _serving_order(peers: Iterable[Peer]) -> dict[str, list[Peer]]:
--- a/tests/proxy/test_steering.py
+++ b/tests/proxy/test_steering.py
@@ -5,7 +5,6 @@
 
 from gentianhitch.proxy.directory import ISOLATED_AGE_S
 from gentianhitch.proxy.directory import Directory
-from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.serving_fleet import ServingFleet
 from gentianhitch.proxy.sources import reading_order
 from gentianhitch.proxy.steering import CARRIED_SHARE
@@ -19,6 +18,8 @@
 from gentianhitch.proxy.store_view import StoreView
 from tests.builders_proxy import make_listing
 from tests.builders_proxy import make_peer
+from tests.builders_steering import by_name
+from tests.builders_steering import make_mixed_fleet
 
 PEERS = tuple(make_peer(f"{domain}-{n}", domain) for domain in "abc" for n in range(5))
 
@@ -85,22 +86,6 @@
             assert set(each) <= set(near)
 
 
-LARGE = {"capacity": 2.15, "link_mbps": 100.0}
-SMALL = {"capacity": 0.43, "link_mbps": 5.0}
-
-
-def make_mixed_fleet(large: int = 2, small: int = 36) -> list[Peer]:
-    """Return one failure domain of the deployment with 115 instances."""
-    return [
-        *(make_peer(f"a-{number}", **LARGE) for number in range(large)),
-        *(make_peer(f"a-{100 + number}", **SMALL) for number in range(small)),
-    ]
-
-
-def by_name(peers: list[Peer]) -> dict[str, Peer]:
-    return {peer.name: peer for peer in peers}
-
-
 class TestLinks:
     """Pattern: instances with fast links are missing while the demand stays."""
 
