--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -41,6 +41,18 @@
     full: dict[int, tuple[Count, Count]] = {}
 
 
+class ListingDetails(msgspec.Struct, frozen=True, array_like=True):
+    """What instances of older versions leave out of the listing.
+
+    ``age_s`` is the time since the details were last verified against the store, which
+    was at ``evacuations_revision`` when the evacuated domains were read.
+    """
+
+    age_s: Age
+    evacuations_revision: int
+    evacuated_domains: list[str]
+
+
 class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Reply to a :class:`FreshnessQuery` with the sender's revisions and their ages.
 
@@ -49,7 +61,8 @@
     covers the complete listing. ``is_compared`` is set if the digests of the query were
     compared: ``buckets`` then holds as many of the differing buckets as fit in a
     datagram, as pairs of number and encoded bucket, and ``remaining`` counts the
-    others. ``full`` is as in the query, with what the sender knows from queries.
+    others. Older versions send no ``details``. ``full`` is as in the query, with what
+    the sender knows from queries.
     """
 
     sender: str
@@ -62,6 +75,7 @@
     is_compared: bool = False
     buckets: list[tuple[int, bytes]] = []
     remaining: int = 0
+    details: ListingDetails | None = None
     full: dict[int, tuple[Count, Count]] = {}
 
 
@@ -97,6 +111,9 @@
     instances in the window. ``samples`` holds the attempts since the last report. If
     ``is_to_forward``, the receiver sends the report on within its failure domain.
     ``leaving`` holds the digests of servers that told the sender that they leave.
+    ``declined_by_server`` has, by the digest of the server, for each attempt that it
+    declined since the last report the number of other requests that ran there. Samples
+    don't carry these: older versions count a sample of kind DECLINED as a success.
     ``fullness`` is that of the sender in percent; from 100 on it is full, from 120 on
     with less than its link and processor let expect.
     """
@@ -110,6 +127,7 @@
     samples: list[AttemptSample]
     is_to_forward: bool = False
     leaving: list[int] = []
+    declined_by_server: dict[int, list[Count]] = {}
     fullness: Count = 0
 
 
--- a/src/gentianhitch/proxy/agreed_bounds.py
+++ b/src/gentianhitch/proxy/agreed_bounds.py
@@ -9,7 +9,7 @@
 
 def propagation_bound_s(bounds: Bounds) -> float:
     """Return the time within which every change of the store must be in force."""
-    return min(bounds.drain_s, bounds.configuration_apply_s)
+    return min(bounds.drain_s, bounds.configuration_apply_s, bounds.evacuation_s)
 
 
 def quota_tolerance(bounds: Bounds) -> QuotaTolerance:
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -15,6 +15,7 @@
 from gentianhitch.backend_servers.server_connections import ServerConnection
 from gentianhitch.callers.complete_requests import CallerRequest
 from gentianhitch.callers.refusals import Cause
+from gentianhitch.proxy.answer_kinds import OVERLOAD_STATUSES
 from gentianhitch.proxy.answer_kinds import attempt_result
 from gentianhitch.proxy.answer_kinds import is_declined
 from gentianhitch.proxy.answer_kinds import is_unusable
@@ -46,10 +47,7 @@
 
 MAX_CONNECT_FAILURES = 4
 MAX_CONNECT_TIMEOUTS = 2
-"""Connects that time out before a request is refused, as its caller waits meanwhile.
-
-The second is to another failure domain if there is one.
-"""
+"""The second is to another failure domain; the caller waits meanwhile."""
 
 
 class Dispatch:
@@ -136,7 +134,11 @@
 
     # Attempts.
 
-    def _try_next_server(self, *, hedge: bool = False) -> bool:
+    def _try_next_server(self, *, hedge: bool = False, is_paid: bool = False) -> bool:
+        """Start an attempt at the best server left; return False if there is none.
+
+        ``is_paid`` if it replaces one for which a retry of the budget was spent.
+        """
         now = self._context.clock.seconds()
         if self._deadline - now < MIN_REMAINING_S:
             return False
@@ -152,18 +154,21 @@
             if not has_tried and self._context.reach.is_suspected():
                 self._last_cause = Cause.LINK_FULL
             return False
-        is_allowed = not self._writes or self._context.try_spend_retry(
-            self._service, now, hedge=hedge
+        needs_retry = self._writes > 0
+        is_allowed = (
+            not needs_retry
+            or is_paid
+            or self._context.try_spend_retry(self._service, now, hedge=hedge)
         )
         if not is_allowed:
             self._owner.log_dispatch_event("retry_budget_spent", server, "")
             return False
-        self._start_attempt(server)
+        self._start_attempt(server, is_paid=needs_retry)
         return True
 
-    def _start_attempt(self, server: BackendServer) -> None:
+    def _start_attempt(self, server: BackendServer, *, is_paid: bool) -> None:
         self._tried_ids |= {server.id}
-        attempt = Attempt(self, server)
+        attempt = Attempt(self, server, is_paid=is_paid)
         self._attempts.append(attempt)
         idempotent = self._route.idempotent
         attempt.connecting = self._context.connections.acquire(
@@ -177,13 +182,17 @@
             attempt.connecting = None
 
     def write(self, attempt: Attempt, connection: ServerConnection) -> None:
-        """Write the request, unless too little time is left after the connect."""
+        """Write the request, unless what changed during the connect forbids it."""
         now = self._context.clock.seconds()
         if self._ended or self._deadline - now < MIN_REMAINING_S:
             connection.close()
             if not self._ended:
                 self._deadline_passed()
             return
+        if self._context.balancer.is_evacuated(attempt.server):
+            connection.close()
+            self._withdraw(attempt)
+            return
         attempt.connection = connection
         attempt.sent_s = now
         if attempt.is_newly_connected:
@@ -205,6 +214,14 @@
         connection.send(self._request.request_id, data, attempt)
         self._schedule_hedge(attempt, now)
 
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Try another server in place of one that may no longer get the request."""
+        self._attempts.remove(attempt)
+        self._owner.log_dispatch_event("withdrawn", attempt.server, "evacuated")
+        replaced = self._try_next_server(is_paid=attempt.is_paid)
+        if not replaced and not self._attempts:
+            self._finish_with_last_result()
+
     def connect_failed(self, attempt: Attempt, error: ConnectError) -> None:
         """Try another server; without one, wait for the attempts under way."""
         self._attempts.remove(attempt)
@@ -276,7 +293,11 @@
 
     def _handle_declined(self, attempt: Attempt, response: CompleteResponse) -> None:
         """Try another server after one that did not run the request."""
-        self._record_result(attempt, AttemptResult.DECLINED)
+        is_server_state = response.status in OVERLOAD_STATUSES
+        self._record_result(
+            attempt,
+            AttemptResult.DECLINED if is_server_state else AttemptResult.REJECTED,
+        )
         self._owner.log_dispatch_event("declined", attempt.server, str(response.status))
         self._attempts.remove(attempt)
         if not self._route.idempotent or self._only_write_was_declined():
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -43,6 +43,7 @@
 from gentianhitch.proxy.agreed_bounds import quota_tolerance
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.changes import ChangeHandler
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.configuration_server import ConfigurationServer
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryResponse
@@ -99,6 +100,7 @@
             self.metrics, events, lag_of(reactor), self._gauges
         )
         self.store_view = StoreView(settings.heartbeat_s)
+        self._competition = Competition(settings.expects_pressure)
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._callers_port: Any = None
         self._last_reply_s = float("-inf")
@@ -139,7 +141,7 @@
             clock,
             self._reach,
             events,
-            OwnLimits(settings.link_mbps),
+            OwnLimits(settings.link_mbps, settings.expects_pressure),
             self._full_instances,
         )
         self._fleet = ServingFleet(
@@ -156,6 +158,7 @@
             splits,
             events,
             self.metrics,
+            self._competition,
         )
         self._configuration_server = ConfigurationServer(
             clock,
@@ -304,6 +307,8 @@
             "listing_age_seconds": self.store_view.listing_age_s(now),
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
+            "evacuated_domains": len(self.store_view.evacuated_domains),
+            "servers_evacuated": self._balancer.count_evacuated(),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
             **self._own.gauges(),
@@ -342,10 +347,7 @@
         self._changes.update(now)
         self._changes.log_service_use(now)
         self._settings_file.reload_if_changed()
-        # Remembers the demand also while nobody asks this directory.
-        self._fleet.named_by_domain()
-        names = frozenset(self.store_view.peers_by_name)
-        self._own.update(self._monitor.record_lag(), names)
+        self._own.update(self._monitor.record_lag(), self.store_view.peers_by_name)
 
     def reload(self) -> None:
         """Read the settings file again; addresses stay as they are."""
@@ -353,6 +355,8 @@
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
+        self._competition.expects_pressure = settings.expects_pressure
+        self._own.limits.expects_pressure = settings.expects_pressure
         self._server.revocation_s = settings.bounds.revocation_s
         self._quotas.tolerance = quota_tolerance(settings.bounds)
         self._balancer.floor_share = settings.bounds.floor_share
--- a/src/gentianhitch/proxy/own_limits.py
+++ b/src/gentianhitch/proxy/own_limits.py
@@ -121,11 +121,13 @@
 class OwnLimits:
     """Account what crosses the own link, and the lag of the event loop.
 
-    Only an instance with a link below ``LIMITING_LINK_MBPS`` refuses requests and
-    reports itself full by this account.
+    Only an instance with a link below ``LIMITING_LINK_MBPS``, or whose deployment
+    agreed on service under overload, refuses requests and reports itself full by this
+    account.
     """
 
     link_mbps: float = DEFAULT_LINK_MBPS
+    expects_pressure: bool = False
     _inbound: Backlog = attrs.field(init=False)
     _outbound: Backlog = attrs.field(init=False)
     _refused: Backlog = attrs.field(init=False)
@@ -146,8 +148,8 @@
 
     @property
     def is_active(self) -> bool:
-        """Return whether the link may be full before the processor is busy."""
-        return self.link_mbps < LIMITING_LINK_MBPS
+        """Return whether the account decides anything."""
+        return self.expects_pressure or self.link_mbps < LIMITING_LINK_MBPS
 
     def receive(self, body_bytes: int, now: float) -> None:
         """Count a message that is being received, or has just been."""
--- a/src/gentianhitch/proxy/own_state.py
+++ b/src/gentianhitch/proxy/own_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -48,7 +49,7 @@
         self.full_instances.record_report(self._name, percent, now)
         return percent
 
-    def update(self, lag_s: float, names: frozenset[str]) -> None:
+    def update(self, lag_s: float, names: Iterable[str]) -> None:
         """Record the lag of the last span, and log which of ``names`` are full."""
         self.limits.record_lag(lag_s)
         self.fullness()
--- a/src/gentianhitch/proxy/server_reach.py
+++ b/src/gentianhitch/proxy/server_reach.py
@@ -79,7 +79,7 @@
             self.record_connect(server)
             self._balancer.record_unreachable(server, now)
             return
-        self.link.failure_domains = len(self._balancer.failure_domains)
+        self.link.failure_domains = len(self._balancer.usable_domains())
         self.link.record_timeout(server.id, server.failure_domain, now)
         if not self.link.is_suspected(now):
             self._balancer.record_unreachable(server, now)
--- a/tests/proxy/test_own_limits.py
+++ b/tests/proxy/test_own_limits.py
@@ -92,6 +92,12 @@
         assert limits.queue_s(now) < 0.1
         assert limits.queue_s(now) > 0.0
 
+    def test_a_fast_link_counts_if_the_deployment_expects_pressure(self) -> None:
+        limits = OwnLimits(100.0, expects_pressure=True)
+        for _ in range(LAG_SPANS):
+            limits.record_lag(2.0)
+        assert limits.load(10.0).share >= 1.0
+
     def test_a_fast_link_is_not_counted(self) -> None:
         # Deployments with links of 100 Mbit/s or more ask for nothing new.
         limits = OwnLimits(100.0)
