Derive the named instances again only when what they depend on changes

Cause: while instances are busy, each directory query compared all numbers of instances of each failure domain: 2.9 ms with 115 instances and 0.94 s with 3,100, for a machine with 0.43 of a core. The belief about the own link was derived for each attempt.

Now the result is kept until the listing, the full instances or the remembered demand change, and the comparison ends at the number that carries all of the demand: 0.1 and 1.9 ms at a change, 0.003 and 0.04 ms otherwise. Demands are remembered per domain also when none is busy.

Evidence: the figures above; tests of steering, own limits, full instances and own link: 103 passed.

--- a/src/gentianhitch/proxy/own_link.py
+++ b/src/gentianhitch/proxy/own_link.py
@@ -123,6 +123,8 @@
     def silent_domains(self, now: float) -> frozenset[str]:
         """Return failure domains of which several servers time out and few answer."""
         self._expire(now)
+        if not self._timed_out:
+            return frozenset()
         timed_out = _count_by_domain(
             {each.server: each.failure_domain for each in self._timed_out}
         )
--- a/src/gentianhitch/proxy/server_reach.py
+++ b/src/gentianhitch/proxy/server_reach.py
@@ -121,14 +121,15 @@
             self.probe(server)
 
     def _report_belief(self) -> None:
-        belief = self.link.belief(self._clock.seconds())
-        if belief.is_suspected != self._was_suspected:
-            self._was_suspected = belief.is_suspected
-            if belief.is_suspected:
-                # The first of these connects were taken for evidence.
-                servers = self.link.timed_out_servers(self._clock.seconds())
-                self._balancer.forget_paths(servers, self._clock.seconds())
-            self.on_belief(belief)
+        now = self._clock.seconds()
+        is_suspected = self.link.is_suspected(now)
+        if is_suspected == self._was_suspected:
+            return
+        self._was_suspected = is_suspected
+        if is_suspected:
+            # The first of these connects were taken for evidence.
+            self._balancer.forget_paths(self.link.timed_out_servers(now), now)
+        self.on_belief(self.link.belief(now))
 
 
 @attrs.define(eq=False)
--- a/src/gentianhitch/proxy/steering.py
+++ b/src/gentianhitch/proxy/steering.py
@@ -60,6 +60,13 @@
             while past and past[0][0] <= now:
                 past.popleft()
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether a value above 0 holds or is remembered."""
+        return any(self._values_by_domain.values()) or any(
+            self._past_by_domain.values()
+        )
+
     def next_expiry_s(self) -> float:
         """Return when the first remembered value expires."""
         ends_s = (past[0][0] for past in self._past_by_domain.values() if past)
@@ -67,12 +74,11 @@
 
     def largest(self) -> dict[str, float]:
         """Return the largest remembered values, by failure domain."""
-        return {
-            domain: max(
-                value, *(past for _, past in self._past_by_domain.get(domain, ())), 0.0
-            )
-            for domain, value in self._values_by_domain.items()
-        }
+        largest = dict(self._values_by_domain)
+        for domain, past in self._past_by_domain.items():
+            for _, value in past:
+                largest[domain] = max(largest.get(domain, 0.0), value)
+        return largest
 
 
 @attrs.define
@@ -89,6 +95,8 @@
     _links: RecentMaximum = attrs.Factory(lambda: RecentMaximum(LINKS_REMEMBERED_S))
     _demands: RecentMaximum = attrs.Factory(lambda: RecentMaximum(DEMAND_REMEMBERED_S))
     _valid_until_s: float = float("inf")
+    _named: dict[str, tuple[Peer, ...]] = attrs.Factory(dict)
+    _named_for: tuple[FullNames, dict[str, float]] | None = None
 
     def serving(
         self, peers_by_name: dict[str, Peer], now: float = 0.0
@@ -107,17 +115,24 @@
         assumed, and stays so for a while.
         """
         self._update(peers_by_name, now)
-        peers = tuple(peers_by_name.values())
-        self._demands.update(_least_demand(peers, self._serving, full.busy), now)
-        demands_by_domain = self._demands.largest()
-        if not full.faulty and not any(demands_by_domain.values()):
+        if full == FullNames() and not self._demands.is_known:
             return self._serving
-        return {
-            domain: _named(
-                in_order, link_mbps, demands_by_domain.get(domain, 0.0), full
-            )
-            for domain, in_order, link_mbps in _domains(peers, self._links.largest())
-        }
+        busy = [peers_by_name[name] for name in full.busy if name in peers_by_name]
+        self._demands.update(_least_demand(busy, self._serving), now)
+        demands_by_domain = self._demands.largest()
+        inputs = (full, demands_by_domain)
+        if inputs != self._named_for:
+            self._named_for = inputs
+            links_by_domain = self._links.largest()
+            self._named = {
+                domain: _named(
+                    in_order, link_mbps, demands_by_domain.get(domain, 0.0), full
+                )
+                for domain, in_order, link_mbps in _domains(
+                    peers_by_name.values(), links_by_domain
+                )
+            }
+        return self._named
 
     def is_near_serving(
         self, peers_by_name: dict[str, Peer], name: str, now: float = 0.0
@@ -138,6 +153,7 @@
         links_by_domain = self._links.largest()
         self._serving = serving_instances(peers, links_by_domain)
         self._near_serving = near_serving(peers, links_by_domain)
+        self._named_for = None
 
 
 def serving_instances(
@@ -206,19 +222,17 @@
 
 
 def _least_demand(
-    peers: Iterable[Peer], serving: dict[str, tuple[Peer, ...]], busy: frozenset[str]
+    busy: Iterable[Peer], serving: dict[str, tuple[Peer, ...]]
 ) -> dict[str, float]:
-    """Return the least demand in Mbit/s where instances are busy, by failure domain.
+    """Return the least demand in Mbit/s, by failure domain with ``busy`` instances.
 
     Each serving instance gets an even part, which is more than a busy one's link.
     """
     links_by_domain: dict[str, list[float]] = {}
-    for peer in peers:
-        links = links_by_domain.setdefault(peer.failure_domain, [])
-        if peer.name in busy:
-            links.append(peer.link_mbps)
+    for peer in busy:
+        links_by_domain.setdefault(peer.failure_domain, []).append(peer.link_mbps)
     return {
-        domain: (len(serving[domain]) + len(links)) * min(links) if links else 0.0
+        domain: (len(serving[domain]) + len(links)) * min(links)
         for domain, links in links_by_domain.items()
     }
 
@@ -249,10 +263,13 @@
     in_order: Sequence[Peer], least: int, demand_mbps: float
 ) -> tuple[Peer, ...]:
     """Return the fewest first peers that carry nearly as much as any number of them."""
-    counts = range(least, len(in_order) + 1)
-    carried = {count: _carried(in_order[:count], demand_mbps) for count in counts}
+    carried: dict[int, float] = {}
+    for count in range(least, len(in_order) + 1):
+        carried[count] = _carried(in_order[:count], demand_mbps)
+        if carried[count] >= demand_mbps - ROUNDING:
+            break
     enough = CARRIED_SHARE * max(carried.values())
-    count = next(each for each in counts if carried[each] >= enough - ROUNDING)
+    count = next(each for each in carried if carried[each] >= enough - ROUNDING)
     return tuple(in_order[:count])
 
 
