Keep competing requests in their failure domain until another has less to do

Cause: a server of another domain cost 0.06 whatever the loads. One running request at a server of two slots costs more, so that requests left their domain for a free slot that, as reports are some tenths of a second old, others had taken as well.

Now, for services whose requests compete, another domain costs 0.4, less as the own domain has more requests per slot to do than the least loaded other one (proxy/spill.py, damped with 1 s). Without a sound server in the own domain, and for other services, 0.06 as before.

Evidence: tests/proxy/test_spill.py.

--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
+from gentianhitch.proxy.attempt_cost import MAX_IDLE_BONUS_PROBABILITY
+from gentianhitch.proxy.attempt_cost import REMOTE_DOMAIN_PENALTY
 from gentianhitch.proxy.attempt_cost import attempt_cost
 from gentianhitch.proxy.attempt_cost import max_queue_factor
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.floor import FLOOR_WINDOW_S
 from gentianhitch.proxy.floor import MAX_UNUSED_S
 from gentianhitch.proxy.floor import ServerUse
@@ -16,6 +20,8 @@
 from gentianhitch.proxy.server_evidence import PATH
 from gentianhitch.proxy.server_evidence import ServerEvidence
 from gentianhitch.proxy.server_records import ServerRecord
+from gentianhitch.proxy.spill import MAX_PENALTY
+from gentianhitch.proxy.spill import DomainLoads
 
 MAX_TRIED_PROBABILITY = 0.4
 """A server that is more likely to be gray is tried only while the floor binds."""
@@ -33,11 +39,14 @@
         failure_domain: str,
         random: Random,
         floor_share: float = DEFAULT_FLOOR_SHARE,
+        competition: Competition | None = None,
     ) -> None:
         super().__init__(name)
         self._failure_domain = failure_domain
         self._random = random
         self.floor_share = floor_share
+        self._competition = competition or Competition()
+        self._loads_by_service: dict[str, DomainLoads] = {}
 
     def choose(
         self,
@@ -60,6 +69,7 @@
             for record, gray in self._usable(service, route.name, now)
             if record.server.id not in exclude
         ]
+        penalty = self._remote_penalty(service, usable, now)
         best, best_cost = None, float("inf")
         for candidates in (self._unused(service, usable, now), usable):
             for record, gray in candidates:
@@ -73,6 +83,8 @@
                     is_remote=server.failure_domain != self._failure_domain,
                     is_connected=server.id in connected,
                 )
+                if server.failure_domain != self._failure_domain:
+                    cost += penalty - REMOTE_DOMAIN_PENALTY
                 if cost < best_cost:
                     best, best_cost = record, cost
             if best is not None:
@@ -83,6 +95,30 @@
         best.last_used_s = max(best.last_used_s, now)
         return best.server
 
+    def spilling_services(self) -> frozenset[str]:
+        """Return the services whose requests may leave this failure domain easily."""
+        return frozenset(
+            service
+            for service, loads in self._loads_by_service.items()
+            if loads.penalty(self._failure_domain) < MAX_PENALTY
+        )
+
+    def _remote_penalty(
+        self, service: str, usable: list[tuple[ServerRecord, float]], now: float
+    ) -> float:
+        """Return the cost of a server of another failure domain."""
+        has_sound_local = any(
+            gray < MAX_IDLE_BONUS_PROBABILITY
+            and record.server.failure_domain == self._failure_domain
+            for record, gray in usable
+        )
+        if not has_sound_local or not self._competition.competes(service):
+            return REMOTE_DOMAIN_PENALTY
+        loads = self._loads_by_service.setdefault(service, DomainLoads())
+        if loads.is_due(now):
+            loads.update(_loads_by_domain([record for record, _ in usable], now), now)
+        return loads.penalty(self._failure_domain)
+
     def _unused(
         self, service: str, usable: list[tuple[ServerRecord, float]], now: float
     ) -> list[tuple[ServerRecord, float]]:
@@ -136,6 +172,18 @@
         return use_by_service
 
 
+def _loads_by_domain(records: list[ServerRecord], now: float) -> dict[str, float]:
+    """Return the running requests per slot of each failure domain."""
+    running: Counter[str] = Counter()
+    slots: Counter[str] = Counter()
+    for record in records:
+        domain = record.server.failure_domain
+        running[domain] += len(record.running_by_token)
+        running[domain] += len(record.remote_requests(now))
+        slots[domain] += record.server.slots
+    return {domain: running[domain] / max(slots[domain], 1) for domain in slots}
+
+
 def _uses(usable: list[tuple[ServerRecord, float]]) -> list[ServerUse]:
     return [
         ServerUse(record.last_used_s, record.last_failed_s, gray)
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -40,6 +40,7 @@
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
+    _spilling: frozenset[str] = frozenset()
 
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
         """Log and apply a change of the listing."""
@@ -114,6 +115,13 @@
             if last is None or _floor_state(last) != _floor_state(use):
                 self._events.state("service_use", service=service, **attrs.asdict(use))
 
+    def log_spill(self) -> None:
+        """Log the services whose requests leave the failure domain, if they changed."""
+        spilling = self._balancer.spilling_services()
+        if spilling != self._spilling:
+            self._spilling = spilling
+            self._events.state("services_spilling", services=sorted(spilling))
+
     def count_services_below_floor(self) -> int:
         """Return how many services had too few servers in use when last looked at."""
         return sum(use.is_below_floor for use in self._use_by_service.values())
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -31,6 +31,7 @@
         "registration_lost",
         "reloaded",
         "server_leaving",
+        "services_spilling",
         "store_lost",
         "store_regained",
     }
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -49,7 +49,6 @@
 from gentianhitch.proxy.directory import DirectoryResponse
 from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.events import Events
-from gentianhitch.proxy.full_instances import FullInstances
 from gentianhitch.proxy.instance_monitor import InstanceMonitor
 from gentianhitch.proxy.internal_resources import configuration_resource
 from gentianhitch.proxy.internal_resources import metrics_resource
@@ -120,6 +119,7 @@
             settings.failure_domain,
             self._random,
             settings.bounds.floor_share,
+            self._competition,
         )
         self._quotas = Quotas(
             settings.name,
@@ -132,7 +132,6 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id, self._buffers
         )
-        self._full_instances = FullInstances()
         self._reach = ServerReach(
             clock, self._balancer, self._connections, self._monitor.record_belief
         )
@@ -142,10 +141,9 @@
             self._reach,
             events,
             OwnLimits(settings.link_mbps, settings.expects_pressure),
-            self._full_instances,
         )
         self._fleet = ServingFleet(
-            settings.name, self.store_view, clock.seconds, self._full_instances
+            settings.name, self.store_view, clock.seconds, self._own.full_instances
         )
         splits = TrafficSplits()
         self._changes = ChangeHandler(
@@ -186,7 +184,7 @@
             events,
             self._changes.listing_changed,
             self._changes.configuration_changed,
-            self._full_instances,
+            self._own.full_instances,
         )
         self._registration = Registration(
             clock, self._store, events, self._fleet.is_near_serving
@@ -205,7 +203,7 @@
                 "server_leaving", server=server, source=sender
             ),
             self._own.fullness,
-            self._full_instances,
+            self._own.full_instances,
         )
         self._directory = Directory(
             self.store_view, self._fleet, self._has_recent_reply
@@ -309,6 +307,7 @@
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "evacuated_domains": len(self.store_view.evacuated_domains),
             "servers_evacuated": self._balancer.count_evacuated(),
+            "services_spilling": len(self._balancer.spilling_services()),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
             **self._own.gauges(),
@@ -346,6 +345,7 @@
         self._connections.update_silence_limits(now)
         self._changes.update(now)
         self._changes.log_service_use(now)
+        self._changes.log_spill()
         self._settings_file.reload_if_changed()
         self._own.update(self._monitor.record_lag(), self.store_view.peers_by_name)
 
--- a/src/gentianhitch/proxy/own_state.py
+++ b/src/gentianhitch/proxy/own_state.py
@@ -24,7 +24,7 @@
     _reach: ServerReach
     _events: Events
     limits: OwnLimits
-    full_instances: FullInstances
+    full_instances: FullInstances = attrs.Factory(FullInstances)
     _fullness: Fullness = attrs.Factory(Fullness)
     _known_full: FullNames = attrs.Factory(FullNames)
 
