Ignore samples of attempts that did not run

A sample of kind DECLINED in a report of another version would have counted as a good response: it passed for evidence that the server is sound.

Evidence: the new test was red for both kinds before (DECLINED, REJECTED). tests/proxy, tests/unit and tests/end_to_end/test_platform.py pass.

--- a/src/gentianhitch/proxy/server_evidence.py
+++ b/src/gentianhitch/proxy/server_evidence.py
@@ -128,9 +128,9 @@
             record.path_filter.record_failure(PATH, now)
 
     def merge_observation(self, observation: Observation, now: float) -> None:
-        """Record the result of another instance's attempt."""
+        """Record the result of another instance's attempt that was executed or lost."""
         record = self._records_by_key.get(observation.server)
-        if record is not None:
+        if record is not None and observation.result not in NOT_EXECUTED:
             started_s = now - observation.latency_s
             record.last_used_s = max(record.last_used_s, started_s)
             self._record_result(record, observation, now, own=False)
--- a/tests/proxy/test_declines.py
+++ b/tests/proxy/test_declines.py
@@ -251,6 +251,21 @@
             newer, declined_by_server={}
         )
 
+    @pytest.mark.parametrize("result", [AttemptResult.DECLINED, AttemptResult.REJECTED])
+    def test_a_sample_of_an_attempt_that_did_not_run_is_no_success(
+        self, result: AttemptResult
+    ) -> None:
+        # Guards against declines that another version reports as samples, and that
+        # count as good responses here.
+        balancer = Balancer("e-1", "a", Random(1))
+        server = make_server("s-0")
+        balancer.update([server], 0.0)
+        before = balancer.gray_probability(server, ROUTE, 1.0)
+        for _ in range(5):
+            sample = Observation(server.key, ROUTE.name, 0.01, result)
+            balancer.merge_observation(sample, 1.0)
+        assert balancer.gray_probability(server, ROUTE, 1.0) == before
+
     def test_a_declined_attempt_takes_few_bytes(self) -> None:
         # Traffic between failure domains is charged by the byte.
         empty = LoadReport("a-1", 1, 5.0, True, {}, [], [])
