--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -10,6 +10,7 @@
 from gentianhitch.backend_servers.server_connections import ServerKey
 from gentianhitch.metrics import Metrics
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.events import Events
 from gentianhitch.proxy.floor import ServiceUse
 from gentianhitch.proxy.model import BackendServer
@@ -27,10 +28,7 @@
 
 @attrs.define(eq=False)
 class ChangeHandler:
-    """Updates balancer, connections, quotas and traffic splits from the store view.
-
-    ``services_of_unlike_priorities`` are those in the configuration in force.
-    """
+    """Updates balancer, connections, quotas and traffic splits from the store view."""
 
     _clock: Any
     _store_view: StoreView
@@ -41,25 +39,34 @@
     _splits: TrafficSplits
     _events: Events
     _metrics: Metrics
+    _competition: Competition = attrs.Factory(Competition)
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
     _declining_by_service: dict[str, frozenset[str]] = attrs.Factory(dict)
-    services_of_unlike_priorities: frozenset[str] = frozenset()
 
     def listing_changed(self, change: ListingChange, origin: Origin) -> None:
         """Log and apply a change of the listing."""
         store_view = self._store_view
-        self._events.state(
-            "listing_changed",
-            revision=store_view.registry.revision,
-            added=[server.id for server in change.added],
-            removed=[server.id for server in change.removed],
-            draining=[server.id for server in change.draining],
-            kept=sorted(store_view.expired_server_ids),
-            peers=len(store_view.peers_by_name),
-            **origin.as_fields(),
-        )
+        if change.evacuated or change.returned:
+            self._events.state(
+                "evacuation_changed",
+                evacuated=change.evacuated,
+                returned=change.returned,
+                in_force=sorted(store_view.evacuated_domains),
+                **origin.as_fields(),
+            )
+        if change.has_entries:
+            self._events.state(
+                "listing_changed",
+                revision=store_view.registry.revision,
+                added=[server.id for server in change.added],
+                removed=[server.id for server in change.removed],
+                draining=[server.id for server in change.draining],
+                kept=sorted(store_view.expired_server_ids),
+                peers=len(store_view.peers_by_name),
+                **origin.as_fields(),
+            )
         self._metrics.time("listing_age", None, origin.age_s)
         self.update(self._clock.seconds())
 
@@ -77,10 +84,8 @@
         )
         self._metrics.time("configuration_age", None, origin.age_s)
         self._balancer.set_routes(routes)
-        self.services_of_unlike_priorities = (
-            stored.configuration.services_of_unlike_priorities()
-        )
         self._splits.retain(routes)
+        self._competition.update(stored.configuration)
         self.update(self._clock.seconds())
 
     def update(self, now: float) -> None:
@@ -92,6 +97,7 @@
         if is_changed:
             self._server_keys = frozenset(server.key for server in servers.values())
             self._balancer.update(servers.values(), now)
+        self._balancer.set_evacuated(self._store_view.evacuated_domains)
         # A connection may have become idle after its server had left.
         self._connections.retain(self._server_keys)
         serving = frozenset(peer.name for peer in self._fleet.serving_peers())
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -21,7 +21,6 @@
 from gentianhitch.proxy.answer_kinds import is_unusable
 from gentianhitch.proxy.answer_kinds import says_leaving
 from gentianhitch.proxy.attempts import Attempt
-from gentianhitch.proxy.declines import decline_cost
 from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.dispatch_context import DispatchOwner
 from gentianhitch.proxy.gray_filter import hedge_survival
@@ -79,6 +78,7 @@
         self._tried_ids: frozenset[str] = frozenset()
         self._writes = 0
         self._connect_failures = 0
+        self._silent_domains: frozenset[str] = frozenset()
         self._may_have_run = False
         self._last_response: tuple[CompleteResponse, BackendServer] | None = None
         self._last_cause = Cause.NO_CAPACITY
@@ -95,7 +95,7 @@
             delay, self.guard, self._deadline_passed
         )
         if not self._try_next_server():
-            self._fail(Cause.NO_CAPACITY)
+            self._fail(self._last_cause)
 
     def cancel(self) -> None:
         """Cancel all attempts without a result: the caller has disconnected."""
@@ -131,47 +131,45 @@
 
     # Attempts.
 
-    def _try_next_server(self, *, hedge: bool = False) -> bool:
+    def _try_next_server(self, *, hedge: bool = False, is_paid: bool = False) -> bool:
+        """Start an attempt at the best server left; return False if there is none.
+
+        ``is_paid`` if it replaces one for which a retry of the budget was spent.
+        """
         now = self._context.clock.seconds()
         if self._deadline - now < MIN_REMAINING_S:
             return False
-        server = self._context.balancer.choose(
+        server = self._context.choose(
             self._service,
             self._route,
-            now,
             priority=self._priority,
             exclude=self._tried_ids,
-            connected=self._context.connections.servers_with_idle_connections(),
-            decline_cost=self._decline_cost(now),
+            avoid_domains=self._silent_domains,
+            may_repeat=self._count_attempts() + 1 < self._route.max_attempts,
+            remaining_s=self._deadline - now,
         )
         if server is None:
+            has_tried = self._writes or self._connect_failures
+            if not has_tried and self._context.reach.is_suspected():
+                self._last_cause = Cause.LINK_FULL
             return False
-        is_allowed = not self._writes or self._context.try_spend_retry(
-            self._service, now, hedge=hedge, priority=self._priority
+        needs_retry = self._writes > 0
+        is_allowed = (
+            not needs_retry
+            or is_paid
+            or self._context.try_spend_retry(
+                self._service, now, hedge=hedge, priority=self._priority
+            )
         )
         if not is_allowed:
             self._owner.log_dispatch_event("retry_budget_spent", server, "")
             return False
-        self._start_attempt(server)
+        self._start_attempt(server, is_paid=needs_retry)
         return True
 
-    def _decline_cost(self, now: float) -> float:
-        """Return what a decline of the next attempt costs."""
-        latencies = self._context.balancer.latencies(self._service, self._route)
-        can_retry = (
-            self._count_attempts() + 1 < self._route.max_attempts
-            and self._deadline - now > latencies.quantile(HEDGE_QUANTILE)
-        )
-        return decline_cost(
-            can_retry=can_retry,
-            budget_used=self._context.budget_used(
-                self._service, now, priority=self._priority
-            ),
-        )
-
-    def _start_attempt(self, server: BackendServer) -> None:
+    def _start_attempt(self, server: BackendServer, *, is_paid: bool) -> None:
         self._tried_ids |= {server.id}
-        attempt = Attempt(self, server)
+        attempt = Attempt(self, server, is_paid=is_paid)
         self._attempts.append(attempt)
         idempotent = self._route.idempotent
         attempt.connecting = self._context.connections.acquire(
@@ -179,19 +177,27 @@
             server.address,
             attempt,
             max_idle_s=IDEMPOTENT_IDLE_S if idempotent else NON_IDEMPOTENT_IDLE_S,
+            may_open=not self._context.reach.is_suspected(),
         )
         if attempt.connection is not None:
             attempt.connecting = None
 
     def write(self, attempt: Attempt, connection: ServerConnection) -> None:
-        """Write the request, unless too little time is left after the connect."""
+        """Write the request, unless what changed during the connect forbids it."""
         now = self._context.clock.seconds()
         if self._ended or self._deadline - now < MIN_REMAINING_S:
             connection.close()
             if not self._ended:
                 self._deadline_passed()
             return
+        if self._context.balancer.is_evacuated(attempt.server):
+            connection.close()
+            self._withdraw(attempt)
+            return
         attempt.connection = connection
+        attempt.sent_s = now
+        if attempt.is_newly_connected:
+            self._context.reach.record_connect(attempt.server)
         attempt.token = self._context.balancer.record_start(
             attempt.server, self._route, now
         )
@@ -208,15 +214,25 @@
         connection.send(self._request.request_id, data, attempt)
         self._schedule_hedge(attempt, now)
 
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Try another server in place of one that may no longer get the request."""
+        self._attempts.remove(attempt)
+        self._owner.log_dispatch_event("withdrawn", attempt.server, "evacuated")
+        replaced = self._try_next_server(is_paid=attempt.is_paid)
+        if not replaced and not self._attempts:
+            self._finish_with_last_result()
+
     def connect_failed(self, attempt: Attempt, error: ConnectError) -> None:
         """Try another server; without one, wait for the attempts under way."""
         self._attempts.remove(attempt)
         if self._ended:
             return
-        now = self._context.clock.seconds()
-        self._context.balancer.record_unreachable(attempt.server, now)
+        self._context.reach.record_failure(attempt.server, error)
         self._owner.log_dispatch_event("unreachable", attempt.server, str(error))
         self._connect_failures += 1
+        if not error.is_refusal:
+            # If the failure domain is cut, all others of it would time out as well.
+            self._silent_domains |= {attempt.server.failure_domain}
         self._last_cause = Cause.NO_CONNECTION
         may_retry = self._connect_failures <= MAX_CONNECT_FAILURES
         if not (may_retry and self._try_next_server()) and not self._attempts:
@@ -225,6 +241,8 @@
     def handle_response(self, attempt: Attempt, response: CompleteResponse) -> None:
         """Finish with the response, or try another server if it is a failure."""
         names = self._context.names
+        elapsed_s = self._context.clock.seconds() - attempt.sent_s
+        self._context.record_response(attempt.server, self._route, elapsed_s)
         self._read_notices(attempt.server, response)
         is_misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
         if is_misdirected:
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -41,6 +41,7 @@
 from gentianhitch.proxy.admission_windows import QuotaTolerance
 from gentianhitch.proxy.balancing import Balancer
 from gentianhitch.proxy.changes import ChangeHandler
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.configuration_server import ConfigurationServer
 from gentianhitch.proxy.directory import Directory
 from gentianhitch.proxy.directory import DirectoryResponse
@@ -59,6 +60,7 @@
 from gentianhitch.proxy.reports import Reports
 from gentianhitch.proxy.request_server import RequestServer
 from gentianhitch.proxy.retry_budget import RetryBudget
+from gentianhitch.proxy.server_reach import ServerReach
 from gentianhitch.proxy.serving_fleet import ServingFleet
 from gentianhitch.proxy.settings_file import SettingsFile
 from gentianhitch.proxy.shutdown import drain
@@ -94,6 +96,7 @@
             self.metrics, events, lag_of(reactor), self._gauges
         )
         self.store_view = StoreView(settings.heartbeat_s)
+        self._competition = Competition(settings.expects_pressure)
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._callers_port: Any = None
         self._last_reply_s = float("-inf")
@@ -123,7 +126,7 @@
         self._connections = ServerConnections(
             self._reactor, clock, HEADER_NAMES.request_id, self._buffers
         )
-        self._fleet = ServingFleet(settings.name, self.store_view)
+        self._fleet = ServingFleet(settings.name, self.store_view, clock.seconds)
         splits = TrafficSplits()
         self._changes = ChangeHandler(
             clock,
@@ -135,6 +138,7 @@
             splits,
             events,
             self.metrics,
+            self._competition,
         )
         self._configuration_server = ConfigurationServer(
             clock,
@@ -183,6 +187,9 @@
         self._directory = Directory(
             self.store_view, self._fleet, self._has_recent_reply
         )
+        self._reach = ServerReach(
+            clock, self._balancer, self._connections, self._monitor.record_belief
+        )
         self._server = RequestServer(
             clock,
             self.store_view,
@@ -195,7 +202,8 @@
                 HEADER_NAMES,
                 self._create_budget,
                 lambda: self._fleet.slack_share(self._quotas.sharers),
-                lambda service: service in self._changes.services_of_unlike_priorities,
+                self._competition.has_unlike_priorities,
+                self._reach,
             ),
             splits,
             events,
@@ -278,8 +286,11 @@
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
             "servers_believed_to_decline": self._changes.count_declining_servers(),
+            "evacuated_domains": len(self.store_view.evacuated_domains),
+            "servers_evacuated": self._balancer.count_evacuated(),
             "services_below_floor": self._changes.count_services_below_floor(),
             "buffered_bytes": self._buffers.used_bytes,
+            "own_link_suspected": self._reach.is_suspected(),
         }
 
     def _receive(self, message: Message, sender: Address) -> None:
@@ -330,6 +341,7 @@
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._settings = attrs.evolve(self._settings, bounds=settings.bounds)
+        self._competition.expects_pressure = settings.expects_pressure
         self._server.revocation_s = settings.bounds.revocation_s
         self._quotas.tolerance = _quota_tolerance(settings)
         self._balancer.floor_share = settings.bounds.floor_share
@@ -374,7 +386,8 @@
 
 def _propagation_bound_s(settings: NodeSettings) -> float:
     """Return the time within which every change of the store must be in force."""
-    return min(settings.bounds.drain_s, settings.bounds.configuration_apply_s)
+    bounds = settings.bounds
+    return min(bounds.drain_s, bounds.configuration_apply_s, bounds.evacuation_s)
 
 
 def _quota_tolerance(settings: NodeSettings) -> QuotaTolerance:
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -62,11 +62,17 @@
 
 @attrs.frozen
 class Service:
-    """A group of interchangeable backend servers."""
+    """A group of interchangeable backend servers.
+
+    Its servers are cold for ``warmup_s`` after a start; while cold, each takes
+    ``warmup_rate_per_s`` requests, or any number if that is 0.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    warmup_s: float = 0.0
+    warmup_rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -95,22 +101,6 @@
     workspaces_by_name: dict[str, Workspace]
     services_by_name: dict[str, Service]
 
-    def services_of_unlike_priorities(self) -> frozenset[str]:
-        """Return the names of services to which routes of unlike priority lead."""
-        priorities_by_service: dict[str, set[int]] = {}
-        for routes in self.routes_by_host.values():
-            for route in routes:
-                for destination in route.destinations:
-                    priorities = priorities_by_service.setdefault(
-                        destination.service, set()
-                    )
-                    priorities.add(route.priority)
-        return frozenset(
-            service
-            for service, priorities in priorities_by_service.items()
-            if len(priorities) > 1
-        )
-
     def route_names(self) -> frozenset[str]:
         """Return the names of all routes."""
         return frozenset(
@@ -130,7 +120,7 @@
     """One incarnation of a backend server.
 
     ``started_ms`` (Unix milliseconds) distinguishes incarnations of one id;
-    ``warmup_s`` is the time for which it stays slow after its start.
+    ``warmup_s`` is the time for which it said to stay cold when its entry was read.
     """
 
     id: str
@@ -147,6 +137,11 @@
         """Return the id and start time, which identify this incarnation."""
         return (self.id, self.started_ms)
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the server said that it is cold."""
+        return self.warmup_s > 0
+
 
 @attrs.frozen
 class Peer:
@@ -169,14 +164,16 @@
 
 @attrs.frozen
 class Listing:
-    """The servers and instances in one read of the store.
+    """The servers, instances and evacuations in one read of the store.
 
-    ``revision`` is that of the store as a whole; it orders listings.
+    ``revision`` is that of the store as a whole; it orders listings. No requests are
+    sent to the servers of ``evacuated_domains``.
     """
 
     revision: int
     backend_servers_by_id: dict[str, BackendServer]
     peers_by_name: dict[str, Peer]
+    evacuated_domains: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/src/gentianhitch/proxy/server_table.py
+++ b/src/gentianhitch/proxy/server_table.py
@@ -39,6 +39,8 @@
         self._route_names_by_digest: dict[int, str] = {}
         self._reported_by_instance: dict[str, frozenset[tuple[str, int]]] = {}
         self._instances: frozenset[str] = frozenset()
+        self._evacuated_domains: frozenset[str] = frozenset()
+        self.failure_domains: frozenset[str] = frozenset()
         self.notices = ServerNotices()
 
     def update(self, servers: Iterable[BackendServer], now: float) -> None:
@@ -49,12 +51,13 @@
                 del self._records_by_key[key]
         self._by_service = {}
         self._server_keys_by_digest = {server_digest(key): key for key in listed}
+        self.failure_domains = frozenset(
+            server.failure_domain for server in listed.values()
+        )
         for key, server in listed.items():
             record = self._records_by_key.get(key)
             if record is None:
-                record = ServerRecord(
-                    server, GrayFilter(now), GrayFilter(now, BROKEN_PATH_PRIOR, 0.0)
-                )
+                record = ServerRecord(server, GrayFilter(now), _new_path_filter(now))
                 record.warm_at_s = now + server.warmup_s
                 record.last_used_s = now
                 self._records_by_key[key] = record
@@ -62,6 +65,16 @@
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
 
+    def servers_of(self, service: str) -> list[BackendServer]:
+        """Return the listed servers of ``service``."""
+        return [record.server for record in self._by_service.get(service, ())]
+
+    def forget_paths(self, server_ids: frozenset[str], now: float) -> None:
+        """Forget what is known of the paths from this instance to some servers."""
+        for record in self._records_by_key.values():
+            if record.server.id in server_ids:
+                record.path_filter = _new_path_filter(now)
+
     def server_key(self, digest: int) -> tuple[str, int] | None:
         """Return the key of the listed server with ``digest``; None if none has it."""
         return self._server_keys_by_digest.get(digest)
@@ -74,6 +87,26 @@
         """Set the routes of the configuration in force."""
         self._route_names_by_digest = {route_digest(name): name for name in routes}
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains whose servers get no requests."""
+        self._evacuated_domains = domains
+
+    def is_evacuated(self, server: BackendServer) -> bool:
+        """Return whether the failure domain of ``server`` is evacuated."""
+        return server.failure_domain in self._evacuated_domains
+
+    def describe_unused(self, service: str) -> str:
+        """Return how many servers of ``service`` get no requests, or "" if all do."""
+        records = self._by_service.get(service, ())
+        evacuated = sum(self.is_evacuated(record.server) for record in records)
+        return f"{evacuated} of {len(records)} servers evacuated" if evacuated else ""
+
+    def count_evacuated(self) -> int:
+        """Return how many listed servers get no requests for this reason."""
+        return sum(
+            self.is_evacuated(record.server) for record in self._records_by_key.values()
+        )
+
     def set_instances(self, names: frozenset[str]) -> None:
         """Set the instances that use the servers with this one."""
         if names != self._instances:
@@ -106,7 +139,9 @@
         keys = (
             record.server.key
             for record in self._by_service.get(service, ())
-            if not record.server.draining and not record.is_replaced
+            if not record.server.draining
+            and not record.is_replaced
+            and not self.is_evacuated(record.server)
         )
         return self.notices.free_in_s(keys, now)
 
@@ -149,5 +184,9 @@
         }
 
 
+def _new_path_filter(now: float) -> GrayFilter:
+    return GrayFilter(now, BROKEN_PATH_PRIOR, 0.0)
+
+
 def _order_digest(instance: str, server: BackendServer) -> int:
     return xxhash.xxh32_intdigest(f"{instance} {server.id}".encode())
--- a/tests/builders_declining_service.py
+++ b/tests/builders_declining_service.py
@@ -207,7 +207,7 @@
 
     # The connections of all instances.
 
-    def acquire(self, key: Any, address: Any, waiter: Any, *, max_idle_s: float) -> Any:
+    def acquire(self, key: Any, address: Any, waiter: Any, **limits: Any) -> None:
         waiter.connected(ModelConnection(self.models_by_id[key[0]], waiter))
 
     def servers_with_idle_connections(self) -> frozenset[str]:
