--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -140,6 +140,7 @@
             self.metrics,
             self._competition,
         )
+        self._changes.set_warmup_bounds(settings.bounds.warmup)
         self._configuration_server = ConfigurationServer(
             clock,
             settings.link_mbps,
@@ -285,10 +286,10 @@
             "listing_age_seconds": self.store_view.listing_age_s(now),
             "servers_known_to_leave": self._balancer.notices.count_leaving(),
             "servers_asking_to_wait": self._balancer.notices.count_waiting(now),
-            "servers_believed_to_decline": self._changes.count_declining_servers(),
             "evacuated_domains": len(self.store_view.evacuated_domains),
+            "servers_cold": self._balancer.count_cold(now),
             "servers_evacuated": self._balancer.count_evacuated(),
-            "services_below_floor": self._changes.count_services_below_floor(),
+            **self._changes.gauges(),
             "buffered_bytes": self._buffers.used_bytes,
             "own_link_suspected": self._reach.is_suspected(),
         }
@@ -345,6 +346,7 @@
         self._server.revocation_s = settings.bounds.revocation_s
         self._quotas.tolerance = _quota_tolerance(settings)
         self._balancer.floor_share = settings.bounds.floor_share
+        self._changes.set_warmup_bounds(settings.bounds.warmup)
 
     # Shutdown.
 
--- a/tests/proxy/test_declines.py
+++ b/tests/proxy/test_declines.py
@@ -40,7 +40,7 @@
 from tests.builders_reports import ROUTE
 from tests.builders_reports import SERVERS
 from tests.builders_reports import ReportingFleet
-from tests.proxy.test_dispatch import Run
+from tests.builders_runs import Run
 
 RECOVERY_S = 3.0
 LEARNING_S = 1.0
