--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -24,13 +24,13 @@
 from gentianhitch.proxy.warmup import WarmupBounds
 from gentianhitch.proxy.warmup import warmup_limit
 
+MAX_NAMED_SERVERS = 10
+"""Servers named in one log line; more are only counted."""
+
 
 @attrs.define(eq=False)
 class ChangeHandler:
-    """Updates balancer, connections, quotas and traffic splits from the store view.
-
-    ``services_of_unlike_priorities`` are those in the configuration in force.
-    """
+    """Updates balancer, connections, quotas and traffic splits from the store view."""
 
     _clock: Any
     _store_view: StoreView
@@ -45,7 +45,7 @@
     _servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _server_keys: frozenset[ServerKey] = frozenset()
     _use_by_service: dict[str, ServiceUse] = attrs.Factory(dict)
-    services_of_unlike_priorities: frozenset[str] = frozenset()
+    _declining_by_service: dict[str, frozenset[str]] = attrs.Factory(dict)
     _warmup_bounds: WarmupBounds | None = None
     _spilling: frozenset[str] = frozenset()
 
@@ -90,9 +90,6 @@
         )
         self._metrics.time("configuration_age", None, origin.age_s)
         self._balancer.set_routes(routes)
-        self.services_of_unlike_priorities = (
-            stored.configuration.services_of_unlike_priorities()
-        )
         self._splits.retain(routes)
         self._competition.update(stored.configuration)
         self._set_warmup_limits()
@@ -158,6 +155,33 @@
         """Return how many services had too few servers in use when last looked at."""
         return sum(use.is_below_floor for use in self._use_by_service.values())
 
+    def log_declining_servers(self, now: float) -> None:
+        """Log one line for each service whose servers began or ceased to decline."""
+        before = self._declining_by_service
+        self._declining_by_service = self._balancer.declining_by_service(before, now)
+        for service in sorted(before.keys() | self._declining_by_service.keys()):
+            was = before.get(service, frozenset())
+            declining = self._declining_by_service.get(service, frozenset())
+            if declining != was:
+                self._events.state(
+                    "servers_declining",
+                    service=service,
+                    declining=len(declining),
+                    began=sorted(declining - was)[:MAX_NAMED_SERVERS],
+                    ended=sorted(was - declining)[:MAX_NAMED_SERVERS],
+                )
+
+    def gauges(self) -> dict[str, float]:
+        """Return what is exported of the last looks at all services."""
+        return {
+            "servers_believed_to_decline": self.count_declining_servers(),
+            "services_below_floor": self.count_services_below_floor(),
+        }
+
+    def count_declining_servers(self) -> int:
+        """Return how many servers were believed to decline when last looked at."""
+        return sum(len(ids) for ids in self._declining_by_service.values())
+
 
 def _floor_state(use: ServiceUse) -> tuple[bool, bool]:
     return use.is_below_floor, use.is_floor_binding
--- a/src/gentianhitch/proxy/competition.py
+++ b/src/gentianhitch/proxy/competition.py
@@ -26,6 +26,10 @@
         """Return whether requests of ``service`` compete for its capacity."""
         return self.expects_pressure or service in self._services
 
+    def has_unlike_priorities(self, service: str) -> bool:
+        """Return whether routes of different priority lead to ``service``."""
+        return service in self._services
+
     @property
     def has_competing_services(self) -> bool:
         """Return whether requests of any service compete."""
--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -21,7 +21,6 @@
 from gentianhitch.proxy.answer_kinds import is_unusable
 from gentianhitch.proxy.answer_kinds import says_leaving
 from gentianhitch.proxy.attempts import Attempt
-from gentianhitch.proxy.declines import decline_cost
 from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.dispatch_context import DispatchOwner
 from gentianhitch.proxy.gray_filter import hedge_survival
@@ -149,7 +148,8 @@
             priority=self._priority,
             exclude=self._tried_ids,
             avoid_domains=self._silent_domains,
-            decline_cost=self._decline_cost(now),
+            may_repeat=self._count_attempts() + 1 < self._route.max_attempts,
+            remaining_s=self._deadline - now,
         )
         if server is None:
             has_tried = self._writes or self._connect_failures
@@ -170,20 +170,6 @@
         self._start_attempt(server, is_paid=needs_retry)
         return True
 
-    def _decline_cost(self, now: float) -> float:
-        """Return what a decline of the next attempt costs."""
-        latencies = self._context.balancer.latencies(self._service, self._route)
-        can_retry = (
-            self._count_attempts() + 1 < self._route.max_attempts
-            and self._deadline - now > latencies.quantile(HEDGE_QUANTILE)
-        )
-        return decline_cost(
-            can_retry=can_retry,
-            budget_used=self._context.budget_used(
-                self._service, now, priority=self._priority
-            ),
-        )
-
     def _start_attempt(self, server: BackendServer, *, is_paid: bool) -> None:
         self._tried_ids |= {server.id}
         attempt = Attempt(self, server, is_paid=is_paid)
--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -14,7 +14,7 @@
 from gentianhitch.callers.complete_requests import HeaderNames
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.proxy.balancing import Balancer
-from gentianhitch.proxy.declines import RETRIED_DECLINE_COST
+from gentianhitch.proxy.declines import decline_cost
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.own_limits import OwnLimits
@@ -22,6 +22,8 @@
 from gentianhitch.proxy.server_reach import ServerReach
 
 USUAL_QUANTILE = 0.5
+RETRY_QUANTILE = 0.9
+"""Another attempt counts on the time within which this share of responses come."""
 
 
 class DispatchOwner(Protocol):
@@ -78,14 +80,22 @@
         priority: int,
         exclude: frozenset[str],
         avoid_domains: frozenset[str],
-        decline_cost: float,
+        may_repeat: bool,
+        remaining_s: float,
     ) -> BackendServer | None:
         """Return the server for the next attempt, or None.
 
+        ``may_repeat`` if the route allows another attempt after a decline of this one.
         Servers of ``avoid_domains`` are chosen only if there is no other. While the own
         link is suspected, only servers with an open connection are chosen; without one,
-        a connect probes the link. ``decline_cost`` is what a decline costs the attempt.
+        a connect probes the link.
         """
+        latencies = self.balancer.latencies(service, route)
+        now = self.clock.seconds()
+        cost = decline_cost(
+            can_retry=may_repeat and remaining_s > latencies.quantile(RETRY_QUANTILE),
+            budget_used=self._budget_used(service, now, priority),
+        )
         connected = self.connections.servers_with_idle_connections()
         excluded = self.reach.excluded(service, connected, avoid_domains)
 
@@ -93,11 +103,11 @@
             return self.balancer.choose(
                 service,
                 route,
-                self.clock.seconds(),
+                now,
                 priority=priority,
                 exclude=ids,
                 connected=connected,
-                decline_cost=decline_cost,
+                decline_cost=cost,
             )
 
         server = choose_without(exclude | excluded)
@@ -123,7 +133,8 @@
             priority=priority,
             exclude=nobody,
             avoid_domains=nobody,
-            decline_cost=RETRIED_DECLINE_COST,
+            may_repeat=route.max_attempts > 1,
+            remaining_s=route.objective_s,
         )
         return server is not None
 
@@ -146,7 +157,7 @@
             budget = self._budgets_by_service[service] = self.create_budget()
         return budget
 
-    def budget_used(self, service: str, now: float, *, priority: int) -> float:
+    def _budget_used(self, service: str, now: float, priority: int) -> float:
         """Return the share of the budget of ``service`` that is used after one retry.
 
         It is above 1 if there is none left for requests of ``priority``.
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -32,6 +32,7 @@
         "reloaded",
         "server_leaving",
         "services_spilling",
+        "servers_declining",
         "store_lost",
         "store_regained",
     }
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -221,7 +221,7 @@
                 HEADER_NAMES,
                 lambda: create_budget(self._settings.bounds),
                 lambda: self._fleet.slack_share(self._quotas.sharers),
-                lambda service: service in self._changes.services_of_unlike_priorities,
+                self._competition.has_unlike_priorities,
                 self._reach,
                 self._own.limits,
             ),
@@ -311,7 +311,7 @@
             "servers_cold": self._balancer.count_cold(now),
             "servers_evacuated": self._balancer.count_evacuated(),
             "services_spilling": len(self._balancer.spilling_services()),
-            "services_below_floor": self._changes.count_services_below_floor(),
+            **self._changes.gauges(),
             "buffered_bytes": self._buffers.used_bytes,
             **self._own.gauges(),
         }
@@ -349,6 +349,7 @@
         self._changes.update(now)
         self._changes.log_service_use(now)
         self._changes.log_spill()
+        self._changes.log_declining_servers(now)
         self._settings_file.reload_if_changed()
         self._own.update(self._monitor.record_lag(), self.store_view.peers_by_name)
 
--- a/tests/proxy/test_own_link.py
+++ b/tests/proxy/test_own_link.py
@@ -195,7 +195,7 @@
             for number in range(4)
         ]
         balancer.update(servers, 0.0)
-        balancer.set_evacuated(frozenset("bc"))
+        balancer.set_evacuated(frozenset("bc"), 0.0)
         beliefs: list[LinkBelief] = []
         reach = ServerReach(Clock(), balancer, cast("Any", None), beliefs.append)
         for server in servers[:MIN_TIMED_OUT_SERVERS]:
--- a/tests/proxy/test_retry_budget.py
+++ b/tests/proxy/test_retry_budget.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from gentianhitch.proxy.competition import Competition
 from gentianhitch.proxy.model import WeightedService
 from gentianhitch.proxy.retry_budget import HEDGE_SHARE
 from gentianhitch.proxy.retry_budget import SPENDABLE_SHARE
@@ -153,10 +154,14 @@
         others = make_route(
             name="others", priority=3, destinations=(WeightedService("other", 1.0),)
         )
-        alike = make_configuration(orders, attrs.evolve(reads, priority=1), others)
-        assert alike.services_of_unlike_priorities() == frozenset()
-        unlike = make_configuration(orders, reads, others)
-        assert unlike.services_of_unlike_priorities() == frozenset({"stock"})
+        for expects_pressure in (False, True):
+            competition = Competition(expects_pressure)
+            alike = attrs.evolve(reads, priority=1)
+            competition.update(make_configuration(orders, alike, others))
+            assert not competition.has_unlike_priorities("stock")
+            competition.update(make_configuration(orders, reads, others))
+            assert competition.has_unlike_priorities("stock")
+            assert not competition.has_unlike_priorities("other")
 
 
 def test_priorities_follow_the_configuration_in_force() -> None:
