--- a/src/gentianhitch/proxy/dispatch.py
+++ b/src/gentianhitch/proxy/dispatch.py
@@ -21,6 +21,7 @@
 from gentianhitch.proxy.answer_kinds import is_unusable
 from gentianhitch.proxy.answer_kinds import says_leaving
 from gentianhitch.proxy.attempts import Attempt
+from gentianhitch.proxy.declines import decline_cost
 from gentianhitch.proxy.dispatch_context import DispatchContext
 from gentianhitch.proxy.dispatch_context import DispatchOwner
 from gentianhitch.proxy.gray_filter import hedge_survival
@@ -148,6 +149,7 @@
             priority=self._priority,
             exclude=self._tried_ids,
             avoid_domains=self._silent_domains,
+            decline_cost=self._decline_cost(now),
         )
         if server is None:
             has_tried = self._writes or self._connect_failures
@@ -158,7 +160,9 @@
         is_allowed = (
             not needs_retry
             or is_paid
-            or self._context.try_spend_retry(self._service, now, hedge=hedge)
+            or self._context.try_spend_retry(
+                self._service, now, hedge=hedge, priority=self._priority
+            )
         )
         if not is_allowed:
             self._owner.log_dispatch_event("retry_budget_spent", server, "")
@@ -166,6 +170,20 @@
         self._start_attempt(server, is_paid=needs_retry)
         return True
 
+    def _decline_cost(self, now: float) -> float:
+        """Return what a decline of the next attempt costs."""
+        latencies = self._context.balancer.latencies(self._service, self._route)
+        can_retry = (
+            self._count_attempts() + 1 < self._route.max_attempts
+            and self._deadline - now > latencies.quantile(HEDGE_QUANTILE)
+        )
+        return decline_cost(
+            can_retry=can_retry,
+            budget_used=self._context.budget_used(
+                self._service, now, priority=self._priority
+            ),
+        )
+
     def _start_attempt(self, server: BackendServer, *, is_paid: bool) -> None:
         self._tried_ids |= {server.id}
         attempt = Attempt(self, server, is_paid=is_paid)
@@ -323,8 +341,12 @@
         return self._route.idempotent and self._has_attempts_left()
 
     def _has_attempts_left(self) -> bool:
+        return self._count_attempts() < self._route.max_attempts
+
+    def _count_attempts(self) -> int:
+        """Return how many attempts were written or are still connecting."""
         connecting = sum(each.connecting is not None for each in self._attempts)
-        return self._writes + connecting < self._route.max_attempts
+        return self._writes + connecting
 
     def _record_result(self, attempt: Attempt, result: AttemptResult) -> None:
         if attempt.token is not None:
--- a/src/gentianhitch/proxy/dispatch_context.py
+++ b/src/gentianhitch/proxy/dispatch_context.py
@@ -14,6 +14,7 @@
 from gentianhitch.callers.complete_requests import HeaderNames
 from gentianhitch.callers.refusals import Cause
 from gentianhitch.proxy.balancing import Balancer
+from gentianhitch.proxy.declines import RETRIED_DECLINE_COST
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Route
 from gentianhitch.proxy.own_limits import OwnLimits
@@ -49,7 +50,10 @@
 
 @attrs.define(eq=False)
 class DispatchContext:
-    """The parts that all dispatches of one instance share."""
+    """The parts that all dispatches of one instance share.
+
+    ``has_unlike_priorities`` tells whether routes of unlike priority lead to a service.
+    """
 
     clock: Any
     balancer: Balancer
@@ -57,6 +61,7 @@
     names: HeaderNames
     create_budget: Callable[[], RetryBudget]
     slack_share: Callable[[], float]
+    has_unlike_priorities: Callable[[str], bool] = lambda service: False
     reach: ServerReach = attrs.field()
     limits: OwnLimits = attrs.Factory(OwnLimits)
     _budgets_by_service: dict[str, RetryBudget] = attrs.Factory(dict)
@@ -73,12 +78,13 @@
         priority: int,
         exclude: frozenset[str],
         avoid_domains: frozenset[str],
+        decline_cost: float,
     ) -> BackendServer | None:
         """Return the server for the next attempt, or None.
 
         Servers of ``avoid_domains`` are chosen only if there is no other. While the own
         link is suspected, only servers with an open connection are chosen; without one,
-        a connect probes the link.
+        a connect probes the link. ``decline_cost`` is what a decline costs the attempt.
         """
         connected = self.connections.servers_with_idle_connections()
         excluded = self.reach.excluded(service, connected, avoid_domains)
@@ -91,6 +97,7 @@
                 priority=priority,
                 exclude=ids,
                 connected=connected,
+                decline_cost=decline_cost,
             )
 
         server = choose_without(exclude | excluded)
@@ -111,7 +118,12 @@
             return True
         nobody: frozenset[str] = frozenset()
         server = self.choose(
-            service, route, priority=priority, exclude=nobody, avoid_domains=nobody
+            service,
+            route,
+            priority=priority,
+            exclude=nobody,
+            avoid_domains=nobody,
+            decline_cost=RETRIED_DECLINE_COST,
         )
         return server is not None
 
@@ -134,6 +146,25 @@
             budget = self._budgets_by_service[service] = self.create_budget()
         return budget
 
-    def try_spend_retry(self, service: str, now: float, *, hedge: bool) -> bool:
+    def budget_used(self, service: str, now: float, *, priority: int) -> float:
+        """Return the share of the budget of ``service`` that is used after one retry.
+
+        It is above 1 if there is none left for requests of ``priority``.
+        """
+        return self.budget(service).used_share(
+            now, self.slack_share(), priority=self._shared_priority(service, priority)
+        )
+
+    def try_spend_retry(
+        self, service: str, now: float, *, hedge: bool, priority: int
+    ) -> bool:
         """Spend one retry of the budget of ``service``; False if there is none left."""
-        return self.budget(service).try_spend(now, self.slack_share(), hedge=hedge)
+        return self.budget(service).try_spend(
+            now,
+            self.slack_share(),
+            hedge=hedge,
+            priority=self._shared_priority(service, priority),
+        )
+
+    def _shared_priority(self, service: str, priority: int) -> int | None:
+        return priority if self.has_unlike_priorities(service) else None
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -220,6 +220,7 @@
                 HEADER_NAMES,
                 lambda: create_budget(self._settings.bounds),
                 lambda: self._fleet.slack_share(self._quotas.sharers),
+                lambda service: service in self._changes.services_of_unlike_priorities,
                 self._reach,
                 self._own.limits,
             ),
