--- a/src/gentianhitch/proxy/balancing.py
+++ b/src/gentianhitch/proxy/balancing.py
@@ -122,7 +122,7 @@
     ) -> float:
         """Return the cost of a server of another failure domain."""
         has_sound_local = any(
-            gray < MAX_IDLE_BONUS_PROBABILITY
+            max(gray, record.declines.probability(now)) < MAX_IDLE_BONUS_PROBABILITY
             and record.server.failure_domain == self._failure_domain
             for record, gray in usable
         )
