Test evacuation and cold servers with real processes

Purpose: tests/end_to_end/test_evacuation.py evacuates one of three failure domains under load, restarts an instance and has the store refuse calls meanwhile, turns the domain's servers cold, cancels the evacuation, and counts what reached each server; turns servers cold amid traffic; and evacuates all domains.

--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -2,7 +2,7 @@
 
 Usage: ``python -m standins.key_value_store [--port PORT]``. ``PUT /admin/faults``
 takes a JSON object with fields of :class:`StoreFaults`; ``PUT /admin/item?key=KEY``
-writes any bytes as the operator or a backend server would.
+writes any bytes as the operator or a backend server would, and ``DELETE`` removes them.
 """
 
 from __future__ import annotations
@@ -52,6 +52,7 @@
         route: Any = self.app.route
         route("/admin/faults", methods=["PUT"])(self._set_faults)
         route("/admin/item", methods=["PUT"])(self._write_item)
+        route("/admin/item", methods=["DELETE"])(self._remove_item)
 
     def _serve(self, method: str, path: str, answer: Any) -> None:
         route: Any = self.app.route(path, methods=[method], endpoint=path)
@@ -113,6 +114,10 @@
         self.write(request.args[b"key"][0].decode(), request.content.read())
         return serving.answer_json(request, {})
 
+    def _remove_item(self, request: Any) -> bytes:
+        self.remove(request.args[b"key"][0].decode())
+        return serving.answer_json(request, {})
+
 
 def _reply(request: Any, answer: StoreAnswer) -> bytes:
     return serving.answer_json(request, answer.body, answer.status)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -26,6 +26,14 @@
 HOST = "shop.example"
 KEY = "key-north-1"
 WORKSPACE = "north"
+EVACUATION_S = 5.0
+WARMUP_S = 3.0
+WARMUP_PER_S = 6.5
+WARMUP_OVERSHOOT = 1.5
+WARMUP_SLACK = 8
+MOST_WHILE_COLD = WARMUP_PER_S * WARMUP_OVERSHOOT + WARMUP_SLACK
+"""Requests that a cold server takes in any one second."""
+
 ROUTES = {"read": "/stock/", "order": "/orders/", "open": "/catalogue/"}
 
 
@@ -60,7 +68,13 @@
         ],
         "listeners": [{"hostname": HOST, "rules": rules}],
         "clusters": [
-            {"name": name, "healthCheckPath": "/health", "maxConnections": 100}
+            {
+                "name": name,
+                "healthCheckPath": "/health",
+                "maxConnections": 100,
+                "warmupS": WARMUP_S,
+                "warmupPerS": WARMUP_PER_S,
+            }
             for name in ("stock", "orders")
         ],
     }
@@ -114,6 +128,7 @@
     store: str = ""
     servers_by_id: dict[str, str] = attrs.Factory(dict)
     links_by_server: dict[str, str] = attrs.Factory(dict)
+    zones_by_server: dict[str, str] = attrs.Factory(dict)
     proxies: list[Proxy] = attrs.Factory(list)
     _standins: list[subprocess.Popen[str]] = attrs.Factory(list)
 
@@ -127,6 +142,7 @@
             )
             self.servers_by_id.update(ready["addresses"])
             self.links_by_server.update(ready["listed"])
+            self.zones_by_server.update(ready["zones"])
         self.configure(make_document(1))
         return self
 
@@ -143,6 +159,27 @@
         """Write a configuration as the operator does."""
         call("PUT", self.store, "/admin/item?key=op/config", document)
 
+    def evacuate(self, zone: str) -> None:
+        """Evacuate a failure domain as the operator does."""
+        call("PUT", self.store, f"/admin/item?key=op/evacuate/{zone}", {})
+
+    def cancel_evacuation(self, zone: str) -> None:
+        """Cancel the evacuation of a failure domain."""
+        call("DELETE", self.store, f"/admin/item?key=op/evacuate/{zone}")
+
+    def servers_in(self, zone: str) -> list[str]:
+        """Return the servers of a failure domain."""
+        return [
+            server for server, where in self.zones_by_server.items() if where == zone
+        ]
+
+    def arrivals(self, server: str) -> list[dict[str, Any]]:
+        """Return every request that reached a server, refused ones included."""
+        found: list[dict[str, Any]] = call(
+            "GET", self.servers_by_id[server], "/admin/arrivals"
+        )
+        return found
+
     def set_store_fault(self, **fault: Any) -> None:
         """Switch faults of the store."""
         call("PUT", self.store, "/admin/faults", fault)
@@ -245,6 +282,9 @@
                 "quotaWindowS": 5,
                 "quotaOvershoot": 0.1,
                 "quotaSlack": 20,
+                "evacuationMs": EVACUATION_S * 1000,
+                "warmupOvershoot": WARMUP_OVERSHOOT,
+                "warmupSlack": WARMUP_SLACK,
             }
         },
     }
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,9 +7,9 @@
 ``cut-head`` (the connection ends amid the head of the answer), ``busy`` (a refusal
 with ``Retry-After``) or one of ``ENDLESS``, which sends until it is closed. ``drain``
 and ``leave`` last: all answers say that the server leaves, and with ``drain`` its entry
-says so too. The query of a request may ask for an answer of ``bytes`` more, and for a
-pause before its body is read (``read_after_ms``) or in the middle of the answer
-(``pause_ms``).
+says so too. ``cold`` makes it say for ``--warmup-s`` that it is cold. The query of a
+request may ask for an answer of ``bytes`` more, and for a pause before its body is read
+(``read_after_ms``) or in the middle of the answer (``pause_ms``).
 """
 
 from __future__ import annotations
@@ -74,6 +74,8 @@
     fault: str = "none"
     state: str = "ready"
     is_leaving: bool = False
+    warmup_s: float = 0.0
+    cold_until_s: float = 0.0
     beats: int = 0
     ran: list[str] = attrs.Factory(list)
     runs: list[dict[str, Any]] = attrs.Factory(list)
@@ -117,7 +119,7 @@
             "version": "v1",
             "slots": SLOTS,
             "state": self.state,
-            "warmupRemainingMs": 0,
+            "warmupRemainingMs": self.cold_for_s * 1000,
             "sequenceNumber": self.beats,
             "born": self.started_ms,
         }
@@ -125,6 +127,11 @@
         data = json.dumps(entry).encode()
         deferToThread(_put, url, data).addErrback(lambda _: None)
 
+    @property
+    def cold_for_s(self) -> float:
+        """Return for how long it stays cold; 0 if it is warm."""
+        return max(self.cold_until_s - time.monotonic(), 0.0)
+
     async def _answer(self, request: Any) -> bytes:
         headers = request.requestHeaders
         request_id = headers.getRawHeaders(wire_names.REQUEST_ID, [b""])[0]
@@ -136,7 +143,12 @@
         if self.is_leaving:
             request.setHeader(wire_names.SERVER_LEAVING, b"1")
         self.arrivals.append(
-            {"request": request_id.decode(), "at_s": time.monotonic(), "wait_s": 0.0}
+            {
+                "request": request_id.decode(),
+                "at_s": time.monotonic(),
+                "wait_s": 0.0,
+                "is_cold": self.cold_for_s > 0,
+            }
         )
         if self.fault == "busy":
             self.arrivals[-1]["wait_s"] = BUSY_S
@@ -194,6 +206,9 @@
             self.beat()
         elif kind == "leave":
             self.is_leaving = True
+        elif kind == "cold":
+            self.cold_until_s = time.monotonic() + self.warmup_s
+            self.beat()
         else:
             self.fault = kind
         return b""
@@ -264,19 +279,22 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--store", required=True)
     parser.add_argument("--service", required=True)
-    parser.add_argument("--zone", default="d1")
+    parser.add_argument("--zones", default="d1", help="in turn, separated by commas")
+    parser.add_argument("--warmup-s", type=float, default=3.0)
     parser.add_argument("--count", type=int, default=3)
     parser.add_argument("--work-ms", type=float, default=0.0)
     parser.add_argument("--buffer-bytes", type=int, default=0)
     parser.add_argument("--links", help="address of standins.faulty_links")
     arguments = parser.parse_args()
+    zones = arguments.zones.split(",")
     servers = [
         Server(
             f"{arguments.service}-{number}",
             arguments.service,
             arguments.store,
-            arguments.zone,
+            zones[number % len(zones)],
             work_s=arguments.work_ms / 1000,
+            warmup_s=arguments.warmup_s,
         )
         for number in range(arguments.count)
     ]
@@ -290,6 +308,7 @@
     serving.announce(
         addresses={server.id: server.address for server in servers},
         listed={server.id: server.listed_address for server in servers},
+        zones={server.id: server.zone for server in servers},
     )
     serving.serve()
 
