Keep counting the sends to a cold server whose entry lapses for a moment

Cause: found by reading. The record of a server that leaves the listing is dropped, and with it the times of this instance's sends. The sends are now kept for as long as they count.

Ruled out: to keep the whole record, whose evidence is meant to start anew.

Before and after: test_a_server_whose_entry_lapses_for_a_moment_stays_limited came with the change; test_cold_servers.py passes.

--- a/src/gentianhitch/proxy/server_table.py
+++ b/src/gentianhitch/proxy/server_table.py
@@ -16,6 +16,7 @@
 from gentianhitch.proxy.server_records import ServerRecord
 from gentianhitch.proxy.warmup import LIST_SPREAD_S
 from gentianhitch.proxy.warmup import LISTING_CURRENT_S
+from gentianhitch.proxy.warmup import SendWindow
 from gentianhitch.proxy.warmup import Share
 from gentianhitch.proxy.warmup import WarmupLimit
 from gentianhitch.proxy.warmup import share_of
@@ -49,6 +50,7 @@
         self._reported_by_instance: dict[str, frozenset[tuple[str, int]]] = {}
         self._instances: frozenset[str] = frozenset()
         self._former_instances: list[tuple[float, frozenset[str]]] = []
+        self._unlisted_sends: dict[tuple[str, int], SendWindow] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
         self._returned_s_by_domain: dict[str, float] = {}
         self._warmup_limits: dict[str, WarmupLimit] = {}
@@ -60,7 +62,7 @@
         listed = {server.key: server for server in servers}
         for key in tuple(self._records_by_key):
             if key not in listed:
-                del self._records_by_key[key]
+                self._unlisted_sends[key] = self._records_by_key.pop(key).sends
         self._by_service = {}
         self._server_keys_by_digest = {server_digest(key): key for key in listed}
         for key, server in listed.items():
@@ -71,6 +73,7 @@
                 )
                 record.warm_at_s = now + server.warmup_s
                 record.last_used_s = now
+                record.sends = self._unlisted_sends.pop(key, record.sends)
                 self._records_by_key[key] = record
                 self._set_turn(record)
                 self._set_shares(record, now)
@@ -79,6 +82,12 @@
                 self._start_warmup(record, server, now, is_new=False)
             record.server = server
             self._by_service.setdefault(server.service, []).append(record)
+        # An entry may lapse and be written again within the window of its sends.
+        self._unlisted_sends = {
+            key: sends
+            for key, sends in self._unlisted_sends.items()
+            if not sends.is_empty(now)
+        }
 
     def server_key(self, digest: int) -> tuple[str, int] | None:
         """Return the key of the listed server with ``digest``; None if none has it."""
--- a/src/gentianhitch/proxy/warmup.py
+++ b/src/gentianhitch/proxy/warmup.py
@@ -151,6 +151,11 @@
         self._expire(now)
         return len(self._sent) + len(self._chosen) < allowance
 
+    def is_empty(self, now: float) -> bool:
+        """Return whether no request counts any more."""
+        self._expire(now)
+        return not (self._sent or self._chosen)
+
     def record_choice(self, now: float) -> None:
         """Count a request whose connection may yet have to be opened."""
         self._chosen.append(now)
--- a/tests/proxy/test_cold_servers.py
+++ b/tests/proxy/test_cold_servers.py
@@ -133,6 +133,22 @@
         fleet.run(WARMUP_S + 3.0)
         assert most(fleet, ["s-4"], fleet.now - 2.0, fleet.now) > MOST_PER_S
 
+    # Guards against a limit that starts anew: its entry lapsed and was written again.
+    def test_a_server_whose_entry_lapses_for_a_moment_stays_limited(self) -> None:
+        fleet = ColdFleet(3, 1040.0, servers=3, spread_s=0.0)
+        fleet.list_servers(**{each.id: COLD for each in fleet.servers})
+        fleet.run(1.0)
+        began_s = fleet.now
+        listed = fleet.servers
+        for _ in range(10):
+            fleet.servers = listed[1:]
+            fleet.list_servers()
+            fleet.run(0.1)
+            fleet.servers = listed
+            fleet.list_servers()
+            fleet.run(0.1)
+        assert 0 < most(fleet, ["s-0"], began_s, fleet.now) <= MOST_PER_S
+
     def test_all_servers_turn_cold_at_once(self) -> None:
         fleet = ColdFleet(8, 1040.0, servers=9)
         fleet.run(3.0)
