Have the fault soak evacuate failure domains and turn servers cold

Cause: the soak knew neither, and most of its faults excuse instances as out of contact. DomainWork evacuates domains for 0.2 to 9 s beside the faults, with random numbers of its own so that seeds keep their faults, and has the domain's servers return cold. When the faults have ended it does so once more for 7 s while no fault excuses anyone. The checks EVACUATE and COLD count by the time at which callers sent: a link may hold requests and let them go together. The soak's servers are spread over three domains.

Ruled out: adding these to the faults, which would change what each known seed does.

--- a/standins/fault_soak/checks.py
+++ b/standins/fault_soak/checks.py
@@ -10,6 +10,8 @@
 import attrs
 
 from standins.fault_soak.callers import Seen
+from standins.platform_deployment import EVACUATION_S
+from standins.platform_deployment import MOST_WHILE_COLD
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 WINDOW_S = 5.0
@@ -67,6 +69,15 @@
         return allowed * (1.0 + QUOTA_OVERSHOOT) + QUOTA_SLACK
 
 
+@attrs.frozen
+class Span:
+    """A time in which some servers were evacuated, or one was cold."""
+
+    servers: frozenset[str]
+    began_s: float
+    ended_s: float
+
+
 @attrs.define
 class History:
     """All that was seen: by callers, by servers, and what was acknowledged."""
@@ -79,6 +90,8 @@
     disturbances: list[Disturbance]
     arrivals_by_server: dict[str, list[dict[str, Any]]] = attrs.Factory(dict)
     reached: set[str] = attrs.Factory(set)
+    evacuations: list[Span] = attrs.Factory(list)
+    cold: list[Span] = attrs.Factory(list)
 
     def broken(self) -> list[str]:
         """Return a line for each broken promise."""
@@ -92,6 +105,8 @@
             *self._drained(),
             *self._left(),
             *self._crowded(),
+            *self._evacuated(),
+            *self._flooded(),
             *self._lost(),
             *self._lost_in_touch(),
         ]
@@ -223,6 +238,51 @@
                 if count > MAX_IN_WAIT and self._in_touch(asked["at_s"], end_s):
                     yield f"BUDGET {server} got {count} amid its wait, from {address}"
 
+    def _evacuated(self) -> Iterable[str]:
+        """Find requests at servers of a domain that was evacuated for long enough."""
+        for span in self.evacuations:
+            began_s = span.began_s + EVACUATION_S
+            for server in span.servers:
+                for sent_s, at_s in self._arrivals(server, span.ended_s):
+                    if sent_s > began_s and self._in_touch(span.began_s, at_s):
+                        late_s = sent_s - span.began_s
+                        yield f"EVACUATE {server} got a request after {late_s:.1f} s"
+                        break
+
+    def _flooded(self) -> Iterable[str]:
+        """Find cold servers that got too many requests in one second.
+
+        Instances are bound once they may know that the server is cold.
+        """
+        for span in self.cold:
+            began_s = span.began_s + DRAIN_S
+            if not self._in_touch(span.began_s, span.ended_s):
+                continue
+            for server in span.servers:
+                arrivals = self._arrivals(server, span.ended_s)
+                most = max(
+                    (
+                        sum(sent >= begin and at < begin + 1.0 for sent, at in arrivals)
+                        for begin, _ in arrivals
+                        if begin >= began_s
+                    ),
+                    default=0,
+                )
+                if most > MOST_WHILE_COLD:
+                    yield f"COLD {server} got {most} requests in one second"
+
+    def _arrivals(self, server: str, until_s: float) -> list[tuple[float, float]]:
+        """Return when callers sent the requests of a server, and when it got them.
+
+        Links may hold requests that were sent before, and let them go together.
+        """
+        sent_s_by_request = {seen.request: seen.sent_s for seen in self.seen}
+        return [
+            (sent_s_by_request[each["request"]], each["at_s"])
+            for each in self.arrivals_by_server.get(server, ())
+            if each["request"] in sent_s_by_request and each["at_s"] < until_s
+        ]
+
     def _was_paused(self, address: str, began_s: float, ended_s: float) -> bool:
         return any(
             each.paused == address and each.touches(began_s, ended_s)
--- a/standins/fault_soak/deployment.py
+++ b/standins/fault_soak/deployment.py
@@ -49,7 +49,10 @@
 
     def __enter__(self) -> SoakDeployment:
         self.links = self.start_standin("standins.faulty_links")["address"]
-        self.server_arguments = ("--links", self.links, "--work-ms", "40")
+        self.server_arguments = (
+            *("--links", self.links, "--work-ms", "40"),
+            *("--zones", ",".join(ZONES)),
+        )
         super().__enter__()
         self.files_by_id = self.start_standin(
             "standins.platform_server",
--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -28,6 +28,7 @@
 from standins.fault_soak.deployment import SMALL_RATE_PER_S
 from standins.fault_soak.deployment import SMALL_WORKSPACE
 from standins.fault_soak.deployment import SoakDeployment
+from standins.fault_soak.domains import DomainWork
 from standins.fault_soak.faults import STORE_WELL
 from standins.fault_soak.faults import Fault
 from standins.fault_soak.faults import FaultPlan
@@ -80,6 +81,7 @@
     options: Options
     deployment: SoakDeployment
     random: Random
+    domains: DomainWork
     lines: list[str] = attrs.Factory(list)
     addresses: list[str] = attrs.Factory(list)
     withdrawn: list[Moment] = attrs.Factory(list)
@@ -109,7 +111,9 @@
         for thread in threads:
             thread.start()
         self._strike()
-        time.sleep(RECOVERY_S if self.options.faults_s else 0.0)
+        if self.options.faults_s:
+            until_s = time.monotonic() + RECOVERY_S
+            self._note_all(self.domains.run_in_contact(until_s))
         calm_s = time.monotonic()
         time.sleep(self.options.calm_s)
         calm_until_s = time.monotonic()
@@ -155,9 +159,14 @@
     def _note(self, line: str) -> None:
         self.lines.append(f"{time.monotonic() - self._began_s:7.2f} s  {line}")
 
+    def _note_all(self, lines: list[str]) -> None:
+        for line in lines:
+            self._note(line)
+
     def _strike(self) -> None:
         """Begin and end faults; several may last at once."""
         plan = FaultPlan(self.deployment, self.random)
+        domains = self.domains
         until_s = time.monotonic() + self.options.faults_s
         ends: list[Running] = []
         while time.monotonic() < until_s:
@@ -171,7 +180,9 @@
                 heapq.heappush(ends, (began_s + fault.for_s, began_s, fault))
             time.sleep(self.random.uniform(*GAP_S))
             self._end_faults(ends, time.monotonic())
+            self._note_all(domains.step())
         self._end_faults(ends, float("inf"))
+        self._note_all(domains.end())
         self.deployment.set_store_fault(**STORE_WELL)
         self._note("all faults have ended")
 
@@ -252,6 +263,8 @@
             self.disturbances,
             self.deployment.arrivals_by_server(),
             self.deployment.reached(),
+            self.domains.evacuations,
+            self.domains.cold,
         )
         broken = [*history.broken(), *self.deployment.bad_exits]
         withdrawn = {moment.what for moment in self.withdrawn}
@@ -280,7 +293,8 @@
             return run_soak(options, Path(scratch))
     with SoakDeployment(folder) as deployment:
         deployment.start_proxies(options.proxies)
-        soak = Soak(options, deployment, Random(options.seed))
+        domains = DomainWork(deployment, Random(f"{options.seed}/domains"))
+        soak = Soak(options, deployment, Random(options.seed), domains)
         soak.addresses = deployment.resolve(deployment.proxies[0])
         if not soak.addresses:
             raise DeploymentError("the directory names no instance")
--- a/tests/standins/test_fault_soak_checks.py
+++ b/tests/standins/test_fault_soak_checks.py
@@ -10,6 +10,7 @@
 from standins.fault_soak.checks import History
 from standins.fault_soak.checks import Limit
 from standins.fault_soak.checks import Moment
+from standins.fault_soak.checks import Span
 from standins.fault_soak.checks import recovered
 
 ORDER = Kind("order", "POST", "/orders/", "key-1", "north")
@@ -123,6 +124,51 @@
         found = broken(seen, [], arrivals_by_server=servers, disturbances=cut)
         assert found == []
 
+    def test_a_server_of_an_evacuated_domain(self) -> None:
+        evacuated = [Span(frozenset({"stock-0"}), 90.0, 100.0)]
+
+        def check(sent_s: float, *faults: Disturbance) -> list[str]:
+            arrival = {"request": "r-1", "at_s": sent_s + 0.05, "wait_s": 0.0}
+            return broken(
+                [make_seen(READ, sent_s=sent_s)],
+                [],
+                evacuations=evacuated,
+                arrivals_by_server={"stock-0": [arrival]},
+                disturbances=list(faults),
+            )
+
+        assert check(95.1) == ["EVACUATE"]
+        assert check(94.9) == []
+        assert check(100.1) == []
+        assert check(95.1, Disturbance(92.0, 93.0)) == []
+        assert check(95.1, Disturbance(92.0, 93.0, cuts_off=False)) == ["EVACUATE"]
+
+    def test_a_cold_server_that_got_too_many(self) -> None:
+        cold = [Span(frozenset({"stock-0"}), 90.0, 93.0)]
+
+        def check(count: int, first_s: float, *faults: Disturbance) -> list[str]:
+            times_s = {f"r-{n}": first_s + n * 0.04 for n in range(count)}
+            arrivals = [
+                {"request": request, "at_s": at_s, "wait_s": 0.0}
+                for request, at_s in times_s.items()
+            ]
+            return broken(
+                [
+                    make_seen(READ, request=request, sent_s=at_s, answer={}, status=503)
+                    for request, at_s in times_s.items()
+                ],
+                [],
+                cold=cold,
+                arrivals_by_server={"stock-0": arrivals},
+                disturbances=list(faults),
+            )
+
+        assert check(18, 92.0) == ["COLD"]
+        assert check(17, 92.0) == []
+        assert check(18, 91.0) == []
+        assert check(18, 93.0) == []
+        assert check(18, 92.0, Disturbance(89.0, 91.0)) == []
+
     def test_a_planned_stop_that_cut_a_request(self) -> None:
         stop = Disturbance(99.0, 103.0, stopped="127.0.0.1:1")
         seen = make_seen(status=0)
