--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -86,6 +86,19 @@
     }
 
 
+@attrs.define
+class LossyTransport:
+    """Lose a share of the datagrams."""
+
+    transport: Any
+    random: Random
+    share: float
+
+    def write(self, data: bytes, to: Any) -> None:
+        if self.random.random() >= self.share:
+            self.transport.write(data, to)
+
+
 def instance_host(number: int) -> str:
     return f"10.1.{number // 250}.{number % 250 + 1}"
 
@@ -209,6 +222,13 @@
             found[server.id] = server.failure_domain
         return set(found.values())
 
+    def lose_datagrams(self, share: float) -> None:
+        """Lose some of the datagrams that instances send, at random."""
+        random = Random("lost datagrams")
+        for instance in self.instances:
+            datagrams = instance._datagrams
+            datagrams.transport = LossyTransport(datagrams.transport, random, share)
+
     def reader_hosts(self) -> set[str]:
         """Return the hosts of the instances that usually read the store."""
         peers = self.instances[0].store_view.peers_by_name.values()
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -102,6 +102,18 @@
         deployment.advance(EVACUATION_S)
         assert usable(deployment) == [{"a", "c"}] * INSTANCES
 
+    # Guards against an evacuation that is told once, in a datagram that is lost.
+    def test_a_third_of_the_datagrams_is_lost(self, deployment) -> None:
+        deployment.lose_datagrams(1 / 3)
+        deployment.store.refused_hosts = {instance_host(0), instance_host(4)}
+        deployment.advance(3.0)
+        deployment.evacuate("b")
+        deployment.advance(EVACUATION_S)
+        assert usable(deployment) == [{"a", "c"}] * INSTANCES
+        deployment.cancel_evacuation("b")
+        deployment.advance(EVACUATION_S)
+        assert usable(deployment) == [set(ZONES)] * INSTANCES
+
     def test_the_last_known_state_stays_in_force_in_an_outage(self, deployment) -> None:
         deployment.evacuate("b")
         deployment.advance(EVACUATION_S)
