--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -621,12 +621,18 @@
 Case = Callable[[Lab, bool], Awaitable[bool]]
 
 
+def _end_on_signal(*_: object) -> None:
+    raise SystemExit(CANNOT_RUN)
+
+
 def run_case(script: str, case: Case, limit_s: float = 110.0) -> None:
     """Run a case and exit with its code; it returns whether the rule was broken.
 
     It gets the lab and whether the disruption takes place (not with ``TROUBLE=0``).
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended on the way out.
+    signal.signal(signal.SIGTERM, _end_on_signal)
     code = CANNOT_RUN
     with tempfile.TemporaryDirectory() as folder:
         lab = Lab(Path(script).resolve().parent, Path(folder))
