Take an answer without a length for whole only if its connection was not reset

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete 200, with the server's signature.

Cause: `ServerConnection` completes such a response when Twisted reports `ConnectionDone`. A trace of polls, reads and writes on real sockets shows two ways in which Twisted reports it for a reset: - The poll finds the error of the socket without the end of reading (events 0xc), as Linux sets the one before the other. Twisted then calls it a clean shutdown. - The server ends its stream and then resets, so that a read returns the end of the stream while the error is pending. A third is possible by itself: a failed write is told the error, which the kernel reports once. It did not occur in these traces: the next write fails first.

Fix: the connection is told of the end of reading while its socket is still open, and asks the kernel whether there was an error or whether the connection is closed altogether. If the stream has ended and the request is not yet delivered, it waits: a server that closes without reading resets when more of the request arrives, and one that reads on acknowledges the rest. So an early answer whose server reads on is still passed on.

Ruled out: to discard every early answer that ends with its connection (servers do send such answers whole); to decide by Twisted's reason in the event loop alone (an end that is followed by the reset a little later would still pass). `write_at_once`, which drops the error of a failed write, was suspected first and is not the cause.

Checked where else answers are read: the clients of the store and of other instances fail a body that ends with its connection, `gentianhitch entry` and the load tool reject one. Nothing changes there.

--- a/src/gentianhitch/backend_servers/complete_responses.py
+++ b/src/gentianhitch/backend_servers/complete_responses.py
@@ -97,9 +97,12 @@
 
         That is one with neither length nor chunks, of which the head was received.
         """
-        if not self._in_body or self._framed:
-            return None
-        return self._build()
+        return self._build() if self.is_until_close else None
+
+    @property
+    def is_until_close(self) -> bool:
+        """Return whether a response is being read that ends with the connection."""
+        return self._in_body and not self._framed
 
     @property
     def is_between_responses(self) -> bool:
--- a/src/gentianhitch/backend_servers/server_connections.py
+++ b/src/gentianhitch/backend_servers/server_connections.py
@@ -8,11 +8,14 @@
 
 import attrs
 from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
 from twisted.internet.error import ConnectionRefusedError as RefusedError
 from twisted.internet.interfaces import IAddress
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from gentianhitch.addresses import Address
 from gentianhitch.arrived import has_arrived
@@ -24,6 +27,8 @@
 from gentianhitch.backend_servers.errors import NotOpenedError
 from gentianhitch.backend_servers.errors import TruncatedResponseError
 from gentianhitch.buffers import BufferAccount
+from gentianhitch.resets import is_delivered
+from gentianhitch.resets import was_reset
 from gentianhitch.silence import SilenceLimit
 from gentianhitch.socket_options import watch_for_silence
 from gentianhitch.writing import write_at_once
@@ -46,6 +51,9 @@
 """A server may respond before it has read a longer request completely, and then the
 connection can't be reused."""
 
+DELIVERY_POLL_S = 0.01
+"""Interval at which a connection that the server has ended is checked for a reset."""
+
 MAX_DROPPED_RESPONSES = 16
 """A server that repeats a response does so a few times."""
 
@@ -72,6 +80,7 @@
         ...
 
 
+@implementer(IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """One connection to a backend server.
 
@@ -174,6 +183,27 @@
         else:
             self._pool.buffers.set_size(self, self._reader.buffered_bytes)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, once it is known whether the server resets it.
+
+        A server that closes without reading on resets the connection when more of the
+        request arrives; one that reads on acknowledges the rest of the request.
+        """
+        transport, is_reset = self.transport, was_reset(self.transport)
+        if self._reader.is_until_close and not (is_reset or is_delivered(transport)):
+            self._pool.clock.callLater(DELIVERY_POLL_S, self._check_delivery)
+            return
+        # This closes the socket, then calls ``connectionLost``.
+        error = ConnectionLost() if is_reset else ConnectionDone()
+        transport.connectionLost(Failure(error))
+
+    def _check_delivery(self) -> None:
+        if not self._is_closed:
+            self.readConnectionLost()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: the sending side is never ended alone."""
+
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Complete a response without a length, or fail the request."""
         was_closed, self._is_closed = self._is_closed, True
@@ -274,7 +304,7 @@
         buffers: BufferAccount,
     ) -> None:
         self._reactor = reactor
-        self._clock = clock
+        self.clock = clock
         self.request_id_header = request_id_header.lower()
         self._idle_by_server: dict[ServerKey, list[ServerConnection]] = {}
         self.connections: set[ServerConnection] = set()
@@ -297,7 +327,7 @@
         new one is opened unless ``may_open``. Return None if the waiter was called
         already.
         """
-        now = self._clock.seconds()
+        now = self.clock.seconds()
         idle = self._idle_by_server.get(key)
         while idle:
             connection = idle.pop()
@@ -335,7 +365,7 @@
 
     def put_idle(self, key: ServerKey, connection: ServerConnection) -> None:
         """Add a connection to the idle ones."""
-        connection.idle_since_s = self._clock.seconds()
+        connection.idle_since_s = self.clock.seconds()
         self._idle_by_server.setdefault(key, []).append(connection)
 
     def discard(self, key: ServerKey, connection: ServerConnection) -> None:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -4,12 +4,13 @@
 Each server registers itself, sends heartbeats, and answers any path with its own id.
 ``PUT /admin/fault?kind=KIND`` on its address switches a fault: ``none``, ``errors``,
 ``hang``, ``decline``, ``repeat`` (a refusal without an id before each answer),
-``cut-head`` (the connection ends amid the head of the answer), ``busy`` (a refusal
-with ``Retry-After``) or one of ``ENDLESS``, which sends until it is closed. ``drain``
-and ``leave`` last: all answers say that the server leaves, and with ``drain`` its entry
-says so too. ``cold`` makes it say for ``--warmup-s`` that it is cold. The query of a
-request may ask for an answer of ``bytes`` more, and for a pause before its body is read
-(``read_after_ms``) or in the middle of the answer (``pause_ms``).
+``cut-head`` (the connection ends amid the head of the answer), ``reset-upload`` (a part
+of an answer without a length, before the body is read, then a reset), ``busy`` (a
+refusal with ``Retry-After``) or one of ``ENDLESS``, which sends until it is closed.
+``drain`` and ``leave`` last: all answers say that the server leaves, and with ``drain``
+its entry says so too. ``cold`` makes it say for ``--warmup-s`` that it is cold. The
+query of a request may ask for an answer of ``bytes`` more, and for a pause before its
+body is read (``read_after_ms``) or in the middle of the answer (``pause_ms``).
 """
 
 from __future__ import annotations
@@ -37,6 +38,8 @@
     b"HTTP/1.1 503 Busy\r\n%b: 1\r\nContent-Length: 0\r\n\r\n" % wire_names.NOT_EXECUTED
 )
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Le"
+UNFRAMED_PART = b"a part of a body"
+RESET_DELAY_S = 0.003
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS = {
     "endless-line": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"y" * 65_536),
@@ -95,7 +98,7 @@
 
         def make_request(*arguments: Any, **named: Any) -> PausingRequest:
             request = PausingRequest(*arguments, **named)
-            request.reached = self.reached
+            request.server = self
             return request
 
         self.address = self.listed_address = serving.listen(
@@ -229,21 +232,34 @@
 class PausingRequest(Request):
     """Record that a head arrived, and pause before the body if the query says so."""
 
-    reached: list[str]
+    server: Server
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Begin to take the body."""
         super().gotLength(length)
         headers = self.requestHeaders
         request_id = headers.getRawHeaders(wire_names.REQUEST_ID, [b""])[0]
-        self.reached.append(request_id.decode())
+        self.server.reached.append(request_id.decode())
         channel: Any = self.channel
+        if request_id and self.server.fault == "reset-upload":
+            _reset_amid_answer(channel.transport, request_id)
+            return
         query = parse_qs(channel._path.partition(b"?")[2])
         if after_ms := _number(query, b"read_after_ms"):
             channel.transport.pauseProducing()
             serving.call_later(after_ms / 1000, channel.transport.resumeProducing)
 
 
+def _reset_amid_answer(transport: Any, request_id: bytes) -> None:
+    lines = [
+        b"HTTP/1.1 200 OK",
+        wire_names.REQUEST_ID + b": " + request_id,
+        wire_names.SIGNATURE + b": signed",
+    ]
+    transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + UNFRAMED_PART)
+    serving.call_later(RESET_DELAY_S, transport.abortConnection)
+
+
 async def _begin(request: Any, answer: bytes) -> bytes:
     """Return the answer, or what is left of it after a pause in its middle."""
     pause_ms = _number(request.args, b"pause_ms")
