Reject answers whose status HTTP does not define

What callers saw: a server in trouble sent an answer with the status 000. - `gentianhitch proxy` did not pass it on, but took it for an interim response, went on waiting, and answered 504 at the route's timeout. A request that may be repeated waited for its hedge. - `gentianhitch entry` did the same, and put the body of that answer before the body of the next one on the connection: its caller got "nosound", with the length of "sound". - Both forwarded an answer with a status from 600 to 999 as it was.

Cause: the parser accepts any three digits as a status, and both readers take what is below 200 for interim.

Fix: both readers raise InvalidResponseError for a status outside 100 to 599 once the head is complete, so that the connection ends and the request fails with 502 at once, or goes to another server. No answer of such a server has a status of HTTP, so nothing sound is lost.

--- a/src/gentianhitch/backend_servers/responses.py
+++ b/src/gentianhitch/backend_servers/responses.py
@@ -9,6 +9,8 @@
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+STATUSES = range(100, 600)
+"""The classes of RFC 9110; the parser accepts any three digits."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -31,6 +33,12 @@
     shed: bytes | None
 
 
+def check_status(status: int) -> None:
+    """Raise InvalidResponseError for a status that HTTP does not define."""
+    if status not in STATUSES:
+        raise InvalidResponseError(f"the status {status:03d} does not exist")
+
+
 @attrs.define
 class ResponsePart:
     """The data of one read.
@@ -123,6 +131,7 @@
     def on_headers_complete(self) -> None:
         """Build the head, except for interim responses (1xx)."""
         status = self._parser.get_status_code()
+        check_status(status)
         if status < 200:
             if status == 101:
                 raise InvalidResponseError("the answer switches protocols")
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -6,11 +6,12 @@
 ``hang``, ``decline``, ``repeat`` (a refusal without an id before each answer),
 ``cut-head`` (the connection ends amid the head of the answer), ``reset-upload`` (a part
 of an answer without a length, before the body is read, then a reset), ``busy`` (a
-refusal with ``Retry-After``) or one of ``ENDLESS``, which sends until it is closed.
-``drain`` and ``leave`` last: all answers say that the server leaves, and with ``drain``
-its entry says so too. ``cold`` makes it say for ``--warmup-s`` that it is cold. The
-query of a request may ask for an answer of ``bytes`` more, and for a pause before its
-body is read (``read_after_ms``) or in the middle of the answer (``pause_ms``).
+refusal with ``Retry-After``), one of ``ENDLESS``, which sends until it is closed, or
+one of ``BROKEN_HEADS``, after which it sends no more. ``drain`` and ``leave`` last: all
+answers say that the server leaves, and with ``drain`` its entry says so too. ``cold``
+makes it say for ``--warmup-s`` that it is cold. The query of a request may ask for an
+answer of ``bytes`` more, and for a pause before its body is read (``read_after_ms``) or
+in the middle of the answer (``pause_ms``).
 """
 
 from __future__ import annotations
@@ -56,6 +57,11 @@
 }
 """The first bytes of each, and those that are repeated."""
 
+BROKEN_HEADS = {"status-000": (b"000 Broken", b"X-Line: 1")}
+"""Status and one header of each."""
+
+BROKEN_BODY = b"no such answer"
+
 SLOTS = 6
 BUSY_S = 2.5
 _loops: list[LoopingCall] = []
@@ -175,16 +181,7 @@
                 "authorization": headers.hasHeader("authorization"),
             }
         )
-        if self.fault == "hang":
-            await serving.never()
-        if self.fault == "repeat":
-            request.channel.transport.write(REPEATED_REFUSAL)
-        if self.fault in ENDLESS:
-            await _send_without_end(request, *ENDLESS[self.fault])
-        if self.fault == "cut-head":
-            request.channel.transport.write(CUT_HEAD)
-            request.channel.transport.loseConnection()
-            await serving.never()
+        await self._break_answer(request, request_id)
         request.setHeader(wire_names.SIGNATURE, b"signed-by-" + self.id.encode())
         if self.fault == "errors":
             request.setResponseCode(500)
@@ -201,6 +198,23 @@
         }
         return await _begin(request, json.dumps(shown).encode())
 
+    async def _break_answer(self, request: Any, request_id: bytes) -> None:
+        """Send what the fault says before an answer, or in its place."""
+        transport = request.channel.transport
+        if self.fault == "repeat":
+            transport.write(REPEATED_REFUSAL)
+        elif self.fault in ENDLESS:
+            await _send_without_end(request, *ENDLESS[self.fault])
+        elif self.fault in BROKEN_HEADS:
+            transport.write(_encode_broken(request_id, *BROKEN_HEADS[self.fault]))
+            await serving.never()
+        elif self.fault == "cut-head":
+            transport.write(CUT_HEAD)
+            transport.loseConnection()
+            await serving.never()
+        elif self.fault == "hang":
+            await serving.never()
+
     def _set_fault(self, request: Any) -> bytes:
         kind = request.args[b"kind"][0].decode()
         if kind == "drain":
@@ -250,13 +264,24 @@
             serving.call_later(after_ms / 1000, channel.transport.resumeProducing)
 
 
-def _reset_amid_answer(transport: Any, request_id: bytes) -> None:
-    lines = [
-        b"HTTP/1.1 200 OK",
+def _encode_head(status: bytes, request_id: bytes, *lines: bytes) -> bytes:
+    """Return the head of a signed answer, as it is."""
+    head = [
+        b"HTTP/1.1 " + status,
         wire_names.REQUEST_ID + b": " + request_id,
         wire_names.SIGNATURE + b": signed",
+        *lines,
     ]
-    transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + UNFRAMED_PART)
+    return b"\r\n".join(head) + b"\r\n\r\n"
+
+
+def _encode_broken(request_id: bytes, status: bytes, line: bytes) -> bytes:
+    length = b"Content-Length: %d" % len(BROKEN_BODY)
+    return _encode_head(status, request_id, line, length) + BROKEN_BODY
+
+
+def _reset_amid_answer(transport: Any, request_id: bytes) -> None:
+    transport.write(_encode_head(b"200 OK", request_id) + UNFRAMED_PART)
     serving.call_later(RESET_DELAY_S, transport.abortConnection)
 
 
--- /dev/null
+++ b/tests/backend_servers/test_malformed_responses.py
@@ -0,0 +1,63 @@
+"""Responses that HTTP does not allow, at the readers of both programs."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianhitch.backend_servers.complete_responses import CompleteResponseReader
+from gentianhitch.backend_servers.errors import InvalidResponseError
+from gentianhitch.backend_servers.responses import ResponseReader
+
+BODY = b"Content-Length: 6\r\n\r\nbroken"
+SOUND = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
+FRAMINGS = {
+    "length": BODY,
+    "no length": b"\r\nbroken",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+    "no body": b"\r\n",
+}
+
+
+def read_in_pieces(reader: CompleteResponseReader | ResponseReader, data: bytes) -> str:
+    """Feed bytes one by one; return the status and body of the response."""
+    status, body = 0, b""
+    for index in range(len(data)):
+        result = reader.feed(data[index : index + 1])
+        if isinstance(result, list):
+            for response in result:
+                status, body = response.status, body + response.body
+        elif result is not None:
+            status = result.head.status if result.head else status
+            body += result.body
+    return f"{status} {body.decode()}"
+
+
+def make_readers() -> list[CompleteResponseReader | ResponseReader]:
+    reader = ResponseReader()
+    reader.expect(to_head_request=False)
+    return [CompleteResponseReader(), reader]
+
+
+def assert_invalid(data: bytes) -> None:
+    """Check that both readers reject the bytes, whole and one by one."""
+    for reader in make_readers():
+        with pytest.raises(InvalidResponseError):
+            reader.feed(data)
+    for reader in make_readers():
+        with pytest.raises(InvalidResponseError):
+            read_in_pieces(reader, data)
+
+
+class TestStatuses:
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize("status", [0, 1, 99, 600, 999])
+    def test_a_status_outside_the_classes_of_http(
+        self, status: int, framing: str
+    ) -> None:
+        assert_invalid(b"HTTP/1.1 %03d Broken\r\n" % status + FRAMINGS[framing] + SOUND)
+
+    @pytest.mark.parametrize("status", [200, 299, 404, 599])
+    def test_a_status_of_http(self, status: int) -> None:
+        data = SOUND.replace(b"200", b"%d" % status)
+        for reader in make_readers():
+            assert read_in_pieces(reader, data) == f"{status} sound"
--- a/tests/end_to_end/test_broken_answers.py
+++ b/tests/end_to_end/test_broken_answers.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -13,6 +14,8 @@
 from gentianhitch.platform import wire_names
 from standins.platform_deployment import PlatformDeployment
 from standins.platform_deployment import make_document
+from standins.platform_server import BROKEN_BODY
+from standins.platform_server import BROKEN_HEADS
 from standins.raw_http import RawAnswer
 from standins.raw_http import read_answer
 from tests.builders_raw_callers import READ_TIMEOUT_S
@@ -21,6 +24,8 @@
 ROOT = Path(__file__).parents[2]
 UPLOADS = 60
 UPLOAD_BYTES = 8_000_000
+AT_ONCE_S = 1.0
+"""Half of the route's timeout."""
 
 
 @pytest.fixture
@@ -55,3 +60,16 @@
         deployment.set_server_fault("orders-0", "none")
         answer = place_order(deployment, "o-sound", "a pallet")
         assert (answer.status, b"a pallet" in answer.body) == (200, True)
+
+
+class TestBrokenHeads:
+    @pytest.mark.parametrize("kind", BROKEN_HEADS)
+    def test_an_order_fails_at_once(self, deployment: Any, kind: str) -> None:
+        deployment.set_server_fault("orders-0", kind)
+        began_s = time.monotonic()
+        answer = place_order(deployment, "o-broken")
+        assert (answer.status, answer.header(wire_names.SIGNATURE)) == (502, None)
+        assert BROKEN_BODY not in answer.body
+        assert time.monotonic() - began_s < AT_ONCE_S
+        deployment.set_server_fault("orders-0", "none")
+        assert place_order(deployment, "o-sound").status == 200
