Reject interim answers that have a body

What callers saw: a server sent an answer with the status 199, a length and a body, and then its answer. `gentianhitch entry` put the first body before the second: its caller got "nosound", with the length of "sound". `gentianhitch proxy` dropped the first body. Found while the status 000 was traced, which is of the same kind.

Cause: the head ends an interim response, but the parser reads a body after any 1xx other than 100, 102 and 103 that declares one. The reader of `gentianhitch entry` collected these bytes for the next response.

Fix: both readers raise InvalidResponseError at the first byte of such a body.

--- a/src/gentianhitch/backend_servers/complete_responses.py
+++ b/src/gentianhitch/backend_servers/complete_responses.py
@@ -140,6 +140,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep body bytes."""
+        if not self._in_body:
+            raise InvalidResponseError("an interim response has a body")
         self._body += data
 
     def on_message_complete(self) -> None:
--- a/src/gentianhitch/backend_servers/responses.py
+++ b/src/gentianhitch/backend_servers/responses.py
@@ -146,6 +146,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer body bytes for the next part."""
+        if not self._is_head_complete:
+            raise InvalidResponseError("an interim answer has a body")
         if self._has_no_body:
             raise InvalidResponseError("an answer that can't have a body has one")
         self._parts.append(data)
--- a/tests/backend_servers/test_failing_targets.py
+++ b/tests/backend_servers/test_failing_targets.py
@@ -181,6 +181,7 @@
     "length and chunks": make_response(Transfer_Encoding="chunked"),
     "status 000": make_response(b"no", "000 Broken"),
     "status 000 before another": make_response(b"no", "000 Broken") + make_response(),
+    "interim with a body": make_response(b"no", "199 Wait") + make_response(),
     "status 600": make_response(b"no", "600 Broken"),
     "garbage": b"hello\r\n\r\n",
     "endless head": b"HTTP/1.1 200 OK\r\nA: " + b"x" * 70_000,
--- a/tests/backend_servers/test_malformed_responses.py
+++ b/tests/backend_servers/test_malformed_responses.py
@@ -61,3 +61,22 @@
         data = SOUND.replace(b"200", b"%d" % status)
         for reader in make_readers():
             assert read_in_pieces(reader, data) == f"{status} sound"
+
+
+class TestInterimResponses:
+    """The head ends an interim response, whatever length it declares."""
+
+    @pytest.mark.parametrize("status", [102, 103, 199])
+    @pytest.mark.parametrize("framing", ["length", "chunks"])
+    def test_one_with_a_body(self, status: int, framing: str) -> None:
+        assert_invalid(b"HTTP/1.1 %d Wait\r\n" % status + FRAMINGS[framing] + SOUND)
+
+    def test_one_whose_length_reaches_into_the_next_response(self) -> None:
+        # The parser takes the length at its word, except with 100, 102 and 103.
+        assert_invalid(b"HTTP/1.1 199 Wait\r\nContent-Length: 6\r\n\r\n" + SOUND)
+
+    @pytest.mark.parametrize("status", [100, 102, 103, 199])
+    def test_one_without_a_body_is_dropped(self, status: int) -> None:
+        for reader in make_readers():
+            data = b"HTTP/1.1 %d Wait\r\nX-Wait: 1\r\n\r\n" % status + SOUND
+            assert read_in_pieces(reader, data) == "200 sound"
