Test that an answer with a malformed field name is rejected

Reported of other systems: an answer in whose head the name of a field held a blank or a control byte reached the client, with that line passed on or with a body that was not the server's. It does not happen here: the parser rejects such a head in both programs, and the request fails with 502 or goes to another server. Nothing is changed for it.

The tests insert each byte that is no part of a token at each position of a name, whole and byte by byte, in the first and the last line, with and without a length (both readers), and send three such heads through a real proxy and two through the request path of `gentianhitch entry`.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -57,7 +57,12 @@
 }
 """The first bytes of each, and those that are repeated."""
 
-BROKEN_HEADS = {"status-000": (b"000 Broken", b"X-Line: 1")}
+BROKEN_HEADS = {
+    "status-000": (b"000 Broken", b"X-Line: 1"),
+    "blank-in-name": (b"200 OK", b"X Line: 1"),
+    "blank-after-name": (b"200 OK", b"X-Line : 1"),
+    "control-in-name": (b"200 OK", b"X-\x01Line: 1"),
+}
 """Status and one header of each."""
 
 BROKEN_BODY = b"no such answer"
--- a/tests/backend_servers/test_failing_targets.py
+++ b/tests/backend_servers/test_failing_targets.py
@@ -183,6 +183,10 @@
     "status 000 before another": make_response(b"no", "000 Broken") + make_response(),
     "interim with a body": make_response(b"no", "199 Wait") + make_response(),
     "status 600": make_response(b"no", "600 Broken"),
+    "blank in a name": make_response(b"no").replace(b"Content", b"X Y: 1\r\nContent"),
+    "control byte in a name": make_response(b"no").replace(
+        b"Content-L", b"Content\0-L"
+    ),
     "garbage": b"hello\r\n\r\n",
     "endless head": b"HTTP/1.1 200 OK\r\nA: " + b"x" * 70_000,
     "switch": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
--- a/tests/backend_servers/test_malformed_responses.py
+++ b/tests/backend_servers/test_malformed_responses.py
@@ -80,3 +80,29 @@
         for reader in make_readers():
             data = b"HTTP/1.1 %d Wait\r\nX-Wait: 1\r\n\r\n" % status + SOUND
             assert read_in_pieces(reader, data) == "200 sound"
+
+
+# Bytes that a field name may contain (RFC 9110, section 5.6.2).
+TOKEN = b"!#$%&'*+-.^_`|~0123456789" + bytes(range(65, 91)) + bytes(range(97, 123))
+NOT_IN_NAMES = sorted({*range(256)} - {*TOKEN, *b":"})
+
+
+class TestFieldNames:
+    @pytest.mark.parametrize("name", [b"X-Line", b"Content-Length", b"X-Id"])
+    @pytest.mark.parametrize("framing", [b"Content-Length: 6\r\n", b""])
+    def test_a_byte_that_names_may_not_contain(
+        self, name: bytes, framing: bytes
+    ) -> None:
+        for byte in NOT_IN_NAMES:
+            for index in range(len(name) + 1):
+                broken = name[:index] + bytes([byte]) + name[index:] + b": 1\r\n"
+                assert_invalid(encode_response(broken, framing))
+                assert_invalid(encode_response(framing, broken))
+
+    def test_an_empty_name(self) -> None:
+        assert_invalid(encode_response(b": 1\r\n", b"Content-Length: 6\r\n"))
+
+
+def encode_response(*lines: bytes) -> bytes:
+    """Return a response with these lines in its head."""
+    return b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\nbroken"
