Reject answers whose reason phrase has a control byte

What callers saw: a status line with a control byte, NUL among them, in its reason phrase, as the server had sent it. Callers with a strict parser can't read such an answer.

Cause: the parser rejects control bytes in names and values, not in the reason phrase, which both programs forward.

Fix: both readers raise InvalidResponseError for it once the head is complete, where they check the status. Tabs and bytes above ASCII stay, as HTTP allows them.

--- a/src/gentianhitch/backend_servers/complete_responses.py
+++ b/src/gentianhitch/backend_servers/complete_responses.py
@@ -10,7 +10,7 @@
 from gentianhitch.backend_servers.errors import InvalidResponseError
 from gentianhitch.backend_servers.responses import STATUSES_WITHOUT_BODY
 from gentianhitch.backend_servers.responses import Headers
-from gentianhitch.backend_servers.responses import check_status
+from gentianhitch.backend_servers.responses import check_status_line
 from gentianhitch.buffers import HEADER_MEMORY_BYTES
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -126,7 +126,7 @@
     def on_headers_complete(self) -> None:
         """Store the status and determine how the body ends."""
         self._status = self._parser.get_status_code()
-        check_status(self._status)
+        check_status_line(self._status, self._reason)
         if self._status < 200:
             return
         self._in_body = True
--- a/src/gentianhitch/backend_servers/responses.py
+++ b/src/gentianhitch/backend_servers/responses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import attrs
 import httptools
 
@@ -12,6 +14,9 @@
 STATUSES = range(100, 600)
 """The classes of RFC 9110; the parser accepts any three digits."""
 
+_CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Not allowed in a reason phrase (RFC 9112, section 4); the parser accepts most."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -33,10 +38,12 @@
     shed: bytes | None
 
 
-def check_status(status: int) -> None:
-    """Raise InvalidResponseError for a status that HTTP does not define."""
+def check_status_line(status: int, reason: bytes) -> None:
+    """Raise InvalidResponseError for what the parser accepts but HTTP does not."""
     if status not in STATUSES:
         raise InvalidResponseError(f"the status {status:03d} does not exist")
+    if _CONTROL_BYTE.search(reason):
+        raise InvalidResponseError("the reason phrase has a control byte")
 
 
 @attrs.define
@@ -131,7 +138,7 @@
     def on_headers_complete(self) -> None:
         """Build the head, except for interim responses (1xx)."""
         status = self._parser.get_status_code()
-        check_status(status)
+        check_status_line(status, self._reason)
         if status < 200:
             if status == 101:
                 raise InvalidResponseError("the answer switches protocols")
--- a/tests/backend_servers/test_malformed_responses.py
+++ b/tests/backend_servers/test_malformed_responses.py
@@ -82,6 +82,19 @@
             assert read_in_pieces(reader, data) == "200 sound"
 
 
+class TestReasonPhrases:
+    def test_a_control_byte(self) -> None:
+        for byte in (*range(32), 127):
+            if byte not in b"\t":
+                assert_invalid(SOUND.replace(b"OK", b"O%cK" % byte))
+
+    @pytest.mark.parametrize("reason", [b" Not\tbad", b" \xe9", b" ", b""])
+    def test_any_other_text(self, reason: bytes) -> None:
+        for reader in make_readers():
+            data = SOUND.replace(b" OK", reason)
+            assert read_in_pieces(reader, data) == "200 sound"
+
+
 # Bytes that a field name may contain (RFC 9110, section 5.6.2).
 TOKEN = b"!#$%&'*+-.^_`|~0123456789" + bytes(range(65, 91)) + bytes(range(97, 123))
 NOT_IN_NAMES = sorted({*range(256)} - {*TOKEN, *b":"})
