--- a/tests/backend_servers/test_reset_responses.py
+++ b/tests/backend_servers/test_reset_responses.py
@@ -22,6 +22,8 @@
 SETTLE_S = 0.05
 """Longer than a segment takes over loopback."""
 
+UNDECIDED_S = 0.2
+
 IN_KERNEL = encode_upload(100_000)
 """The kernel takes it in one write."""
 
@@ -63,8 +65,7 @@
         async def poll_amid_the_reset(reactor: Any) -> None:
             while uploader.connection is None or not is_reading(uploader):
                 await sleep(reactor, POLL_S)
-            server.may_reset.set()
-            server.has_reset.wait()
+            server.reset()
             transport = uploader.connection.transport
             reactor._doReadOrWrite(transport, transport.fileno(), EPOLLERR | EPOLLOUT)
 
@@ -78,8 +79,7 @@
     def test_a_reset_behind_the_end_of_the_stream(self) -> None:
         # A read returns the end of the stream before the error.
         server = ResettingServer(ends_first=True)
-        server.may_reset.set()
-        uploader = Uploader(IN_KERNEL, block_s=SETTLE_S)
+        uploader = Uploader(IN_KERNEL, reset_after=server)
         with server:
             run_scenario(lambda reactor: upload(reactor, server, uploader), EventLoop)
         assert_truncated(uploader)
@@ -87,24 +87,25 @@
     def test_a_reset_long_after_the_end_of_the_stream(self) -> None:
         # A server that closes without reading resets the connection only when more of
         # the upload arrives.
-        server = ResettingServer(ends_first=True, delay_s=2 * SETTLE_S)
-        server.may_reset.set()
-        uploader = Uploader(LONG)
+        server, uploader = ResettingServer(ends_first=True), Uploader(LONG)
+
+        async def reset_later(reactor: Any) -> None:
+            while uploader.connection is None or not is_reading(uploader):
+                await sleep(reactor, POLL_S)
+            await sleep(reactor, SETTLE_S)
+            server.may_reset.set()
+
         with server:
-            run_scenario(lambda reactor: upload(reactor, server, uploader), EventLoop)
+            run_scenario(
+                lambda reactor: upload(reactor, server, uploader, reset_later),
+                EventLoop,
+            )
         assert_truncated(uploader)
 
     def test_a_reset_before_the_upload_is_written(self) -> None:
         # The failed write is told the error; reads then return the end of the stream.
         server = ResettingServer()
-        server.may_reset.set()
-
-        class LateUploader(Uploader):
-            def connected(self, connection: Any) -> None:
-                server.has_reset.wait()
-                super().connected(connection)
-
-        uploader = LateUploader(IN_KERNEL, block_s=SETTLE_S)
+        uploader = Uploader(IN_KERNEL, reset_before=server)
         with server:
             run_scenario(lambda reactor: upload(reactor, server, uploader), EventLoop)
         assert_truncated(uploader)
@@ -123,11 +124,28 @@
         for uploader in uploaders:
             assert_truncated(uploader)
 
+    def test_a_server_that_neither_reads_on_nor_closes(self) -> None:
+        server, uploader = ResettingServer(ends_first=True), Uploader(LONG)
+
+        async def give_up(reactor: Any) -> None:
+            pool = ServerConnections(reactor, reactor, b"X-Id", BufferAccount())
+            pool.open(KEY, server.address, uploader)
+            await sleep(reactor, UNDECIDED_S)
+            assert not uploader.has_ended
+            uploader.connection.close()
+            await sleep(reactor, SETTLE_S)
+            assert pool.connections == set()
+
+        with server:
+            run_scenario(give_up, EventLoop)
+        server.may_reset.set()
+        assert not uploader.has_ended
+
     def test_a_server_that_reads_on_after_its_response_has_sent_all(self) -> None:
         for request in (IN_KERNEL, LONG):
             server = ResettingServer(ends_first=True, lingers=True)
             server.may_reset.set()
-            uploader = Uploader(request, block_s=SETTLE_S)
+            uploader = Uploader(request)
             with server:
                 run_scenario(
                     lambda reactor, server=server, uploader=uploader: upload(
--- a/tests/builders_resetting_servers.py
+++ b/tests/builders_resetting_servers.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import time
+from contextlib import suppress
 from threading import Event
 from threading import Thread
 from typing import Any
@@ -28,8 +29,7 @@
 
     ``reads_head`` if it reads the start of the request first, ``ends_first`` if it ends
     its sending side before the reset, ``lingers`` if it reads on in place of the reset.
-    That comes after ``delay_s``, once ``may_reset`` is set. Use it as a context
-    manager.
+    That comes ``delay_s`` after ``may_reset`` is set. Use it as a context manager.
     """
 
     reads_head: bool = False
@@ -53,6 +53,11 @@
     def address(self) -> Address:
         return Address(*self._port.getsockname())
 
+    def reset(self) -> None:
+        """Reset the connection now, and wait until that is done."""
+        self.may_reset.set()
+        self.has_reset.wait(TIMEOUT_S)
+
     def _accept(self) -> None:
         while True:
             try:
@@ -62,14 +67,15 @@
             Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
-        with connection:
+        # The client may close first.
+        with suppress(OSError), connection:
             connection.settimeout(TIMEOUT_S)
             if self.reads_head:
                 connection.recv(1_000)
             connection.sendall(UNFRAMED_PART)
-            self.may_reset.wait(TIMEOUT_S)
             if self.ends_first:
                 connection.shutdown(socket.SHUT_WR)
+            self.may_reset.wait(TIMEOUT_S)
             time.sleep(self.delay_s)
             if self.lingers:
                 while connection.recv(65_536):
@@ -90,19 +96,24 @@
 class Uploader:
     """Writes one upload and records what becomes of it.
 
-    ``block_s`` is for how long the event loop stands still after the write.
+    While the event loop stands still, ``reset_before`` resets the connection before the
+    write, or ``reset_after`` after it.
     """
 
     request: bytes
-    block_s: float = 0.0
+    reset_before: ResettingServer | None = None
+    reset_after: ResettingServer | None = None
     connection: Any = None
     responses: list[Any] = attrs.Factory(list)
     errors: list[Any] = attrs.Factory(list)
 
     def connected(self, connection: Any) -> None:
         self.connection = connection
+        if self.reset_before is not None:
+            self.reset_before.reset()
         connection.send(REQUEST_ID, self.request, self)
-        time.sleep(self.block_s)
+        if self.reset_after is not None:
+            self.reset_after.reset()
 
     def connect_failed(self, error: Any) -> None:
         self.errors.append(error)
