--- a/src/gentianhitch/platform/wire_names.py
+++ b/src/gentianhitch/platform/wire_names.py
@@ -12,6 +12,8 @@
 SIGNATURE = b"X-Gentianhitch-Response-Signature"
 NOT_EXECUTED = b"X-Gentianhitch-Not-Executed"
 SERVER_LEAVING = b"Server-Leaving"
+# Rises by one each time the store returns from a copy; in all its answers.
+STORE_ERA = b"Store-Era"
 
 READINESS_PATH = "/v1/readiness"
 RESOLVE_PATH = "/v1/resolve"
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -29,6 +30,16 @@
     created: int = 0
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store held at ``taken_s`` of its clock."""
+
+    taken_s: float
+    records_by_key: dict[str, Record]
+    leases_by_id: dict[str, LeaseRecord]
+    revision: int
+
+
 @attrs.define
 class LeaseRecord:
     """One running lease."""
@@ -39,12 +50,17 @@
 
 @attrs.define
 class Store:
-    """Hold keys with compare-and-swap and delete those whose lease ends."""
+    """Hold keys with compare-and-swap and delete those whose lease ends.
+
+    ``era`` counts the returns from a copy.
+    """
 
     clock: Clock
     records_by_key: dict[str, Record] = attrs.Factory(dict)
     leases_by_id: dict[str, LeaseRecord] = attrs.Factory(dict)
     revision: int = 0
+    era: int = 0
+    _returned_at: int = 0
 
     def get(self, key: str) -> Record | None:
         """Read one key."""
@@ -99,6 +115,44 @@
             self.leases_by_id[lease].ends_at = self.clock()
             self._expire()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of everything."""
+        leases = {id_: attrs.evolve(one) for id_, one in self.leases_by_id.items()}
+        return StoreCopy(self.clock(), dict(self.records_by_key), leases, self.revision)
+
+    def return_from(self, copy: StoreCopy, pause_s: float) -> dict[str, str | None]:
+        """Go back to a copy, where leases go on after a pause of ``pause_s``.
+
+        Return the values that were lost, by key; None for a lost delete.
+        """
+        before = self.records_by_key
+        lost = {
+            key: None if key not in before else before[key].value
+            for key in before.keys() | copy.records_by_key.keys()
+            if before.get(key) != copy.records_by_key.get(key)
+        }
+        self.records_by_key = dict(copy.records_by_key)
+        self.leases_by_id = {
+            id_: LeaseRecord(one.ttl_s, one.ends_at + pause_s)
+            for id_, one in copy.leases_by_id.items()
+        }
+        self.revision = copy.revision
+        self.era += 1
+        self._returned_at = copy.revision
+        return lost
+
+    def write_again(self, lost: Mapping[str, str | None]) -> None:
+        """Write lost values, except where there was another write since the return."""
+        for key, value in lost.items():
+            current = self.records_by_key.get(key)
+            revision = 0 if current is None else current.revision
+            if revision > self._returned_at:
+                continue
+            if value is not None:
+                self.put(key, value, revision, None)
+            elif current is not None:
+                self.delete(key, revision)
+
     def _require(self, key: str, expected: int) -> None:
         self._expire()
         current = self.records_by_key.get(key)
--- a/tests/builders_deployment.py
+++ b/tests/builders_deployment.py
@@ -13,6 +13,7 @@
 from gentianhitch.proxy.instance import ProxyInstance
 from gentianhitch.proxy.sources import reading_order
 from standins.platform_store import Store
+from standins.platform_store import StoreCopy
 from tests.builders_platform import make_raw_node_settings
 from tests.builders_proxy import make_route
 from tests.simulated_network import Network
@@ -277,6 +278,20 @@
     def configure(self, document: dict[str, Any]) -> None:
         self.store.write("op/config", document)
 
+    def return_store(self, copy: StoreCopy, away_s: float, again_s: float) -> None:
+        """Have the store be away, and return from a copy that was taken before.
+
+        The operator writes what it lost ``again_s`` after the return; servers write at
+        their heartbeats.
+        """
+        self.store.is_down = True
+        self.advance(away_s)
+        pause_s = self.network.clock.seconds() - copy.taken_s
+        lost = self.store.store.return_from(copy, pause_s)
+        self.store.is_down = False
+        by_operator = {key: lost[key] for key in lost if key.startswith("op/")}
+        self.network.clock.callLater(again_s, self.store.store.write_again, by_operator)
+
     def drain_server(self, number: int) -> None:
         self._states[number] = "draining"
         self._renew_server(number)
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -9,6 +9,7 @@
 
 from twisted.web.resource import Resource
 
+from gentianhitch.platform import wire_names
 from standins import serving
 from standins.platform_store import Store
 from standins.store_calls import StoreAnswer
@@ -44,6 +45,7 @@
     def render(self, request: Any) -> bytes:
         answer = self._answer(request)
         request.setResponseCode(answer.status)
+        request.setHeader(wire_names.STORE_ERA, str(self.store.era).encode())
         return json.dumps(answer.body).encode()
 
     def _answer(self, request: Any) -> StoreAnswer:
