Log a store that returned from a copy, and configurations that are not taken

- `store_returned`, a counter of it and the gauge `store_era`: from the header `Store-Era`.
- `configuration_ignored`: a read shows another configuration than the one in force here.
- `finished` names the version of the configuration.

Late or failing reads show in `store_lost` and in the ages of the request lines as before; a wrong proof shows small ages and neither of the new lines; a configuration that can't be decoded shows `store_lost` with the reason.

--- a/src/gentianhitch/http_client.py
+++ b/src/gentianhitch/http_client.py
@@ -73,10 +73,11 @@
 
 @attrs.frozen
 class Answer:
-    """Complete HTTP response: status code and body."""
+    """Complete HTTP response."""
 
     status: int
     body: bytes
+    headers: Headers = attrs.field(factory=Headers, eq=False)
 
 
 @implementer(IBodyProducer)
@@ -156,7 +157,7 @@
     response = await agent.request(method.encode(), url.encode(), headers, producer)
     reader = _BodyReader(progress)
     response.deliverBody(reader)
-    return Answer(response.code, await reader.finished)
+    return Answer(response.code, await reader.finished, response.headers)
 
 
 async def call(
--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -27,6 +28,7 @@
 from gentianhitch.platform.interface import OutcomeUnknownError
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.platform.interface import UnavailableError
+from gentianhitch.platform.wire_names import STORE_ERA
 
 CONNECT_TIMEOUT_S = 0.5
 STALL_TIMEOUT_S = 1.0
@@ -35,6 +37,11 @@
 MAX_CONNECTIONS = 3
 """One each for the listing, the configuration and the lease: their calls overlap."""
 
+NO_ERA = 0
+"""Era of a store that names none."""
+
+MAX_ERA_DIGITS = 15
+
 RESPONSE_LOST_ERRORS = (
     CancelledError,
     ConnectionDone,
@@ -102,10 +109,17 @@
 
     A call raises UnavailableError when it was not sent or failed, and
     OutcomeUnknownError when its response was lost. ``calls`` counts the calls.
+    ``on_era`` is called with the era of each successful response.
     """
 
-    def __init__(self, reactor: Any, address: Address) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: Address,
+        on_era: Callable[[int], object] = lambda era: None,
+    ) -> None:
         self._reactor = reactor
+        self._on_era = on_era
         self._base_url = f"http://{address}"
         self._pool = make_pool(reactor, MAX_CONNECTIONS)
         self._agent = make_agent(reactor, self._pool, CONNECT_TIMEOUT_S)
@@ -199,13 +213,26 @@
         data = None if body is None else msgspec.json.encode(body)
         url = self._base_url + path
         try:
-            return await call(
+            response = await call(
                 self._reactor, STALL_TIMEOUT_S, self._agent, method, url, data, progress
             )
         except NOT_SENT_ERRORS as error:
             raise UnavailableError(f"{method} {path}: {error!r}") from error
         except RESPONSE_LOST_ERRORS as error:
             raise OutcomeUnknownError(f"{method} {path}: {error!r}") from error
+        if response.status == HTTPStatus.OK:
+            self._on_era(_era(response))
+        return response
+
+
+def _era(response: Answer) -> int:
+    """Return how often the store has returned from a copy, as its response says."""
+    (value,) = response.headers.getRawHeaders(STORE_ERA, [b""])[-1:]
+    if not value:
+        return NO_ERA
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        raise UnavailableError(f"malformed era of the store: {value[:20]!r}")
+    return int(value)
 
 
 def _ok_body(response: Answer, path: str) -> bytes:
--- a/src/gentianhitch/proxy/explain.py
+++ b/src/gentianhitch/proxy/explain.py
@@ -17,6 +17,7 @@
 STATE_EVENTS = frozenset(
     {
         "configuration_changed",
+        "configuration_ignored",
         "configuration_not_fetched",
         "evacuation_changed",
         "evacuation_unknown",
@@ -35,6 +36,7 @@
         "servers_declining",
         "store_lost",
         "store_regained",
+        "store_returned",
     }
 )
 
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -113,7 +113,7 @@
     def _build_parts(self) -> None:
         settings, clock, events = self._settings, self._reactor, self._events
         self._datagrams = Datagrams(self._receive, self.metrics.count)
-        self._store = KeyValueStore(self._reactor, settings.store)
+        self._store = KeyValueStore(self._reactor, settings.store, self._observe_era)
         self._balancer = Balancer(
             settings.name,
             settings.failure_domain,
@@ -302,6 +302,7 @@
         now = self._reactor.seconds()
         return {
             "store_calls": self._store.calls,
+            "store_era": self.store_view.era or 0,
             "server_connections_opened": self._connections.opened,
             "configuration_age_seconds": self.store_view.configuration_age_s(now),
             "listing_age_seconds": self.store_view.listing_age_s(now),
@@ -342,6 +343,18 @@
     def _has_recent_reply(self, now: float) -> bool:
         return now - self._last_reply_s < HOUSEKEEPING_INTERVAL_S * 4
 
+    def _observe_era(self, era: int) -> None:
+        previous = self.store_view.era
+        if self.store_view.observe_era(era):
+            self.metrics.count("store_returns")
+            configuration = self.store_view.configuration
+            self._events.state(
+                "store_returned",
+                era=era,
+                previous_era=previous,
+                version=None if configuration is None else configuration.version,
+            )
+
     def _run_housekeeping(self) -> None:
         now = self._reactor.seconds()
         self._connections.close_idle(now)
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -98,6 +98,7 @@
         self._parts_being_read: set[str] = set()
         self._failing_parts: set[str] = set()
         self._conditional_read_failed = False
+        self._ignored: StoredConfiguration | None = None
         self._rejected_by_key: dict[str, str] = {}
         self._unknown_evacuated: frozenset[str] = frozenset()
         self._loop = Repeating(clock, TICK_S, self._tick, events.failure)
@@ -228,6 +229,7 @@
         elapsed_s = self._clock.seconds() - started_s
         origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
         self._apply_configuration(stored, started_s, origin)
+        self._log_ignored(stored)
 
     # Queries between instances.
 
@@ -379,6 +381,21 @@
         if change is not None:
             self._on_change(change, origin)
 
+    def _log_ignored(self, stored: StoredConfiguration) -> None:
+        """Log, once, that the store shows another configuration than that in force."""
+        in_force = self._store_view.stored_configuration
+        if in_force is None or stored.encoded == in_force.encoded:
+            self._ignored = None
+        elif self._ignored is None or self._ignored.encoded != stored.encoded:
+            self._ignored = stored
+            self._events.state(
+                "configuration_ignored",
+                configuration=stored.revision,
+                version=stored.configuration.version,
+                in_force=in_force.revision,
+                version_in_force=in_force.configuration.version,
+            )
+
     def _log_rejected(self) -> None:
         rejected = self._reader.rejected_by_key
         for key, reason in rejected.items():
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -341,6 +341,10 @@
             detail=self._server.quotas.describe(workspace, now),
         )
 
+    def _version(self) -> int | None:
+        configuration = self._server.store_view.configuration
+        return None if configuration is None else configuration.version
+
     def _ages_ms(self) -> dict[str, int]:
         store_view, now = self._server.store_view, self._server.clock.seconds()
         ages_s = {
@@ -388,5 +392,6 @@
             detail=detail,
             **self._ages_ms(),
             configuration=self._server.store_view.configuration_revision,
+            version=self._version(),
         )
         self._server.on_finished(outcome, workspace, elapsed_s)
--- a/src/gentianhitch/proxy/store_view.py
+++ b/src/gentianhitch/proxy/store_view.py
@@ -72,7 +72,8 @@
     that no part goes back to an earlier revision. The two parts are verified apart, so
     that the removal of a server is never delayed by a large configuration.
     ``details_verified_s`` is the same for what replies of older versions leave out of
-    the listing: the evacuated domains and which servers are cold.
+    the listing: the evacuated domains and which servers are cold. ``era`` counts how
+    often the store has returned from a copy; None before the first response.
     """
 
     heartbeat_s: float
@@ -84,6 +85,7 @@
     _expired_servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     _expired_peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     _retained_until_s: float = NEVER
+    era: int | None = None
     _read_revision: int = 0
 
     def listing_age_s(self, now: float) -> float:
@@ -138,6 +140,13 @@
         """Return the servers that are retained although their entries expired."""
         return frozenset(self._expired_servers_by_id)
 
+    def observe_era(self, era: int) -> bool:
+        """Take an era that the store named; return whether the store has returned."""
+        if self.era is not None and era <= self.era:
+            return False
+        is_first, self.era = self.era is None, era
+        return not is_first
+
     # The configuration.
 
     def confirm_configuration(self, revision: int, started_s: float) -> bool:
