Test that a change is in force in time after the store returned from a copy

Whole instances on simulated links, three failure domains: the store is away for 1 s, returns from a copy that lacks versions 3 and 4, and the operator writes version 4 again 0.5 s later. 3 s after the return it writes version 5.

--- a/tests/proxy/test_returning_store.py
+++ b/tests/proxy/test_returning_store.py
@@ -12,6 +12,9 @@
 LINK_BYTES_PER_S = 1e6
 INSTANCES = 9
 SERVERS = 12
+CONTACT_S = 3.0
+APPLY_S = 2.0
+"""Bounds of the deployments of the incident."""
 
 
 class ReturningStore:
@@ -48,3 +51,30 @@
         ignored = deployment.lines("configuration_ignored")
         assert {line["version"] for line in ignored} == {2}
         assert {line["version_in_force"] for line in ignored} == {4}
+
+
+class TestNewConfiguration:
+    # Guards against a confirmed change that is in force nowhere, because the store gave
+    # it a revision below that of the version known before the return.
+    def test_is_in_force_in_time_at_a_lower_revision(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        deployment.advance(CONTACT_S)
+        scenario.configure(5)
+        deployment.advance(APPLY_S)
+        assert deployment.versions() == [5] * INSTANCES
+
+    # Guards against an older version that each read confirms, because the newer one has
+    # the revision that the older one had before the return.
+    def test_is_in_force_in_time_at_the_revision_of_the_one_before(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        store = deployment.store.store
+        before = store.records_by_key["op/config"].revision
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        deployment.advance(CONTACT_S)
+        store.revision = before - 1
+        scenario.configure(5)
+        deployment.advance(APPLY_S)
+        assert deployment.versions() == [5] * INSTANCES
