--- a/src/gentianhitch/instances/configuration_transfer.py
+++ b/src/gentianhitch/instances/configuration_transfer.py
@@ -7,6 +7,7 @@
 
 from gentianhitch import json_codec
 from gentianhitch.instances.codec import MalformedMessageError
+from gentianhitch.proxy.store_revision import StoreRevision
 
 COMPRESSION_LEVEL = 3
 MAX_SOURCE_BYTES = 16 * 1024 * 1024
@@ -17,13 +18,26 @@
     """A configuration that was verified against the store ``age_s`` seconds ago.
 
     ``compressed`` is decompressed with the configuration of ``base_revision`` as the
-    dictionary, or without one if ``base_revision`` is 0.
+    dictionary, or without one if ``base_revision`` is 0. The eras are those of the
+    revisions; older versions send none.
     """
 
     age_s: float
     revision: int
     base_revision: int
     compressed: bytes
+    era: int = 0
+    base_era: int = 0
+
+    @property
+    def written(self) -> StoreRevision:
+        """Return the revision of the configuration."""
+        return StoreRevision(self.era, self.revision)
+
+    @property
+    def base(self) -> StoreRevision:
+        """Return the revision of the base, or NO_REVISION."""
+        return StoreRevision(self.base_era, self.base_revision)
 
 
 class TransferBusy(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gentianhitch/instances/datagrams.py
+++ b/src/gentianhitch/instances/datagrams.py
@@ -13,6 +13,9 @@
 from gentianhitch.addresses import Address
 from gentianhitch.instances.codec import MalformedMessageError
 from gentianhitch.proxy.server_records import AttemptResult
+from gentianhitch.proxy.store_revision import NO_VERSION
+from gentianhitch.proxy.store_revision import ConfigurationRevision
+from gentianhitch.proxy.store_revision import StoreRevision
 
 AGE_STEP_S = 0.02
 """Ages up to 2.5 s take one byte."""
@@ -32,7 +35,7 @@
     also requests the buckets that differ; ``has_full_digests`` if they are the full
     ones, which older versions do not send. ``full`` has the ages of the reports of full
     instances, in steps of ``AGE_STEP_S``, and their fullness in percent, by digest of
-    their name.
+    their name. ``era`` is that of the revision; older versions send none.
     """
 
     sender: str
@@ -41,6 +44,12 @@
     digests: bytes = b""
     has_full_digests: bool = False
     full: dict[int, tuple[Count, Count]] = {}
+    era: Count = 0
+
+    @property
+    def listing(self) -> StoreRevision:
+        """Return the revision of the sender's listing."""
+        return StoreRevision(self.era, self.revision)
 
 
 class ListingDetails(msgspec.Struct, frozen=True, array_like=True):
@@ -56,6 +65,20 @@
     evacuations_revision: int
     evacuated_domains: list[str]
     full_digest: bytes = b""
+    evacuations_era: Count = 0
+
+    @property
+    def evacuations(self) -> StoreRevision:
+        """Return the revision at which the evacuated domains were read."""
+        return StoreRevision(self.evacuations_era, self.evacuations_revision)
+
+
+class StoreEras(msgspec.Struct, frozen=True, array_like=True):
+    """The eras of the revisions in a reply, and the operator's version."""
+
+    listing: Count = 0
+    configuration: Count = 0
+    version: int = NO_VERSION
 
 
 class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -67,7 +90,7 @@
     compared: ``buckets`` then holds as many of the differing buckets as fit in a
     datagram, as pairs of number and encoded bucket, and ``remaining`` counts the
     others. Older versions send no ``details``. ``full`` is as in the query, with what
-    the sender knows from queries.
+    the sender knows from queries. Older versions send no ``eras``.
     """
 
     sender: str
@@ -82,6 +105,20 @@
     remaining: int = 0
     details: ListingDetails | None = None
     full: dict[int, tuple[Count, Count]] = {}
+    eras: StoreEras = StoreEras()
+
+    @property
+    def listing(self) -> StoreRevision:
+        """Return the revision of the sender's listing."""
+        return StoreRevision(self.eras.listing, self.listing_revision)
+
+    @property
+    def configuration(self) -> ConfigurationRevision:
+        """Return the revision of the configuration in force at the sender."""
+        return ConfigurationRevision(
+            StoreRevision(self.eras.configuration, self.configuration_revision),
+            self.eras.version,
+        )
 
 
 class AttemptSample(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -29,6 +29,7 @@
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.platform.interface import UnavailableError
 from gentianhitch.platform.wire_names import STORE_ERA
+from gentianhitch.proxy.store_revision import StoreRevision
 
 CONNECT_TIMEOUT_S = 0.5
 STALL_TIMEOUT_S = 1.0
@@ -58,12 +59,21 @@
 
 @attrs.frozen
 class Item:
-    """One item of the store; revisions number the writes to all keys together."""
+    """One item of the store; revisions number the writes to all keys together.
+
+    ``era`` is that of the store when the item was read.
+    """
 
     key: str
     value: bytes
     revision: int
     created_revision: int
+    era: int = NO_ERA
+
+    @property
+    def written(self) -> StoreRevision:
+        """Return the revision of the item's last write."""
+        return StoreRevision(self.era, self.revision)
 
 
 @attrs.frozen
@@ -71,7 +81,7 @@
     """Items in key order, complete up to the store's ``revision``."""
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
 
 
 class _WireItem(msgspec.Struct):
@@ -130,7 +140,7 @@
     ) -> Page:
         """Read all items under ``prefix`` whose keys sort after ``after``, by pages."""
         items: list[Item] = []
-        revision = None
+        first: StoreRevision | None = None
         while True:
             query = {"prefix": prefix}
             if after:
@@ -138,12 +148,15 @@
             path = f"/v1/kv-range?{urlencode(query)}"
             response = await self._call("GET", path, progress=progress)
             page = _decode(_range_decoder, _ok_body(response, path))
-            items += [_decode_item(item) for item in page.items]
+            era = _era(response)
+            items += [_decode_item(item, era) for item in page.items]
             # Pages are not one snapshot: writes between two pages may be missing. The
             # result is complete only up to the first page's revision.
-            revision = page.at if revision is None else revision
+            first = StoreRevision(era, page.at) if first is None else first
+            if era != first.era:
+                raise UnavailableError(f"{path}: the store has returned from a copy")
             if not page.has_more or not page.items:
-                return Page(tuple(items), revision)
+                return Page(tuple(items), first)
             after = page.items[-1].key
 
     async def read(self, key: str, progress: Progress | None = None) -> Item | None:
@@ -152,10 +165,11 @@
         response = await self._call("GET", path, progress=progress)
         if response.status == HTTPStatus.NOT_FOUND:
             return None
-        return _decode_item(_decode(_item_decoder, _ok_body(response, path)))
+        item = _decode(_item_decoder, _ok_body(response, path))
+        return _decode_item(item, _era(response))
 
     async def read_if_changed(
-        self, key: str, revision: int, progress: Progress | None = None
+        self, key: str, revision: StoreRevision, progress: Progress | None = None
     ) -> Item | None:
         """Read one item; None if it is still at ``revision``.
 
@@ -163,15 +177,21 @@
         revision differs, so an unchanged item is not transferred.
         """
         path = "/v1/kv-txn"
-        expect = [{"key": key, "revision": revision}]
+        expect = [{"key": key, "revision": revision.number}]
         body = {"expect": expect, "puts": [], "deletes": []}
         response = await self._call("POST", path, body, progress=progress)
         if response.status != HTTPStatus.PRECONDITION_FAILED:
             _ok_body(response, path)
-            return None
-        for item in _decode(_conflict_decoder, response.body).items:
-            if item.key == key:
-                return _decode_item(item)
+            if _era(response) == revision.era:
+                return None
+            # Another write may have been given the same number.
+            item = await self.read(key, progress)
+            if item is None:
+                raise UnavailableError(f"{key}: does not exist any more")
+            return item
+        for each in _decode(_conflict_decoder, response.body).items:
+            if each.key == key:
+                return _decode_item(each, _era(response))
         raise UnavailableError(f"{path}: conflict response does not contain {key}")
 
     async def grant_lease(self, ttl_s: float) -> int:
@@ -254,11 +274,11 @@
         raise UnavailableError(f"malformed response from the store: {error}") from error
 
 
-def _decode_item(item: _WireItem) -> Item:
+def _decode_item(item: _WireItem, era: int) -> Item:
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
         # Other writers may store values that are not base64. The decoder of the entry
         # rejects the empty value and reports the key.
         value = b""
-    return Item(item.key, value, item.revision, item.created)
+    return Item(item.key, value, item.revision, item.created, era)
--- a/src/gentianhitch/platform/store_reader.py
+++ b/src/gentianhitch/platform/store_reader.py
@@ -21,8 +21,10 @@
 from gentianhitch.proxy.model import DEFAULT_LINK_MBPS
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Listing
+from gentianhitch.proxy.model import ListingWrites
 from gentianhitch.proxy.model import Peer
 from gentianhitch.proxy.model import StoredConfiguration
+from gentianhitch.proxy.store_revision import StoreRevision
 
 SERVER_STATES = frozenset({"ready", "draining"})
 
@@ -171,36 +173,40 @@
     ) -> StoredConfiguration | None:
         """Read the configuration; None if the operator has not written one yet."""
         item = await self._store.read(CONFIGURATION_KEY, progress)
-        return None if item is None else decode_stored(item.revision, item.value)
+        return None if item is None else decode_stored(item.written, item.value)
 
     async def read_configuration_if_changed(
-        self, revision: int, progress: Progress
+        self, revision: StoreRevision, progress: Progress
     ) -> StoredConfiguration | None:
         """Read the configuration; None if it is still at ``revision``."""
         item = await self._store.read_if_changed(CONFIGURATION_KEY, revision, progress)
-        return None if item is None else decode_stored(item.revision, item.value)
+        return None if item is None else decode_stored(item.written, item.value)
 
-    def decode_listing(self, items: Iterable[Item], revision: int) -> Listing:
+    def decode_listing(self, items: Iterable[Item], revision: StoreRevision) -> Listing:
         """Decode the items of one read; malformed entries do not affect the others."""
         servers: dict[str, BackendServer] = {}
         peers: dict[str, Peer] = {}
-        evacuated: set[str] = set()
+        writes = ListingWrites()
         self.rejected_by_key = {}
         for item in items:
             try:
                 if item.key.startswith(SERVERS_PREFIX):
                     server = decode_backend_server(item)
                     servers[server.id] = server
+                    writes.servers[server.id] = (item.revision, item.value)
                 elif item.key.startswith(PEERS_PREFIX):
                     peer = decode_peer(item)
                     peers[peer.name] = peer
+                    writes.peers[peer.name] = (item.revision, item.value)
                 elif item.key.startswith(EVACUATIONS_PREFIX):
-                    evacuated.add(decode_evacuation(item))
+                    domain = decode_evacuation(item)
+                    writes.evacuations[domain] = (item.revision, item.value)
             except MalformedEntryError as error:
                 self.rejected_by_key[item.key] = str(error)
-        return Listing(revision, servers, peers, frozenset(evacuated))
+        evacuated = frozenset(writes.evacuations)
+        return Listing(revision, servers, peers, evacuated, writes)
 
 
-def decode_stored(revision: int, source: bytes) -> StoredConfiguration:
+def decode_stored(written: StoreRevision, source: bytes) -> StoredConfiguration:
     """Decode the stored configuration; raise MalformedConfigurationError."""
-    return StoredConfiguration(revision, source, decode_configuration(source))
+    return StoredConfiguration(written, source, decode_configuration(source))
--- a/src/gentianhitch/proxy/changes.py
+++ b/src/gentianhitch/proxy/changes.py
@@ -63,7 +63,8 @@
         if change.has_entries:
             self._events.state(
                 "listing_changed",
-                revision=store_view.registry.revision,
+                revision=store_view.registry.revision.number,
+                era=store_view.registry.revision.era,
                 added=[server.id for server in change.added],
                 removed=[server.id for server in change.removed],
                 draining=[server.id for server in change.draining],
@@ -83,7 +84,8 @@
         routes = stored.configuration.route_names()
         self._events.state(
             "configuration_changed",
-            configuration=stored.revision,
+            configuration=stored.written.number,
+            era=stored.written.era,
             version=stored.configuration.version,
             routes=len(routes),
             **origin.as_fields(),
--- a/src/gentianhitch/proxy/configuration_fetch.py
+++ b/src/gentianhitch/proxy/configuration_fetch.py
@@ -102,7 +102,8 @@
         self, peer: Peer, started_s: float, progress: Progress
     ) -> Peer | None:
         """Fetch and apply; return the holder that a busy peer names instead."""
-        query = {"base": self._store_view.configuration_revision, "for": self._name}
+        base = self._store_view.configuration_revision.written
+        query = {"base": base.number, "era": base.era, "for": self._name}
         url = f"http://{peer.transfer_address}{CONFIGURATION_PATH}?{urlencode(query)}"
         response = await call(
             self._clock, STALL_TIMEOUT_S, self._agent, "GET", url, progress=progress
@@ -120,8 +121,8 @@
                 f"configuration request got status {response.status}, not 200"
             )
         transfer = decode_transfer(response.body)
-        base = self._configuration_server.encoded_at(transfer.base_revision)
-        stored = decode_stored(transfer.revision, decompress(transfer.compressed, base))
+        base = self._configuration_server.encoded_at(transfer.base)
+        stored = decode_stored(transfer.written, decompress(transfer.compressed, base))
         verified_s = started_s - transfer.age_s
         now = self._clock.seconds()
         origin = Origin(peer.name, progress.received, now - started_s, now - verified_s)
--- a/src/gentianhitch/proxy/configuration_server.py
+++ b/src/gentianhitch/proxy/configuration_server.py
@@ -15,6 +15,8 @@
 from gentianhitch.instances.configuration_transfer import compress
 from gentianhitch.instances.configuration_transfer import encode
 from gentianhitch.proxy.model import StoredConfiguration
+from gentianhitch.proxy.store_revision import NO_REVISION
+from gentianhitch.proxy.store_revision import StoreRevision
 
 KEPT_REVISIONS = 4
 """A receiver that is further behind gets the complete configuration."""
@@ -48,20 +50,22 @@
         self._bytes_per_s = link_mbps * BYTES_PER_MEGABIT
         self._age_s = age_s
         self._count = count
-        self._encoded_by_revision: OrderedDict[int, bytes] = OrderedDict()
-        self._compressed_by_base: dict[int, bytes] = {}
+        self._encoded_by_revision: OrderedDict[StoreRevision, bytes] = OrderedDict()
+        self._compressed_by_base: dict[StoreRevision, bytes] = {}
         self._sending_until_s = float("-inf")
         self._holders: deque[_Holder] = deque(maxlen=MAX_HOLDERS)
 
     def publish(self, stored: StoredConfiguration) -> None:
-        """Serve a newer configuration from now on."""
-        self._encoded_by_revision[stored.revision] = stored.encoded
+        """Serve a newer configuration from now on, or the same at a later era."""
+        if stored.written in self._encoded_by_revision:
+            return
+        self._encoded_by_revision[stored.written] = stored.encoded
         while len(self._encoded_by_revision) > KEPT_REVISIONS:
             self._encoded_by_revision.popitem(last=False)
         self._compressed_by_base.clear()
         self._holders.clear()
 
-    def encoded_at(self, revision: int) -> bytes:
+    def encoded_at(self, revision: StoreRevision) -> bytes:
         """Return the encoded configuration of ``revision``; empty if it was dropped."""
         return self._encoded_by_revision.get(revision, b"")
 
@@ -70,10 +74,13 @@
         if not self._encoded_by_revision:
             request.setResponseCode(HTTPStatus.NOT_FOUND)
             return b""
-        base = int(request.args.get(b"base", [b"0"])[0])
+        base = StoreRevision(
+            int(request.args.get(b"era", [b"0"])[0]),
+            int(request.args.get(b"base", [b"0"])[0]),
+        )
         receiver = request.args.get(b"for", [b""])[0].decode()
         revision = next(reversed(self._encoded_by_revision))
-        base = base if base in self._encoded_by_revision else 0
+        base = base if base in self._encoded_by_revision else NO_REVISION
         compressed = self._compress(base, revision)
         if not self._reserve_link(receiver, len(compressed)):
             request.setResponseCode(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -81,7 +88,16 @@
             return encode(TransferBusy(self._next_holder()))
         self._count("configurations_sent")
         self._count("configuration_bytes_sent", len(compressed))
-        return encode(ConfigurationTransfer(self._age_s(), revision, base, compressed))
+        return encode(
+            ConfigurationTransfer(
+                self._age_s(),
+                revision.number,
+                base.number,
+                compressed,
+                revision.era,
+                base.era,
+            )
+        )
 
     def _reserve_link(self, receiver: str, size: int) -> bool:
         """Reserve the link for a transfer; return whether there is capacity left."""
@@ -103,7 +119,7 @@
                 return self._holders[0].name
         return ""
 
-    def _compress(self, base: int, revision: int) -> bytes:
+    def _compress(self, base: StoreRevision, revision: StoreRevision) -> bytes:
         compressed = self._compressed_by_base.get(base)
         if compressed is None:
             compressed = compress(
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -56,6 +56,7 @@
 from gentianhitch.proxy.listeners import bound_address
 from gentianhitch.proxy.model import CallerLimits
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.origin import STORE
 from gentianhitch.proxy.own_limits import OwnLimits
 from gentianhitch.proxy.own_state import OwnState
 from gentianhitch.proxy.quotas import Quotas
@@ -113,7 +114,9 @@
     def _build_parts(self) -> None:
         settings, clock, events = self._settings, self._reactor, self._events
         self._datagrams = Datagrams(self._receive, self.metrics.count)
-        self._store = KeyValueStore(self._reactor, settings.store, self._observe_era)
+        self._store = KeyValueStore(
+            self._reactor, settings.store, lambda era: self._observe_era(era, STORE)
+        )
         self._balancer = Balancer(
             settings.name,
             settings.failure_domain,
@@ -186,6 +189,7 @@
             self._changes.listing_changed,
             self._changes.configuration_changed,
             self._own.full_instances,
+            self._observe_era,
         )
         self._registration = Registration(
             clock, self._store, events, self._fleet.is_near_serving
@@ -343,15 +347,17 @@
     def _has_recent_reply(self, now: float) -> bool:
         return now - self._last_reply_s < HOUSEKEEPING_INTERVAL_S * 4
 
-    def _observe_era(self, era: int) -> None:
+    def _observe_era(self, era: int, source: str) -> None:
+        """Take an era that the store or another instance named."""
         previous = self.store_view.era
-        if self.store_view.observe_era(era):
+        if self.store_view.observe_era(era, self._reactor.seconds()):
             self.metrics.count("store_returns")
             configuration = self.store_view.configuration
             self._events.state(
                 "store_returned",
                 era=era,
                 previous_era=previous,
+                source=source,
                 version=None if configuration is None else configuration.version,
             )
 
--- a/src/gentianhitch/proxy/model.py
+++ b/src/gentianhitch/proxy/model.py
@@ -5,6 +5,8 @@
 import attrs
 
 from gentianhitch.addresses import Address
+from gentianhitch.proxy.store_revision import ConfigurationRevision
+from gentianhitch.proxy.store_revision import StoreRevision
 
 DEFAULT_LINK_MBPS = 1000.0
 """The usual link of a data center, assumed if an entry has none."""
@@ -165,6 +167,22 @@
     link_mbps: float = DEFAULT_LINK_MBPS
 
 
+Write = tuple[int, bytes]
+"""The number of an entry's revision, and its value: one of them differs after a write.
+
+In another era of the store the same number may be that of another write.
+"""
+
+
+@attrs.frozen
+class ListingWrites:
+    """The last write of each entry of a listing, by its id, name or failure domain."""
+
+    servers: dict[str, Write] = attrs.Factory(dict)
+    peers: dict[str, Write] = attrs.Factory(dict)
+    evacuations: dict[str, Write] = attrs.Factory(dict)
+
+
 @attrs.frozen
 class Listing:
     """The servers, instances and evacuations in one read of the store.
@@ -173,10 +191,11 @@
     sent to the servers of ``evacuated_domains``.
     """
 
-    revision: int
+    revision: StoreRevision
     backend_servers_by_id: dict[str, BackendServer]
     peers_by_name: dict[str, Peer]
     evacuated_domains: frozenset[str] = frozenset()
+    writes: ListingWrites = attrs.Factory(ListingWrites)
 
 
 @attrs.frozen
@@ -186,6 +205,11 @@
     ``encoded`` is what other instances fetch instead of reading the store.
     """
 
-    revision: int
+    written: StoreRevision
     encoded: bytes
     configuration: Configuration
+
+    @property
+    def revision(self) -> ConfigurationRevision:
+        """Return what orders this configuration among others."""
+        return ConfigurationRevision(self.written, self.configuration.version)
--- a/src/gentianhitch/proxy/refresh.py
+++ b/src/gentianhitch/proxy/refresh.py
@@ -18,6 +18,7 @@
 from gentianhitch.instances.datagrams import FreshnessQuery
 from gentianhitch.instances.datagrams import FreshnessReply
 from gentianhitch.instances.datagrams import ListingDetails
+from gentianhitch.instances.datagrams import StoreEras
 from gentianhitch.platform.interface import PlatformError
 from gentianhitch.platform.store_reader import StoreReader
 from gentianhitch.platform.store_reader import decode_stored
@@ -33,8 +34,9 @@
 from gentianhitch.proxy.origin import STORE
 from gentianhitch.proxy.origin import Origin
 from gentianhitch.proxy.sources import RefreshPlan
+from gentianhitch.proxy.store_revision import NO_CONFIGURATION
+from gentianhitch.proxy.store_revision import NO_REVISION
 from gentianhitch.proxy.store_view import NEVER
-from gentianhitch.proxy.store_view import NO_REVISION
 from gentianhitch.proxy.store_view import ListingChange
 from gentianhitch.proxy.store_view import StoreView
 from gentianhitch.repeating import Repeating
@@ -74,7 +76,9 @@
         on_change: Callable[[ListingChange, Origin], None],
         on_configuration: Callable[[StoredConfiguration, Origin], None],
         full_instances: FullInstances,
+        observe_era: Callable[[int, str], None],
     ) -> None:
+        self._observe_era = observe_era
         self._clock = clock
         self._reader = reader
         self._datagrams = datagrams
@@ -185,7 +189,7 @@
         self._conditional_read_failed = False
         # First the listing: it must not wait for a configuration that is malformed.
         self._update_listing(listing, progress, started_s)
-        stored = None if item is None else decode_stored(item.revision, item.value)
+        stored = None if item is None else decode_stored(item.written, item.value)
         self._update_configuration(stored, progress, started_s)
 
     async def _read_listing(self, progress: Progress, started_s: float) -> None:
@@ -214,7 +218,7 @@
             # Stays set if the read fails or times out.
             self._conditional_read_failed = True
             changed = await self._reader.read_configuration_if_changed(
-                known.revision, progress
+                known.written, progress
             )
             self._conditional_read_failed = False
             stored = known if changed is None else changed
@@ -223,12 +227,17 @@
     def _update_configuration(
         self, stored: StoredConfiguration | None, progress: Progress, started_s: float
     ) -> None:
+        store_view = self._store_view
+        written = None if stored is None else stored.written
+        is_proof = store_view.proves_configuration(written, started_s)
         if stored is None:
-            self._store_view.confirm_configuration(NO_REVISION, started_s)
+            store_view.confirm_configuration(
+                NO_CONFIGURATION, started_s, is_proof=is_proof
+            )
             return
         elapsed_s = self._clock.seconds() - started_s
         origin = Origin(STORE, progress.received, elapsed_s, elapsed_s)
-        self._apply_configuration(stored, started_s, origin)
+        self._apply_configuration(stored, started_s, origin, is_proof=is_proof)
         self._log_ignored(stored)
 
     # Queries between instances.
@@ -245,21 +254,24 @@
         return FreshnessQuery(
             self._plan.name,
             now,
-            registry.revision,
+            registry.revision.number,
             digests,
             compare and full,
             self._full_instances.to_tell(Hop.REPORT, now),
+            registry.revision.era,
         )
 
     def build_reply(self, ask: FreshnessQuery) -> FreshnessReply | None:
         """Return the reply to a peer's query; None before the first read."""
         now = self._clock.seconds()
         self._full_instances.record_told(ask.full, Hop.QUERY, now)
+        self._observe_era_of(ask.sender, ask.era)
         store_view = self._store_view
         registry = store_view.registry
-        if not registry.revision and not store_view.configuration_revision:
+        configuration = store_view.configuration_revision
+        if registry.revision == NO_REVISION and configuration == NO_CONFIGURATION:
             return None
-        is_compared = bool(ask.digests) and registry.revision > ask.revision
+        is_compared = bool(ask.digests) and registry.revision > ask.listing
         differing_buckets = (
             registry.differing_buckets(ask.digests, full=ask.has_full_digests)
             if is_compared
@@ -273,15 +285,20 @@
             self._plan.name,
             ask.sent_s,
             store_view.listing_age_s(now),
-            registry.revision,
+            registry.revision.number,
             registry.digest,
             store_view.configuration_age_s(now),
-            store_view.configuration_revision,
+            configuration.written.number,
             is_compared,
             buckets,
             remaining,
             details,
             self._full_instances.to_tell(Hop.QUERY, now),
+            StoreEras(
+                registry.revision.era,
+                configuration.written.era,
+                configuration.version,
+            ),
         )
 
     def _details(self, now: float) -> ListingDetails | None:
@@ -294,9 +311,10 @@
         is_current = age_s <= self._store_view.listing_age_s(now)
         return ListingDetails(
             age_s,
-            registry.evacuations_revision,
+            registry.evacuations_revision.number,
             sorted(registry.evacuated_domains),
             registry.full_digest if is_current else b"",
+            registry.evacuations_revision.era,
         )
 
     def handle_reply(self, message: FreshnessReply) -> None:
@@ -309,17 +327,31 @@
             return
         now = self._clock.seconds()
         self._full_instances.record_told(message.full, Hop.REPLY, now)
+        self._observe_era_of(
+            message.sender, max(message.eras.listing, message.eras.configuration)
+        )
         self._plan.record_reply(message.sender, message.listing_age_s, now)
         peer = self._store_view.peers_by_name.get(message.sender)
         self._merge_configuration(message, peer)
         self._merge_listing(message, peer, now)
 
+    def _observe_era_of(self, sender: str, era: int) -> None:
+        # An instance that has read nothing yet names none.
+        if era:
+            self._observe_era(era, sender)
+
     def _merge_configuration(self, message: FreshnessReply, peer: Peer | None) -> None:
         store_view = self._store_view
         verified_s = message.query_sent_s - message.configuration_age_s
-        if store_view.confirm_configuration(message.configuration_revision, verified_s):
+        before = store_view.stored_configuration
+        if store_view.confirm_configuration(message.configuration, verified_s):
+            stored = store_view.stored_configuration
+            if stored is not None and stored is not before:
+                self._configuration_server.publish(stored)
             return
-        is_newer = message.configuration_revision > store_view.configuration_revision
+        is_newer = message.configuration.is_newer_than(
+            store_view.configuration_revision
+        )
         if is_newer and peer is not None:
             self._fetcher.start_fetch(peer)
 
@@ -328,7 +360,7 @@
     ) -> None:
         store_view = self._store_view
         verified_s = message.query_sent_s - message.listing_age_s
-        revision, digest = message.listing_revision, message.digest
+        revision, digest = message.listing, message.digest
         full_digest, details_verified_s = b"", NEVER
         if message.details is not None:
             details_verified_s = message.query_sent_s - message.details.age_s
@@ -362,7 +394,7 @@
         self, message: FreshnessReply, details: ListingDetails, now: float
     ) -> None:
         change = self._store_view.merge_evacuations(
-            details.evacuations_revision, details.evacuated_domains
+            details.evacuations, details.evacuated_domains
         )
         self._report_change(
             change, _origin(message, _names_size(details), details.age_s, now)
@@ -371,10 +403,20 @@
     # Changes from either source.
 
     def _apply_configuration(
-        self, stored: StoredConfiguration, verified_s: float, origin: Origin
+        self,
+        stored: StoredConfiguration,
+        verified_s: float,
+        origin: Origin,
+        *,
+        is_proof: bool = True,
     ) -> None:
-        if self._store_view.update_configuration(stored, verified_s):
-            self._configuration_server.publish(stored)
+        is_newer = self._store_view.update_configuration(
+            stored, verified_s, is_proof=is_proof
+        )
+        in_force = self._store_view.stored_configuration
+        if in_force is not None:
+            self._configuration_server.publish(in_force)
+        if is_newer:
             self._on_configuration(stored, origin)
 
     def _report_change(self, change: ListingChange | None, origin: Origin) -> None:
@@ -390,9 +432,9 @@
             self._ignored = stored
             self._events.state(
                 "configuration_ignored",
-                configuration=stored.revision,
+                configuration=stored.written.number,
                 version=stored.configuration.version,
-                in_force=in_force.revision,
+                in_force=in_force.written.number,
                 version_in_force=in_force.configuration.version,
             )
 
--- a/src/gentianhitch/proxy/registry.py
+++ b/src/gentianhitch/proxy/registry.py
@@ -15,6 +15,8 @@
 from gentianhitch.proxy.model import BackendServer
 from gentianhitch.proxy.model import Listing
 from gentianhitch.proxy.model import Peer
+from gentianhitch.proxy.store_revision import NO_REVISION
+from gentianhitch.proxy.store_revision import StoreRevision
 
 BUCKET_COUNT = 64
 """About four servers per bucket with a few hundred; several fit in one datagram."""
@@ -65,21 +67,23 @@
     """The newest known state of each bucket, and the revision at which it was read.
 
     All buckets are at least as new as ``revision``; none is replaced by an older one.
-    ``evacuated_domains`` were read at ``evacuations_revision``, 0 before the first
-    read. They are in no bucket and no digest: instances of older versions know none,
-    and would find a difference in every exchange. ``full_digest`` covers what the
+    ``evacuated_domains`` were read at ``evacuations_revision``, NO_REVISION before the
+    first read. They are in no bucket and no digest: instances of older versions know
+    none, and would find a difference in every exchange. ``full_digest`` covers what the
     buckets' full digests cover.
     """
 
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
     servers_by_id: dict[str, BackendServer] = attrs.Factory(dict)
     peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     digest: bytes = b""
     full_digest: bytes = b""
     evacuated_domains: frozenset[str] = frozenset()
-    evacuations_revision: int = 0
+    evacuations_revision: StoreRevision = NO_REVISION
     _buckets: list[Bucket] = attrs.Factory(lambda: [EMPTY_BUCKET] * BUCKET_COUNT)
-    _revisions: list[int] = attrs.Factory(lambda: [0] * BUCKET_COUNT)
+    _revisions: list[StoreRevision] = attrs.Factory(
+        lambda: [NO_REVISION] * BUCKET_COUNT
+    )
 
     def __attrs_post_init__(self) -> None:
         self._rebuild()
@@ -123,13 +127,17 @@
             server.failure_domain for server in self.servers_by_id.values()
         ) | frozenset(peer.failure_domain for peer in self.peers_by_name.values())
 
-    def merge_evacuations(self, revision: int, domains: frozenset[str]) -> None:
+    def merge_evacuations(
+        self, revision: StoreRevision, domains: frozenset[str]
+    ) -> None:
         """Take the evacuated domains read at ``revision``, unless newer are known."""
         if revision >= self.evacuations_revision:
             self.evacuations_revision = revision
             self.evacuated_domains = domains
 
-    def merge(self, revision: int, buckets: Iterable[tuple[int, Bucket]]) -> None:
+    def merge(
+        self, revision: StoreRevision, buckets: Iterable[tuple[int, Bucket]]
+    ) -> None:
         """Take buckets that were read at ``revision``, except where newer are known."""
         changed = False
         for number, bucket in buckets:
@@ -142,7 +150,7 @@
         if changed:
             self._rebuild()
 
-    def advance(self, revision: int) -> None:
+    def advance(self, revision: StoreRevision) -> None:
         """Record that all buckets are at least as new as a read at ``revision``."""
         if revision > self.revision:
             self.revision = revision
--- a/src/gentianhitch/proxy/request_server.py
+++ b/src/gentianhitch/proxy/request_server.py
@@ -391,7 +391,7 @@
             remaining_ms=int(self._request.remaining_s * 1000),
             detail=detail,
             **self._ages_ms(),
-            configuration=self._server.store_view.configuration_revision,
+            configuration=self._server.store_view.configuration_revision.written.number,
             version=self._version(),
         )
         self._server.on_finished(outcome, workspace, elapsed_s)
--- a/src/gentianhitch/proxy/store_view.py
+++ b/src/gentianhitch/proxy/store_view.py
@@ -15,20 +15,21 @@
 from gentianhitch.proxy.model import StoredConfiguration
 from gentianhitch.proxy.registry import Bucket
 from gentianhitch.proxy.registry import Registry
+from gentianhitch.proxy.store_return import REREGISTRATION_S
+from gentianhitch.proxy.store_return import RemovedEntries
+from gentianhitch.proxy.store_return import StoreReturn
+from gentianhitch.proxy.store_revision import NO_CONFIGURATION
+from gentianhitch.proxy.store_revision import NO_REVISION
+from gentianhitch.proxy.store_revision import ConfigurationRevision
+from gentianhitch.proxy.store_revision import StoreRevision
 
 T = TypeVar("T")
 
-EXPIRY_HEARTBEATS = 2
+OUTAGE_HEARTBEATS = 2
 """Entries expire after three missed heartbeats; the first may have just been due."""
 
-REREGISTRATION_S = 2.0
-"""Time in which entries that expired in an outage are written again."""
-
 NEVER = float("-inf")
 
-NO_REVISION = 0
-"""Less than every revision; stands for a part that was never written."""
-
 
 @attrs.frozen
 class ListingChange:
@@ -86,7 +87,9 @@
     _expired_peers_by_name: dict[str, Peer] = attrs.Factory(dict)
     _retained_until_s: float = NEVER
     era: int | None = None
-    _read_revision: int = 0
+    _read_revision: StoreRevision = NO_REVISION
+    _store_return: StoreReturn | None = None
+    _removed: RemovedEntries = attrs.Factory(RemovedEntries)
 
     def listing_age_s(self, now: float) -> float:
         """Return the age of the listing, from the start of the verifying read."""
@@ -115,10 +118,10 @@
         return None if stored is None else stored.configuration
 
     @property
-    def configuration_revision(self) -> int:
-        """Return the revision of the configuration in force, or NO_REVISION."""
+    def configuration_revision(self) -> ConfigurationRevision:
+        """Return the revision of the configuration in force, or NO_CONFIGURATION."""
         stored = self.stored_configuration
-        return NO_REVISION if stored is None else stored.revision
+        return NO_CONFIGURATION if stored is None else stored.revision
 
     @property
     def servers_by_id(self) -> dict[str, BackendServer]:
@@ -140,42 +143,81 @@
         """Return the servers that are retained although their entries expired."""
         return frozenset(self._expired_servers_by_id)
 
-    def observe_era(self, era: int) -> bool:
+    # The era of the store.
+
+    def observe_era(self, era: int, now: float) -> bool:
         """Take an era that the store named; return whether the store has returned."""
         if self.era is not None and era <= self.era:
             return False
         is_first, self.era = self.era is None, era
+        if not is_first:
+            self._store_return = StoreReturn(now, self.heartbeat_s)
         return not is_first
 
+    def _is_of_earlier_era(self, revision: StoreRevision) -> bool:
+        return self.era is not None and revision.era < self.era
+
     # The configuration.
 
-    def confirm_configuration(self, revision: int, started_s: float) -> bool:
+    def proves_configuration(
+        self, written: StoreRevision | None, started_s: float
+    ) -> bool:
+        """Return whether a read of the store may confirm the configuration.
+
+        ``written`` is None if the read showed none. After a return from a copy, a newer
+        configuration may be missing until the operator has written it again.
+        """
+        if written is not None and self._is_of_earlier_era(written):
+            return False
+        if self._store_return is None:
+            return True
+        return self._store_return.proves_configuration(written, started_s)
+
+    def confirm_configuration(
+        self,
+        revision: ConfigurationRevision,
+        started_s: float,
+        *,
+        is_proof: bool = True,
+    ) -> bool:
         """Record a read, started at ``started_s``, that returned ``revision``.
 
-        Return whether it is the revision in force.
+        Return whether it is the revision in force. The read confirms it if ``is_proof``
+        and if no later era of the store is known.
         """
-        if revision != self.configuration_revision:
+        known = self.stored_configuration
+        if known is not None and revision.repeats(known.revision):
+            self.stored_configuration = attrs.evolve(known, written=revision.written)
+        if revision.written != self.configuration_revision.written:
             return False
-        self.configuration_verified_s = max(self.configuration_verified_s, started_s)
+        has_configuration = self.stored_configuration is not None
+        if has_configuration and self._is_of_earlier_era(revision.written):
+            is_proof = False
+        if is_proof:
+            self.configuration_verified_s = max(
+                self.configuration_verified_s, started_s
+            )
         return True
 
     def update_configuration(
-        self, stored: StoredConfiguration, started_s: float
+        self, stored: StoredConfiguration, started_s: float, *, is_proof: bool = True
     ) -> bool:
         """Take a configuration read at ``started_s``; return whether it is newer."""
-        if stored.revision < self.configuration_revision:
-            return False
-        is_newer = stored.revision > self.configuration_revision
+        known = self.stored_configuration
+        is_newer = known is None or stored.revision.is_newer_than(known.revision)
         if is_newer:
             self.stored_configuration = stored
-        self.confirm_configuration(stored.revision, started_s)
+        if is_newer and known is not None and stored.written.era < known.written.era:
+            # What the later era showed was the copy's, and confirmed nothing.
+            self.configuration_verified_s = started_s
+        self.confirm_configuration(stored.revision, started_s, is_proof=is_proof)
         return is_newer
 
     # The listing.
 
     def confirm_listing(
         self,
-        revision: int,
+        revision: StoreRevision,
         digest: bytes,
         started_s: float,
         full_digest: bytes = b"",
@@ -187,6 +229,8 @@
         ``details_started_s``; it is empty if the peer does not know them. Return
         whether the listing equals the known one.
         """
+        if self._is_of_earlier_era(revision):
+            return False
         if full_digest:
             is_equal = full_digest == self.registry.full_digest
         else:
@@ -218,18 +262,25 @@
         """
         if listing.revision < self.registry.revision:
             return None
+        if self._is_of_earlier_era(listing.revision):
+            return None
+        current = listing
+        if self._store_return is not None:
+            current = self._store_return.without_copied(
+                listing, self.registry, self._removed, now
+            )
         returned_s = now if store_returned_s is None else store_returned_s
-        self._retain_expired(listing, started_s, returned_s)
+        self._retain_expired(current, started_s, returned_s)
         self._read_revision = listing.revision
         before = self._known()
-        self.registry.replace(self._with_retained(listing))
+        self.registry.replace(self._with_retained(current))
         self.listing_verified_s = max(self.listing_verified_s, started_s)
         self.details_verified_s = max(self.details_verified_s, started_s)
         return self._change(before)
 
     def merge_buckets(
         self,
-        revision: int,
+        revision: StoreRevision,
         digest: bytes,
         buckets: Iterable[tuple[int, Bucket]],
         started_s: float,
@@ -237,6 +288,8 @@
         details_started_s: float = NEVER,
     ) -> ListingChange | None:
         """Take buckets of a peer whose complete listing has these digests."""
+        if self._is_of_earlier_era(revision):
+            return None
         before = self._known()
         self.registry.merge(revision, buckets)
         self.confirm_listing(
@@ -245,9 +298,11 @@
         return self._change(before)
 
     def merge_evacuations(
-        self, revision: int, domains: Iterable[str]
+        self, revision: StoreRevision, domains: Iterable[str]
     ) -> ListingChange | None:
         """Take the evacuated domains that a peer read at ``revision``."""
+        if self._is_of_earlier_era(revision):
+            return None
         before = self._known()
         self.registry.merge_evacuations(revision, frozenset(domains))
         return self._change(before)
@@ -269,12 +324,15 @@
     def _retain_expired(
         self, new: Listing, started_s: float, returned_s: float
     ) -> None:
-        """Retain entries that may have expired only because of an outage of the store.
+        """Retain entries that may be missing only because of an outage of the store.
 
-        After a shorter gap there was no outage: missing entries were removed.
+        After a shorter gap there was no outage: missing entries were removed, unless
+        the store has returned from a copy.
         """
         gap_s = started_s - self.listing_verified_s
-        if gap_s > EXPIRY_HEARTBEATS * self.heartbeat_s and self.registry.revision:
+        known = self.registry.revision
+        is_gap = gap_s > OUTAGE_HEARTBEATS * self.heartbeat_s
+        if known != NO_REVISION and (is_gap or new.revision.era > known.era):
             self._retained_until_s = returned_s + REREGISTRATION_S
             ready = {
                 server.id: server
@@ -301,6 +359,7 @@
             {**self._expired_peers_by_name, **listing.peers_by_name},
             # Not retained: only a delete by the operator removes an evacuation.
             listing.evacuated_domains,
+            listing.writes,
         )
 
     def _known(self) -> _Known:
@@ -315,7 +374,11 @@
         ):
             return None
         servers, old_servers = self.servers_by_id, before.servers_by_id
+        self._removed.update(
+            servers, old_servers, self.peers_by_name, before.peers_by_name
+        )
         evacuated, old_evacuated = self.evacuated_domains, before.evacuated_domains
+        self._removed.update_evacuations(evacuated, old_evacuated)
         change = ListingChange(
             added=_servers_not_in(servers, old_servers),
             removed=_servers_not_in(old_servers, servers),
--- a/tests/builders_proxy.py
+++ b/tests/builders_proxy.py
@@ -16,6 +16,7 @@
 from gentianhitch.proxy.model import StoredConfiguration
 from gentianhitch.proxy.model import WeightedService
 from gentianhitch.proxy.model import Workspace
+from gentianhitch.proxy.store_revision import StoreRevision
 
 TOLERANCE = QuotaTolerance(window_s=5.0, ratio=0.1, slack=20.0)
 HOST = "shop.example"
@@ -91,14 +92,20 @@
     )
 
 
+def at(number: int, era: int = 0) -> StoreRevision:
+    """Return a revision; stores name no era before their first return."""
+    return StoreRevision(era, number)
+
+
 def make_listing(
     revision: int,
     *servers: BackendServer,
     peers: tuple[Peer, ...] = (),
     evacuated: tuple[str, ...] = (),
+    era: int = 0,
 ) -> Listing:
     return Listing(
-        revision=revision,
+        revision=at(revision, era),
         backend_servers_by_id={server.id: server for server in servers},
         peers_by_name={peer.name: peer for peer in peers},
         evacuated_domains=frozenset(evacuated),
@@ -106,6 +113,8 @@
 
 
 def make_stored(
-    revision: int, configuration: Configuration | None = None
+    revision: int, configuration: Configuration | None = None, era: int = 0
 ) -> StoredConfiguration:
-    return StoredConfiguration(revision, b"{}", configuration or make_configuration())
+    return StoredConfiguration(
+        at(revision, era), b"{}", configuration or make_configuration()
+    )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from standins import platform_store
 from standins import serving
 from standins import store_calls
+from tests.builders_proxy import at
 from tests.running import run_on_reactor
 
 
@@ -101,11 +102,9 @@
         scenario.server.write("op/config", b"2")
 
         async def read() -> tuple[bytes, object]:
-            item = await scenario.client.read_if_changed("op/config", 0)
+            item = await scenario.client.read_if_changed("op/config", at(0))
             assert item is not None
-            unchanged = await scenario.client.read_if_changed(
-                "op/config", item.revision
-            )
+            unchanged = await scenario.client.read_if_changed("op/config", item.written)
             return item.value, unchanged
 
         assert run_on_reactor(read()) == (b"2", None)
@@ -116,7 +115,7 @@
 
         async def read() -> None:
             with pytest.raises(UnavailableError, match="status"):
-                await scenario.client.read_if_changed("op/config", 1)
+                await scenario.client.read_if_changed("op/config", at(1))
 
         run_on_reactor(read())
 
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -11,6 +11,7 @@
 from gentianhitch.platform.store_reader import decode_peer
 from gentianhitch.platform.store_reader import encode_peer
 from gentianhitch.platform.store_reader import peer_key
+from tests.builders_proxy import at
 from tests.builders_proxy import make_peer
 
 ENTRY = {
@@ -58,7 +59,7 @@
     def test_malformed_entry_does_not_affect_the_others(self) -> None:
         reader = StoreReader(None)  # type: ignore[arg-type]
         items = [make_item(ENTRY), make_item(b"?", "servers/i-2")]
-        listing = reader.decode_listing(items, 20)
+        listing = reader.decode_listing(items, at(20))
         assert set(listing.backend_servers_by_id) == {"i-1"}
         assert set(reader.rejected_by_key) == {"servers/i-2"}
 
@@ -74,7 +75,7 @@
             make_item({}, "op/evacuated"),
             make_item(ENTRY),
         ]
-        listing = reader.decode_listing(items, 20)
+        listing = reader.decode_listing(items, at(20))
         assert listing.evacuated_domains == {"dk-a", "dk/b"}
         assert set(listing.backend_servers_by_id) == {"i-1"}
         assert set(reader.rejected_by_key) == {"op/evacuate/"}
--- a/tests/proxy/test_configuration_server.py
+++ b/tests/proxy/test_configuration_server.py
@@ -11,6 +11,7 @@
 from gentianhitch.proxy.configuration_server import ConfigurationServer
 from gentianhitch.proxy.model import StoredConfiguration
 from tests.builders_deployment import make_document
+from tests.builders_proxy import at
 from tests.builders_proxy import make_configuration
 
 SLOW_LINK_MBPS = 0.2
@@ -31,7 +32,7 @@
 def make_stored(revision: int) -> StoredConfiguration:
     document = make_document(revision, 200)
     return StoredConfiguration(
-        revision, json.dumps(document).encode(), make_configuration()
+        at(revision), json.dumps(document).encode(), make_configuration()
     )
 
 
--- a/tests/proxy/test_full_instances.py
+++ b/tests/proxy/test_full_instances.py
@@ -95,7 +95,8 @@
         decoded = decode(msgspec.msgpack.encode(fields))
         assert isinstance(decoded, LoadReport)
         assert decoded.fullness == 0
-        query = to_fields(FreshnessQuery("e-1", 1.0, 1))[:-1]
+        full = FreshnessQuery.__struct_fields__.index("full")
+        query = to_fields(FreshnessQuery("e-1", 1.0, 1))[:full]
         decoded_query = decode(msgspec.msgpack.encode(query))
         assert isinstance(decoded_query, FreshnessQuery)
         assert decoded_query.full == {}
@@ -108,17 +109,21 @@
         assert decoded.fullness == 110
 
     @pytest.mark.parametrize(
-        "message",
+        ("message", "name"),
         [
-            FreshnessQuery("e-1", 1.0, 1),
-            FreshnessReply("e-1", 1.0, 0.1, 1, b"", 0.1, 1),
-            LoadReport("e-1", 1, 1.0, True, {}, [], []),
+            (FreshnessQuery("e-1", 1.0, 1), "full"),
+            (FreshnessReply("e-1", 1.0, 0.1, 1, b"", 0.1, 1), "full"),
+            (LoadReport("e-1", 1, 1.0, True, {}, [], []), "fullness"),
         ],
     )
-    def test_one_byte_is_added_while_none_is_full(self, message: object) -> None:
-        data = msgspec.msgpack.encode(message)
-        shorter = msgspec.msgpack.encode(to_fields(message)[:-1])
-        assert len(data) == len(shorter) + 1
+    def test_one_byte_is_added_while_none_is_full(
+        self, message: msgspec.Struct, name: str
+    ) -> None:
+        fields = to_fields(message)
+        data = msgspec.msgpack.encode(fields)
+        # The first field is the tag.
+        del fields[1 + message.__struct_fields__.index(name)]
+        assert len(data) == len(msgspec.msgpack.encode(fields)) + 1
 
 
 class TestNamed:
--- a/tests/proxy/test_knowledge.py
+++ b/tests/proxy/test_knowledge.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 from gentianhitch.proxy.registry import Registry
-from gentianhitch.proxy.store_view import REREGISTRATION_S
+from gentianhitch.proxy.store_return import REREGISTRATION_S
+from gentianhitch.proxy.store_revision import NO_CONFIGURATION
 from gentianhitch.proxy.store_view import ListingChange
 from gentianhitch.proxy.store_view import StoreView
+from tests.builders_proxy import at
 from tests.builders_proxy import make_listing
 from tests.builders_proxy import make_peer
 from tests.builders_proxy import make_server
@@ -40,27 +42,27 @@
 
     def test_a_peer_with_the_same_listing_verifies_it(self) -> None:
         store_view = make_store_view()
-        assert store_view.confirm_listing(6, store_view.registry.digest, 12.0)
+        assert store_view.confirm_listing(at(6), store_view.registry.digest, 12.0)
         assert store_view.listing_age_s(12.5) == 0.5
 
     def test_a_peer_with_another_listing_verifies_nothing(self) -> None:
         store_view = make_store_view()
         other = make_store_view("s-1")
-        assert not store_view.confirm_listing(6, other.registry.digest, 12.0)
+        assert not store_view.confirm_listing(at(6), other.registry.digest, 12.0)
         assert store_view.listing_age_s(12.0) == 2.0
 
     def test_a_peer_with_the_same_configuration_verifies_it(self) -> None:
         store_view = StoreView(HEARTBEAT_S)
         store_view.update_configuration(make_stored(3), 10.0)
-        assert store_view.confirm_configuration(3, 12.0)
-        assert not store_view.confirm_configuration(4, 13.0)
+        assert store_view.confirm_configuration(make_stored(3).revision, 12.0)
+        assert not store_view.confirm_configuration(make_stored(4).revision, 13.0)
         assert store_view.configuration_age_s(12.5) == 0.5
 
     def test_an_older_read_does_not_increase_the_age(self) -> None:
         store_view = make_store_view()
         store_view.update_configuration(make_stored(3), 10.0)
-        store_view.confirm_listing(5, store_view.registry.digest, 9.0)
-        store_view.confirm_configuration(3, 9.0)
+        store_view.confirm_listing(at(5), store_view.registry.digest, 9.0)
+        store_view.confirm_configuration(make_stored(3).revision, 9.0)
         assert store_view.listing_verified_s == 10.0
         assert store_view.configuration_verified_s == 10.0
 
@@ -68,7 +70,7 @@
     # until the operator writes the first configuration.
     def test_a_missing_configuration_can_be_verified(self) -> None:
         store_view = StoreView(HEARTBEAT_S)
-        assert store_view.confirm_configuration(0, 10.0)
+        assert store_view.confirm_configuration(NO_CONFIGURATION, 10.0)
         assert store_view.configuration_age_s(10.5) == 0.5
 
     # Guards against a listing that counts as fresh although a peer's reply held only
@@ -80,7 +82,7 @@
         store_view = make_store_view()
         registry = source.registry
         buckets = registry.differing_buckets(store_view.registry.digests())
-        change = store_view.merge_buckets(9, registry.digest, buckets[:1], 12.0)
+        change = store_view.merge_buckets(at(9), registry.digest, buckets[:1], 12.0)
         assert change is not None
         assert store_view.listing_verified_s == 10.0
         follow(store_view, source, 12.0)
@@ -99,14 +101,14 @@
         store_view = StoreView(HEARTBEAT_S)
         store_view.update_listing(make_listing(6, make_server()), 10.0, 10.0)
         buckets = Registry().differing_buckets(store_view.registry.digests())
-        assert store_view.merge_buckets(5, b"", buckets, 11.0) is None
+        assert store_view.merge_buckets(at(5), b"", buckets, 11.0) is None
         assert set(store_view.servers_by_id) == {"s-1"}
 
     def test_an_older_configuration_is_dropped(self) -> None:
         store_view = StoreView(HEARTBEAT_S)
         store_view.update_configuration(make_stored(4), 10.0)
         assert not store_view.update_configuration(make_stored(3), 11.0)
-        assert store_view.configuration_revision == 4
+        assert store_view.configuration_revision.written == at(4)
         assert store_view.configuration_verified_s == 10.0
 
     def test_a_restart_under_the_same_id_is_another_server(self) -> None:
@@ -131,12 +133,12 @@
         store_view = make_store_view("s-1")
         listing = make_listing(6, make_server())
         assert store_view.update_listing(listing, 10.5, 10.5) is None
-        assert store_view.registry.revision == 6
+        assert store_view.registry.revision == at(6)
         listing = make_listing(7, make_server(warmup_s=2.0))
         store_view.update_listing(listing, 11.0, 11.0)
         listing = make_listing(8, make_server(warmup_s=1.0))
         assert store_view.update_listing(listing, 11.5, 11.5) is None
-        assert store_view.registry.revision == 8
+        assert store_view.registry.revision == at(8)
 
     # Guards against requests in numbers to a server that turned cold, if that is all
     # that changes and no part is notified.
@@ -246,12 +248,12 @@
     # overtaken, ends or begins again.
     def test_an_older_state_is_dropped(self) -> None:
         store_view = make_store_view("s-1")
-        assert store_view.merge_evacuations(9, ["a"]) is not None
-        assert store_view.merge_evacuations(8, []) is None
+        assert store_view.merge_evacuations(at(9), ["a"]) is not None
+        assert store_view.merge_evacuations(at(8), []) is None
         store_view.update_listing(make_listing(7, make_server()), 11.0, 11.0)
         assert store_view.evacuated_domains == {"a"}
-        assert store_view.merge_evacuations(10, []) is not None
-        assert store_view.merge_evacuations(9, ["a"]) is None
+        assert store_view.merge_evacuations(at(10), []) is not None
+        assert store_view.merge_evacuations(at(9), ["a"]) is None
 
     # Guards against a domain that stays out of use though its key went away with an
     # outage of the store.
@@ -275,11 +277,11 @@
     # peer is of a version that knows none.
     def test_an_older_peer_verifies_the_entries_only(self) -> None:
         store_view = make_store_view("s-1")
-        assert store_view.confirm_listing(6, store_view.registry.digest, 12.0)
+        assert store_view.confirm_listing(at(6), store_view.registry.digest, 12.0)
         assert store_view.listing_age_s(13.0) == 1.0
         assert store_view.details_age_s(13.0) == 3.0
         assert store_view.age_s(13.0) >= 3.0
         assert store_view.confirm_listing(
-            6, store_view.registry.digest, 12.0, b"", 11.9
+            at(6), store_view.registry.digest, 12.0, b"", 11.9
         )
         assert round(store_view.details_age_s(13.0), 3) == 1.1
--- a/tests/proxy/test_registry.py
+++ b/tests/proxy/test_registry.py
@@ -5,6 +5,7 @@
 
 from gentianhitch.proxy.registry import BUCKET_COUNT
 from gentianhitch.proxy.registry import Registry
+from tests.builders_proxy import at
 from tests.builders_proxy import make_listing
 from tests.builders_proxy import make_peer
 from tests.builders_proxy import make_server
@@ -52,7 +53,7 @@
         assert warm.differing_buckets(cold.digests()) == []
         differing = warm.differing_buckets(cold.full_digests(), full=True)
         assert len(differing) == 1
-        cold.merge(6, differing)
+        cold.merge(at(6), differing)
         assert cold.full_digest == warm.full_digest
         assert not cold.servers_by_id["s-0"].is_cold
 
@@ -79,7 +80,7 @@
             registry = instances[source]
             differing_buckets = registry.differing_buckets(instances[to].digests())
             instances[to].merge(registry.revision, differing_buckets[:most])
-            assert instances[to].revision >= 10 + to
+            assert instances[to].revision >= at(10 + to)
         newest = instances[2]
         for instance in instances:
             differing_buckets = newest.differing_buckets(instance.digests())
--- a/tests/proxy/test_returning_store.py
+++ b/tests/proxy/test_returning_store.py
@@ -12,16 +12,32 @@
 LINK_BYTES_PER_S = 1e6
 INSTANCES = 9
 SERVERS = 12
+ROUTES = 20
+LARGE_ROUTES = 200
+"""The configuration is larger than what is read unconditionally."""
 CONTACT_S = 3.0
 APPLY_S = 2.0
+DRAIN_S = 2.0
+MAX_AGE_S = 4.85
 """Bounds of the deployments of the incident."""
 
 
 class ReturningStore:
     """A deployment whose store returns from a copy without the newest version, 4."""
 
-    def __init__(self) -> None:
-        self.deployment = SimulatedDeployment([LINK_BYTES_PER_S] * INSTANCES, SERVERS)
+    def __init__(
+        self,
+        zones: str = "a",
+        *,
+        instances: int = INSTANCES,
+        routes: int = ROUTES,
+        evacuated: str = "",
+    ) -> None:
+        self.routes = routes
+        links = [LINK_BYTES_PER_S] * instances
+        self.deployment = SimulatedDeployment(links, SERVERS, zones)
+        for zone in evacuated:
+            self.deployment.evacuate(zone)
         self.deployment.advance(5.0)
         self.configure(2)
         self.deployment.advance(1.0)
@@ -31,10 +47,23 @@
             self.configure(version)
             self.deployment.advance(1.0)
         self.deployment.advance(1.0)
-        assert self.deployment.versions() == [4] * INSTANCES
+        assert self.deployment.versions() == [4] * instances
 
     def configure(self, version: int) -> None:
-        self.deployment.configure(make_document(version, 20))
+        self.deployment.configure(make_document(version, self.routes))
+
+    def configuration_ages_s(self) -> list[float]:
+        now = self.deployment.network.clock.seconds()
+        views = [each.store_view for each in self.deployment.instances]
+        return [each.configuration_age_s(now) for each in views]
+
+    def are_verified(self) -> bool:
+        """Return whether all instances admit requests with a key."""
+        return max(self.configuration_ages_s()) < MAX_AGE_S
+
+    def evacuated(self) -> set[frozenset[str]]:
+        """Return the sets of evacuated domains that the instances have."""
+        return {each.store_view.evacuated_domains for each in self.deployment.instances}
 
 
 class TestLog:
@@ -78,3 +107,141 @@
         scenario.configure(5)
         deployment.advance(APPLY_S)
         assert deployment.versions() == [5] * INSTANCES
+
+    # Guards against a conditional read that takes "unchanged since this revision" for
+    # an answer about the configuration that had it before the return.
+    def test_is_in_force_in_time_if_it_is_large(self) -> None:
+        scenario = ReturningStore(routes=LARGE_ROUTES)
+        deployment = scenario.deployment
+        store = deployment.store.store
+        before = store.records_by_key["op/config"].revision
+        deployment.return_store(scenario.copy, 1.0, again_s=60.0)
+        deployment.advance(CONTACT_S)
+        store.revision = before - 1
+        scenario.configure(5)
+        deployment.advance(APPLY_S)
+        assert deployment.versions() == [5] * INSTANCES
+        assert scenario.are_verified()
+
+    # Guards against the second return being ordered by what the first one had shown.
+    def test_is_in_force_in_time_after_two_returns(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        for _ in range(2):
+            deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+            deployment.advance(1.0)
+        deployment.advance(CONTACT_S)
+        scenario.configure(5)
+        deployment.advance(APPLY_S)
+        assert deployment.versions() == [5] * INSTANCES
+
+    # Guards against an instance without a past that is offered an older configuration
+    # at a higher revision.
+    def test_is_in_force_at_instances_that_start_after_the_return(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        deployment.advance(CONTACT_S)
+        scenario.configure(5)
+        for number in (0, 4, 8):
+            deployment.restart(number)
+        deployment.advance(APPLY_S)
+        assert deployment.versions() == [5] * INSTANCES
+
+
+class TestKnownConfiguration:
+    # Guards against a configuration that came back older: the copy has version 2.
+    def test_stays_in_force_until_it_is_written_again(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=1.5)
+        for _ in range(40):
+            deployment.advance(0.1)
+            assert deployment.versions() == [4] * INSTANCES
+        assert scenario.are_verified()
+
+    # Guards against an answer without a doubt where a key may have been withdrawn.
+    def test_is_not_confirmed_by_the_copy(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=60.0)
+        deployment.advance(5.0)
+        assert deployment.versions() == [4] * INSTANCES
+        assert min(scenario.configuration_ages_s()) > 5.0
+
+
+class TestListing:
+    # Guards against requests that go to a server which has left.
+    def test_a_removed_server_does_not_come_back(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.remove_server(3)
+        deployment.advance(2.0)
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        for _ in range(40):
+            deployment.advance(0.1)
+            assert deployment.users_of(3) == []
+
+    # Guards against requests to a server that drains, which the copy shows as ready.
+    def test_a_draining_server_stays_unused(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.drain_server(3)
+        deployment.advance(2.0)
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        for _ in range(40):
+            deployment.advance(0.1)
+            assert deployment.users_of(3) == []
+
+    def test_an_added_server_stays_in_use(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.add_server(SERVERS, "a")
+        deployment.advance(2.0)
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        for _ in range(40):
+            deployment.advance(0.1)
+            assert len(deployment.users_of(SERVERS)) == INSTANCES
+
+    # Guards against departures that are missed while revisions are lower than before.
+    def test_a_server_that_leaves_after_the_return_is_not_used(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=0.5)
+        deployment.advance(1.0)
+        deployment.drain_server(3)
+        deployment.advance(DRAIN_S)
+        assert deployment.users_of(3) == []
+
+
+class TestEvacuations:
+    # Guards against servers of an evacuated failure domain that are used again.
+    def test_an_evacuated_domain_stays_unused(self) -> None:
+        scenario = ReturningStore("abc")
+        deployment = scenario.deployment
+        deployment.evacuate("b")
+        deployment.advance(2.0)
+        deployment.return_store(scenario.copy, 1.0, again_s=1.0)
+        for _ in range(40):
+            deployment.advance(0.1)
+            assert scenario.evacuated() == {frozenset("b")}
+
+    def test_an_ended_evacuation_does_not_come_back(self) -> None:
+        scenario = ReturningStore("abc", evacuated="b")
+        deployment = scenario.deployment
+        deployment.cancel_evacuation("b")
+        deployment.advance(2.0)
+        deployment.return_store(scenario.copy, 1.0, again_s=1.0)
+        for _ in range(40):
+            deployment.advance(0.1)
+            assert scenario.evacuated() == {frozenset()}
+
+    # Guards against an evacuation that is missed while revisions are lower than before.
+    def test_an_evacuation_after_the_return_is_in_force(self) -> None:
+        scenario = ReturningStore("abc")
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=1.0)
+        deployment.advance(0.5)
+        deployment.evacuate("b")
+        deployment.advance(APPLY_S)
+        assert scenario.evacuated() == {frozenset("b")}
