Query others at the start, even as the first reader

What callers would see: an instance that starts while the store shows the copy serves by the older configuration, although its peers know the newer one.

Cause: the first reader of a failure domain reads the store and queries nobody; replies are the only way in which it learns of a configuration.

Evidence: TestKnownConfiguration::test_reaches_an_instance_that_starts_after_the_return: version 2 at the started instance for 6 s, as long as it was watched, and 4 at the other eight; green now. An instance after the first of the order queries the first already.

--- a/src/gentianhitch/proxy/sources.py
+++ b/src/gentianhitch/proxy/sources.py
@@ -107,6 +107,7 @@
     _failed_read_started_s: float | None = None
     _last_query_s: float = float("-inf")
     _next_peer_index: int = 0
+    _has_reply: bool = False
     _peers: tuple[Peer, ...] = ()
     _others_in_order: list[Peer] = attrs.Factory(list)
     _domain_before_self: list[Peer] = attrs.Factory(list)
@@ -119,6 +120,7 @@
     def record_reply(self, name: str, age_s: float, now: float) -> None:
         """Record a reply with a view of ``age_s``; one too old counts as a timeout."""
         self._queried_at_by_name.pop(name, None)
+        self._has_reply = True
         if age_s > 2 * self.interval_s + REPLY_AGE_MARGIN_S:
             self._back_off(name, now)
         else:
@@ -210,8 +212,10 @@
     def _peers_to_query(self, readers: list[Peer], age_s: float) -> tuple[Peer, ...]:
         to_query = list(readers)
         ordered = self._others_in_order
-        if age_s > self.fallback_read_age_s and ordered:
-            # The failure domain may be partitioned: query all peers in turn.
+        asks_nobody = not self._domain_before_self and not self._has_reply
+        if (age_s > self.fallback_read_age_s or asks_nobody) and ordered:
+            # The failure domain may be partitioned: query all peers in turn. Peers also
+            # know what a store has lost that returned from a copy before the start.
             for _ in range(FALLBACK_PEERS_QUERIED):
                 self._next_peer_index += 1
                 index = rank(self.name) + self._next_peer_index
--- a/tests/proxy/test_returning_store.py
+++ b/tests/proxy/test_returning_store.py
@@ -169,6 +169,14 @@
         assert deployment.versions() == [4] * INSTANCES
         assert min(scenario.configuration_ages_s()) > 5.0
 
+    def test_reaches_an_instance_that_starts_after_the_return(self) -> None:
+        scenario = ReturningStore()
+        deployment = scenario.deployment
+        deployment.return_store(scenario.copy, 1.0, again_s=60.0)
+        deployment.restart(4)
+        deployment.advance(1.5)
+        assert deployment.versions() == [4] * INSTANCES
+
 
 class TestListing:
     # Guards against requests that go to a server which has left.
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gentianhitch.proxy.sources import FALLBACK_PEERS_QUERIED
 from gentianhitch.proxy.sources import FALLBACK_READ_INTERVAL_S
 from gentianhitch.proxy.sources import MAX_READ_INTERVAL_S
 from gentianhitch.proxy.sources import PEER_BACKOFF_S
@@ -56,6 +57,17 @@
         assert RefreshPlan("f-1", "b").next_step(peers, 0.1, 100.0).read_store
 
 
+class TestStart:
+    # Guards against a first reader that takes the copy from which the store returned
+    # for current, while its peers know a newer configuration.
+    def test_the_first_of_the_order_queries_others_until_one_replies(self) -> None:
+        plan = RefreshPlan(FIRST, "a")
+        step = plan.next_step(PEERS, 0.1, 100.0)
+        assert len(step.peers) == FALLBACK_PEERS_QUERIED
+        plan.record_reply(step.peers[0].name, 0.1, 100.1)
+        assert plan.next_step(PEERS, 0.1, 100.3).peers == ()
+
+
 class TestLinks:
     # Guards against late changes when the instance that sends them to all others has
     # one of the slowest links.
