Register again at once after the store returned from a copy

What callers would see: instances that registered after the copy was made are missing from the listing until their next renewal is due, 3 s later in standby: the directory doesn't name them and quotas are shared without them once they are no longer retained (2 s). And the numbers of leases may be given out again: an instance that left would end another's lease.

Cause: the same as of the incident; a lease was named by its number alone.

Evidence: TestRegistration::test_instances_are_listed_again_in_time, 36 instances of which all had started after the copy: red before (some still missing 2 s after the return), green now. The unit tests in test_registration.py are new with the method. tests of registration, the store's client and returns: passed.

--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -57,6 +57,17 @@
     """The lease has ended and the store has deleted its keys."""
 
 
+@attrs.frozen
+class GrantedLease:
+    """A lease, and the era of the store that granted it.
+
+    In a later era it may be gone, or its number be that of another lease.
+    """
+
+    number: int
+    era: int = NO_ERA
+
+
 @attrs.frozen
 class Item:
     """One item of the store; revisions number the writes to all keys together.
@@ -194,12 +205,12 @@
                 return _decode_item(each, _era(response))
         raise UnavailableError(f"{path}: conflict response does not contain {key}")
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease of ``ttl_s`` seconds and return its id."""
+    async def grant_lease(self, ttl_s: float) -> GrantedLease:
+        """Create a lease of ``ttl_s`` seconds."""
         path = "/v1/kv-lease"
         response = await self._call("POST", path, {"ttlMs": int(ttl_s * 1000)})
         granted: _WireLease = _decode(_lease_decoder, _ok_body(response, path))
-        return granted.lease
+        return GrantedLease(granted.lease, _era(response))
 
     async def renew_lease(self, lease: int) -> None:
         """Extend a lease by its duration; raise LeaseEndedError if it has ended."""
--- a/src/gentianhitch/proxy/instance.py
+++ b/src/gentianhitch/proxy/instance.py
@@ -360,6 +360,7 @@
                 source=source,
                 version=None if configuration is None else configuration.version,
             )
+            self._registration.register_again(era)
 
     def _run_housekeeping(self) -> None:
         now = self._reactor.seconds()
--- a/src/gentianhitch/proxy/registration.py
+++ b/src/gentianhitch/proxy/registration.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from gentianhitch.platform.interface import PlatformError
+from gentianhitch.platform.store import NO_ERA
+from gentianhitch.platform.store import GrantedLease
 from gentianhitch.platform.store import KeyValueStore
 from gentianhitch.platform.store import LeaseEndedError
 from gentianhitch.platform.store_reader import encode_peer
@@ -46,7 +48,8 @@
         self._store = store
         self._events = events
         self._is_near_serving = is_near_serving
-        self._lease: int | None = None
+        self._lease: GrantedLease | None = None
+        self._era = NO_ERA
         self._lease_s = STANDBY_LEASE_S
         self._renewed_s = float("-inf")
         self._is_busy = False
@@ -61,6 +64,13 @@
         self._peer = peer
         self._loop.start()
 
+    def register_again(self, era: int) -> None:
+        """Register under a new lease: the store has returned from a copy in ``era``."""
+        self._era = era
+        self._intervals_to_skip = 0
+        if not self._is_leaving:
+            self._tick()
+
     def stop(self) -> None:
         """Stop renewing; the entry expires with its lease."""
         self._is_leaving = True
@@ -69,11 +79,12 @@
     async def leave(self) -> None:
         """Stop renewing and remove the entry at once, by ending the lease."""
         self.stop()
+        has_lease = self._has_lease()
         lease, self._lease = self._lease, None
-        if lease is None:
+        if lease is None or not has_lease:
             return
         try:
-            await self._store.end_lease(lease)
+            await self._store.end_lease(lease.number)
         except PlatformError as error:
             # The lease expires within LEASE_S.
             self._events.state("lease_not_ended", detail=str(error))
@@ -88,21 +99,26 @@
             )
 
     def _is_due(self) -> bool:
-        if self._lease is None or self._needs_shorter_lease():
+        if not self._has_lease() or self._needs_shorter_lease():
             return True
         elapsed_s: float = self._clock.seconds() - self._renewed_s
         return elapsed_s >= self._lease_s / RENEWALS_PER_LEASE
 
+    def _has_lease(self) -> bool:
+        # The number of a lease of an earlier era may be that of another instance's.
+        return self._lease is not None and self._lease.era >= self._era
+
     def _needs_shorter_lease(self) -> bool:
         return self._lease_s > LEASE_S and self._is_near_serving()
 
     async def _register_or_renew(self) -> None:
         started_s = self._clock.seconds()
         try:
-            if self._lease is None or self._needs_shorter_lease():
+            lease = self._lease
+            if lease is None or not self._has_lease() or self._needs_shorter_lease():
                 await self._register()
             else:
-                await self._store.renew_lease(self._lease)
+                await self._store.renew_lease(lease.number)
             self._renewed_s = started_s
             self._record_listed(is_listed=True)
             self._failures = 0
@@ -120,10 +136,10 @@
         lease_s = LEASE_S if self._is_near_serving() else STANDBY_LEASE_S
         lease = await self._store.grant_lease(lease_s)
         await self._store.put(
-            peer_key(self._peer.name), encode_peer(self._peer), lease=lease
+            peer_key(self._peer.name), encode_peer(self._peer), lease=lease.number
         )
         if self._is_leaving:
-            await self._store.end_lease(lease)
+            await self._store.end_lease(lease.number)
         else:
             # An earlier lease holds no key any more and expires.
             self._lease = lease
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -125,7 +125,7 @@
         scenario = Scenario()
 
         async def write() -> list[str]:
-            lease = await scenario.client.grant_lease(5.0)
+            lease = (await scenario.client.grant_lease(5.0)).number
             await scenario.client.put("instances/e-1", b"{}", lease=lease)
             await scenario.client.renew_lease(lease)
             await scenario.client.end_lease(lease)
@@ -149,7 +149,7 @@
 
         async def write() -> bytes:
             lease = await scenario.client.grant_lease(5.0)
-            return b"%d" % lease
+            return b"%d" % lease.number
 
         async def expect_error() -> None:
             with pytest.raises(OutcomeUnknownError):
--- a/tests/proxy/test_registration.py
+++ b/tests/proxy/test_registration.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from gentianhitch.platform.interface import UnavailableError
+from gentianhitch.platform.store import GrantedLease
 from gentianhitch.proxy.registration import LEASE_S
 from gentianhitch.proxy.registration import RENEW_INTERVAL_S
 from gentianhitch.proxy.registration import STANDBY_LEASE_S
@@ -18,16 +20,18 @@
         self.refuses = False
         self.calls: list[str] = []
         self.leases_s: list[float] = []
+        self.ended: list[int] = []
+        self.era = 0
 
     async def _record_call(self, name: str) -> None:
         self.calls.append(name)
         if self.refuses:
             raise UnavailableError("status 503")
 
-    async def grant_lease(self, ttl_s: float) -> int:
+    async def grant_lease(self, ttl_s: float) -> GrantedLease:
         self.leases_s.append(ttl_s)
         await self._record_call("grant")
-        return 7
+        return GrantedLease(7 + len(self.leases_s), self.era)
 
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
         await self._record_call("put")
@@ -35,6 +39,9 @@
     async def renew_lease(self, lease: int) -> None:
         await self._record_call("renew")
 
+    async def end_lease(self, lease: int) -> None:
+        self.ended.append(lease)
+
 
 class _Events:
     def state(self, event: str, **inputs: Any) -> None:
@@ -45,10 +52,17 @@
 
 
 def start(is_near_serving: Callable[[], bool] = lambda: True) -> tuple[Clock, _Store]:
+    clock, store, _ = start_registration(is_near_serving)
+    return clock, store
+
+
+def start_registration(
+    is_near_serving: Callable[[], bool] = lambda: True,
+) -> tuple[Clock, _Store, Registration]:
     clock, store = Clock(), _Store()
     registration = Registration(clock, store, _Events(), is_near_serving)  # type: ignore[arg-type]
     registration.start(make_peer("e-1"))
-    return clock, store
+    return clock, store, registration
 
 
 class TestRenewal:
@@ -92,3 +106,42 @@
         clock.pump([RENEW_INTERVAL_S] * 4)
         assert store.leases_s == [STANDBY_LEASE_S, LEASE_S]
         assert store.calls == ["grant", "put", "grant", "put", *["renew"] * 3]
+
+
+class TestReturnFromACopy:
+    """Pattern: the store has lost leases, and gives their numbers out again."""
+
+    def test_registers_at_once(self) -> None:
+        clock, store, registration = start_registration()
+        store.calls.clear()
+        store.era = 1
+        registration.register_again(1)
+        assert store.calls == ["grant", "put"]
+        clock.pump([RENEW_INTERVAL_S])
+        assert store.calls == ["grant", "put", "renew"]
+
+    # Guards against another instance's lease being renewed or ended by its number.
+    def test_an_earlier_lease_is_neither_renewed_nor_ended(self) -> None:
+        clock, store, registration = start_registration()
+        store.calls.clear()
+        store.refuses = True
+        registration.register_again(1)
+        clock.pump([RENEW_INTERVAL_S] * 4)
+        Deferred.fromCoroutine(registration.leave())
+        assert "renew" not in store.calls
+        assert store.ended == []
+
+    def test_a_lease_that_an_earlier_era_granted_late_is_replaced(self) -> None:
+        clock, store, registration = start_registration()
+        registration.register_again(1)
+        store.calls.clear()
+        store.era = 1
+        clock.pump([RENEW_INTERVAL_S])
+        assert store.calls == ["grant", "put"]
+
+    def test_an_instance_that_leaves_does_not_register(self) -> None:
+        _, store, registration = start_registration()
+        Deferred.fromCoroutine(registration.leave())
+        store.calls.clear()
+        registration.register_again(1)
+        assert store.calls == []
--- a/tests/proxy/test_returning_store.py
+++ b/tests/proxy/test_returning_store.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+import json
+from base64 import b64decode
+
+from gentianhitch.proxy.registration import RENEWALS_PER_LEASE
+from gentianhitch.proxy.registration import STANDBY_LEASE_S
 from tests.builders_deployment import SimulatedDeployment
 from tests.builders_deployment import make_document
 
@@ -20,6 +25,8 @@
 DRAIN_S = 2.0
 MAX_AGE_S = 4.85
 """Bounds of the deployments of the incident."""
+REREGISTRATION_S = 2.0
+"""Time in which entries are to be back after a return."""
 
 
 class ReturningStore:
@@ -65,6 +72,11 @@
         """Return the sets of evacuated domains that the instances have."""
         return {each.store_view.evacuated_domains for each in self.deployment.instances}
 
+    def listed(self) -> set[int]:
+        """Return the incarnations of the instances that the store lists."""
+        records = self.deployment.store.store.range("peers/", "")
+        return {json.loads(b64decode(each.value))["incarnation"] for each in records}
+
 
 class TestLog:
     # Guards against an incident whose logs can't tell a store that returned from one
@@ -253,3 +265,20 @@
         deployment.evacuate("b")
         deployment.advance(APPLY_S)
         assert scenario.evacuated() == {frozenset("b")}
+
+
+class TestRegistration:
+    # Guards against instances that callers and others don't find, because the copy
+    # lacks their lease and each learns of it only when the next renewal is due.
+    def test_instances_are_listed_again_in_time(self) -> None:
+        scenario = ReturningStore(instances=INSTANCES * 4)
+        deployment = scenario.deployment
+        for number in range(len(deployment.instances)):
+            deployment.restart(number)
+        # Those in standby have just renewed their lease.
+        deployment.advance(STANDBY_LEASE_S / RENEWALS_PER_LEASE + 0.5)
+        started = {each._incarnation for each in deployment.instances}
+        assert scenario.listed() == started
+        deployment.return_store(scenario.copy, 0.5, again_s=0.5)
+        deployment.advance(REREGISTRATION_S)
+        assert scenario.listed() == started
