Take the era from the store's conflicts and refusals too

What callers would see: nothing yet known. A conditional read of a large configuration is answered by a conflict, and a renewal after a return by "not found"; neither told the instance of the era, so that a configuration of the copy could confirm itself until the next successful read.

Cause: the header was read from successful responses only, since others may come without it. Now from each that has it.

Evidence: TestEra::test_is_taken_from_each_response, red before, green now. Its neighbours guard what the fix already does.

--- a/src/gentianhitch/platform/store.py
+++ b/src/gentianhitch/platform/store.py
@@ -130,7 +130,7 @@
 
     A call raises UnavailableError when it was not sent or failed, and
     OutcomeUnknownError when its response was lost. ``calls`` counts the calls.
-    ``on_era`` is called with the era of each successful response.
+    ``on_era`` is called with the era of each response of the store.
     """
 
     def __init__(
@@ -251,7 +251,8 @@
             raise UnavailableError(f"{method} {path}: {error!r}") from error
         except RESPONSE_LOST_ERRORS as error:
             raise OutcomeUnknownError(f"{method} {path}: {error!r}") from error
-        if response.status == HTTPStatus.OK:
+        # A response without the header may come from something in front of the store.
+        if response.status == HTTPStatus.OK or response.headers.hasHeader(STORE_ERA):
             self._on_era(_era(response))
         return response
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -24,7 +24,8 @@
             platform_store.Store(serving.seconds)
         )
         address = Address.parse(serving.listen(self.server.app, 0))
-        self.client = KeyValueStore(reactor, address)
+        self.eras: list[int] = []
+        self.client = KeyValueStore(reactor, address, self.eras.append)
 
 
 class TestRange:
@@ -156,3 +157,48 @@
                 await write()
 
         run_on_reactor(expect_error())
+
+
+class TestEra:
+    # Guards against a return that goes unnoticed until a read succeeds: a conditional
+    # read is answered by a conflict, a renewal by "not found".
+    def test_is_taken_from_each_response(self) -> None:
+        scenario = Scenario()
+        scenario.server.write("op/config", b"2")
+        scenario.server.store.era = 3
+
+        async def read() -> None:
+            item = await scenario.client.read_if_changed("op/config", at(0))
+            assert item is not None
+            assert item.written == at(item.revision, era=3)
+            with pytest.raises(LeaseEndedError):
+                await scenario.client.renew_lease(4711)
+
+        run_on_reactor(read())
+        assert scenario.eras == [3, 3]
+
+    # Guards against "unchanged" about a write that has the number of an earlier one.
+    def test_an_item_of_another_era_is_read_in_full(self) -> None:
+        scenario = Scenario()
+        scenario.server.write("op/config", b"2")
+
+        async def read() -> bytes:
+            item = await scenario.client.read("op/config")
+            assert item is not None
+            scenario.server.store.era += 1
+            again = await scenario.client.read_if_changed("op/config", item.written)
+            assert again is not None
+            return again.value
+
+        assert run_on_reactor(read()) == b"2"
+
+    def test_a_malformed_era_fails_the_call(self) -> None:
+        scenario = Scenario()
+        scenario.server.store.era = "new"  # type: ignore[assignment]
+
+        async def read() -> None:
+            with pytest.raises(UnavailableError, match="era"):
+                await scenario.client.read_range("")
+
+        run_on_reactor(read())
+        assert scenario.eras == []
