--- a/tests/proxy/test_configuration_server.py
+++ b/tests/proxy/test_configuration_server.py
@@ -21,8 +21,10 @@
 class FakeRequest:
     """A request of another instance."""
 
-    def __init__(self, receiver: str, base: int = 0) -> None:
+    def __init__(self, receiver: str, base: int = 0, era: int | None = None) -> None:
         self.args = {b"for": [receiver.encode()], b"base": [b"%d" % base]}
+        if era is not None:
+            self.args[b"era"] = [b"%d" % era]
         self.status = 200
 
     def setResponseCode(self, status: int) -> None:  # noqa: N802
@@ -54,6 +56,14 @@
         assert (transfer.revision, transfer.base_revision) == (5, 0)
         assert decompress(transfer.compressed, b"") == make_stored(5).encoded
 
+    # Guards against a delta that is applied to another configuration, which had the
+    # same revision before the store returned from a copy.
+    def test_a_base_of_another_era_is_not_used(self) -> None:
+        source = make_source(FAST_LINK_MBPS, 5, 9)
+        transfer = decode_transfer(source.respond(FakeRequest("e-1", 5, era=1)))
+        assert transfer.base_revision == 0
+        assert decompress(transfer.compressed, b"") == make_stored(9).encoded
+
     def test_a_receiver_with_a_known_base_gets_a_delta(self) -> None:
         source = make_source(FAST_LINK_MBPS, 5, 9)
         transfer = decode_transfer(source.respond(FakeRequest("e-1", 5)))
