--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -184,6 +184,11 @@
         """Switch faults of the store."""
         call("PUT", self.store, "/admin/faults", fault)
 
+    def return_store(self, age_s: float, away_s: float) -> None:
+        """Have the store be away for a time and return from a copy of this age."""
+        ages = f"age_ms={age_s * 1000:.0f}&away_ms={away_s * 1000:.0f}"
+        call("PUT", self.store, f"/admin/return?{ages}")
+
     def set_server_fault(self, server: str, kind: str) -> None:
         """Switch a fault of one server."""
         call("PUT", self.servers_by_id[server], f"/admin/fault?kind={kind}")
