Have the store return from a copy in the fault soak

- After the faults, the store returns from a copy of 9 s that lacks an added route, and another one is added: requests at the end must be served.
- CONFIG: a request on an added route gets 404 at an instance that was in touch.

--- a/standins/fault_soak/checks.py
+++ b/standins/fault_soak/checks.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from functools import cached_property
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -18,6 +19,7 @@
 QUOTA_OVERSHOOT = 0.1
 QUOTA_SLACK = 20.0
 REVOCATION_S = 3.0
+ROUTE_S = 2.0
 DRAIN_S = 2.0
 CONTACT_S = 3.0
 WAIT_SLACK_S = 0.5
@@ -92,6 +94,7 @@
     reached: set[str] = attrs.Factory(set)
     evacuations: list[Span] = attrs.Factory(list)
     cold: list[Span] = attrs.Factory(list)
+    added_routes: list[Moment] = attrs.Factory(list)
 
     def broken(self) -> list[str]:
         """Return a line for each broken promise."""
@@ -102,6 +105,7 @@
             *self._unasked(),
             *self._over_limit(),
             *self._withdrawn(),
+            *self._not_found(),
             *self._drained(),
             *self._left(),
             *self._crowded(),
@@ -192,6 +196,21 @@
                     after_s = seen.sent_s - key.at_s
                     yield f"CONFIG {seen.request} ran {after_s:.1f} s after its key"
 
+    def _not_found(self) -> Iterable[str]:
+        """Find requests on added routes that instances did not know.
+
+        Only those that were in touch for long enough before are bound.
+        """
+        added_s = {route.what: route.at_s for route in self.added_routes}
+        for seen in self.seen:
+            at_s = added_s.get(seen.kind.prefix)
+            if at_s is None or seen.status != HTTPStatus.NOT_FOUND:
+                continue
+            late_s = seen.sent_s - at_s
+            known_s = seen.sent_s - ROUTE_S
+            if known_s > at_s and self._in_touch(known_s, seen.ended_s):
+                yield f"CONFIG {seen.request} got 404 {late_s:.1f} s after its route"
+
     def _drained(self) -> Iterable[str]:
         for server in self.drained_servers:
             for run in self.runs:
--- a/standins/fault_soak/faults.py
+++ b/standins/fault_soak/faults.py
@@ -26,6 +26,12 @@
 SERVER_FAULTS = ("errors", "hang", "decline")
 ANSWER_FAULTS = ("repeat", "cut-head", "busy")
 """Take the place of every second server fault, so that seeds keep their choices."""
+RETURN_EACH = 2
+"""A return from a copy takes the place of every second fault of the store."""
+
+COPY_AGE_SHARE = 2.0
+AWAY_SHARE = 0.4
+"""Of the time that the fault which it replaces would last."""
 BROKEN_SETTINGS_SHARE = 0.5
 SIGNALLED_SHARE = 0.5
 
@@ -59,6 +65,7 @@
     deployment: SoakDeployment
     random: Random
     _server_faults: int = 0
+    _store_faults: int = 0
 
     def choose(self) -> Fault:
         """Return the next fault."""
@@ -170,14 +177,25 @@
             deployment.restart(number)
 
     def _store(self) -> Fault:
-        fault = self.random.choice(STORE_FAULTS)
+        fault, for_s = self.random.choice(STORE_FAULTS), self._duration()
+        self._store_faults += 1
+        if self._store_faults % RETURN_EACH == 1:
+            return self._return_store(for_s * COPY_AGE_SHARE, for_s * AWAY_SHARE)
         return Fault(
             f"store {fault}",
-            self._duration(),
+            for_s,
             lambda: self.deployment.set_store_fault(**fault),
             lambda: self.deployment.set_store_fault(**STORE_WELL),
         )
 
+    def _return_store(self, age_s: float, away_s: float) -> Fault:
+        return Fault(
+            f"store returns from a copy of {age_s:.1f} s",
+            away_s,
+            lambda: self.deployment.return_store(age_s, away_s),
+            nothing,
+        )
+
     def _link(self, what: str, address: str, *, cuts_off: bool) -> Fault:
         mode = self.random.choice((*LINK_MODES, "slow"))
         delay_ms = self.random.randrange(50, 400) if mode == "slow" else 0
--- a/standins/fault_soak/soak.py
+++ b/standins/fault_soak/soak.py
@@ -16,6 +16,8 @@
 from standins.deployment import scratch_folder
 from standins.fault_soak.callers import Caller
 from standins.fault_soak.callers import Kind
+from standins.fault_soak.checks import CONTACT_S
+from standins.fault_soak.checks import ROUTE_S
 from standins.fault_soak.checks import Disturbance
 from standins.fault_soak.checks import History
 from standins.fault_soak.checks import Limit
@@ -47,6 +49,10 @@
 STOPPED_SHARE = 0.34
 """Instances that stop at once while waves of callers come."""
 
+COPY_AGE_S = 9.0
+"""So old that revisions stay below the known ones for longer than the drill."""
+
+AWAY_S = 0.5
 CALM_S = 3.0
 RESOLVE_INTERVAL_S = 0.5
 LAST_ANSWERS_S = 13.0
@@ -86,6 +92,7 @@
     addresses: list[str] = attrs.Factory(list)
     withdrawn: list[Moment] = attrs.Factory(list)
     drained: list[Moment] = attrs.Factory(list)
+    added: list[Moment] = attrs.Factory(list)
     disturbances: list[Disturbance] = attrs.Factory(list)
     callers: list[Caller] = attrs.Factory(list)
     waves: list[Wave] = attrs.Factory(list)
@@ -112,8 +119,10 @@
             thread.start()
         self._strike()
         if self.options.faults_s:
+            self._add_route()
             until_s = time.monotonic() + RECOVERY_S
             self._note_all(self.domains.run_in_contact(until_s))
+            self._drill()
         calm_s = time.monotonic()
         time.sleep(self.options.calm_s)
         calm_until_s = time.monotonic()
@@ -126,6 +135,19 @@
             thread.join(LAST_ANSWERS_S)
         return self._check(calm_s, calm_until_s)
 
+    def _drill(self) -> None:
+        """Have the store return from a copy that lacks a change, and change again."""
+        self._add_route()
+        time.sleep(CONTACT_S)
+        began_s = time.monotonic()
+        self.deployment.return_store(COPY_AGE_S, AWAY_S)
+        time.sleep(AWAY_S)
+        self.disturbances.append(Disturbance(began_s, time.monotonic()))
+        time.sleep(CONTACT_S)
+        self._add_route()
+        time.sleep(ROUTE_S)
+        self._note(f"the store has returned from a copy of {COPY_AGE_S:.1f} s")
+
     def _stop_with_waves(self) -> None:
         """Stop some instances at once; callers come in waves when they close."""
         deployment = self.deployment
@@ -215,10 +237,15 @@
             deployment.set_server_fault(f"{service}-1", "leave")
             self.drained.append(Moment(server, time.monotonic()))
         else:
-            deployment.extra_routes.append(f"/extra-{deployment.version}/")
-            deployment.publish()
+            self._add_route()
         self._note(f"planned: {kind}")
 
+    def _add_route(self) -> None:
+        route = f"/extra-{self.deployment.version}/"
+        self.deployment.extra_routes.append(route)
+        self.deployment.publish()
+        self.added.append(Moment(route, time.monotonic()))
+
     def _kinds(self) -> list[Kind]:
         read, order, everyone = ROUTES["read"], ROUTES["order"], ROUTES["open"]
         key = self.deployment.keys[0]
@@ -232,6 +259,10 @@
             Kind("withdrawn", "POST", order, moment.what, WORKSPACE)
             for moment in self.withdrawn[-1:]
         ]
+        kinds += [
+            Kind("added", "GET", moment.what, key, WORKSPACE)
+            for moment in self.added[-1:]
+        ]
         return kinds
 
     def _files(self) -> list[Kind]:
@@ -265,6 +296,7 @@
             self.deployment.reached(),
             self.domains.evacuations,
             self.domains.cold,
+            self.added,
         )
         broken = [*history.broken(), *self.deployment.bad_exits]
         withdrawn = {moment.what for moment in self.withdrawn}
--- a/tests/standins/test_fault_soak_checks.py
+++ b/tests/standins/test_fault_soak_checks.py
@@ -72,6 +72,18 @@
         found = broken(seen, runs, limits=[Limit("north", 4, 4)])
         assert "QUOTA" in found
 
+    def test_an_added_route_that_is_not_found(self) -> None:
+        seen = [make_seen(ORDER, status=404, signed=False)]
+        assert broken(seen, [], added_routes=[Moment("/orders/", 97.5)]) == ["CONFIG"]
+        assert broken(seen, [], added_routes=[Moment("/orders/", 98.5)]) == []
+
+    def test_an_added_route_may_be_missing_until_instances_are_in_touch(self) -> None:
+        seen = [make_seen(ORDER, status=404, signed=False)]
+        added = [Moment("/orders/", 90.0)]
+        late, early = Disturbance(91.0, 95.5), Disturbance(91.0, 94.5)
+        assert broken(seen, [], added_routes=added, disturbances=[late]) == []
+        assert broken(seen, [], added_routes=added, disturbances=[early]) == ["CONFIG"]
+
     def test_a_withdrawn_key(self) -> None:
         withdrawn = [Moment("key-1", 90.0)]
         assert broken([make_seen()], [make_run()], withdrawn_keys=withdrawn) == [
